--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# SPDX-License-Identifier: MIT
+# The two commands of the README, and what they need.
+
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+DEPLOYMENT ?= skupna-pot
+PACKAGES := saddledoor saddledoord saddledoorctl saddledoor-standins
+
+.PHONY: demo test lint format prove bench
+
+$(VENV)/.made: requirements.txt $(PACKAGES:%=packages/%/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-build-isolation \
+	  --no-deps $(PACKAGES:%=-e packages/%)
+	touch $@
+
+demo: $(VENV)/.made
+	@$(BIN)/python -m saddledoor_standins demo deployments/$(DEPLOYMENT).yaml
+
+test: $(VENV)/.made
+	@$(BIN)/python -m pytest
+
+prove: $(VENV)/.made
+	@$(BIN)/python -m saddledoor_standins prove
+
+lint: $(VENV)/.made
+	@$(BIN)/ruff format --check .
+	@$(BIN)/ruff check .
+
+format: $(VENV)/.made
+	@$(BIN)/ruff check --fix .
+	@$(BIN)/ruff format .
+
+# Only after a change of peer.proto; needs grpcio-tools, which the build does not.
+WIRE := packages/saddledoord/src/saddledoord/wire
+wire: $(VENV)/.made
+	$(BIN)/pip install --quiet grpcio-tools==1.85.1
+	$(BIN)/python -m grpc_tools.protoc -I $(WIRE) --python_out=$(WIRE) \
+	  --grpc_python_out=$(WIRE) $(WIRE)/peer.proto
+	sed -i 's/^import peer_pb2/from saddledoord.wire import peer_pb2/' \
+	  $(WIRE)/peer_pb2_grpc.py
--- /dev/null
+++ b/packages/saddledoor-standins/src/saddledoor_standins/__init__.py
@@ -0,0 +1,5 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Small fakes of the platform, for tests and the demo; never shipped with the daemon.
+"""
--- /dev/null
+++ b/packages/saddledoor-standins/src/saddledoor_standins/engine.py
@@ -0,0 +1,265 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Stand-in of a model engine: a batch of slots, weight versions, orders and faults.
+
+Each token's text tells who made it, with which version, for which prompt and at which
+place, so that whoever receives an answer can check it without asking anyone.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import heapq
+import itertools
+import json
+from dataclasses import dataclass, field
+
+import aiohttp
+from aiohttp import web
+
+from ._serve import cut
+
+
+__all__ = ["EngineOptions", "engine_app", "prompt_tag", "token_text"]
+
+
+@dataclass(frozen=True)
+class EngineOptions:
+    """
+    How an engine behaves.
+
+    :param slots: Requests in its batch, a count.
+    :param token_s: Time per token of one request, in seconds.
+    :param chunk: Tokens per part of a stream, a count.
+    :param activate_s: Pause of all streams while weights change, in seconds.
+    """
+
+    name: str
+    models: tuple[str, ...]
+    slots: int = 8
+    token_s: float = 0.008
+    chunk: int = 4
+    activate_s: float = 0.15
+    fenced: bool = True
+    weight_store: str | None = None
+    version: int = 1
+
+
+def prompt_tag(prompt: str) -> str:
+    """
+    Return what stands for the prompt in each token.
+    """
+    return hashlib.sha256(prompt.encode()).hexdigest()[:8]
+
+
+def token_text(version: int, engine: str, tag: str, index: int) -> str:
+    """
+    Return the text of one token.
+    """
+    return f"{version}:{engine}:{tag}:{index} "
+
+
+@dataclass
+class _Faults:
+    cut_streams: int = 0
+    fail_activate: int = 0
+    pretend_activate: int = 0
+    hide_version: int = 0
+    slow: float = 1.0
+
+
+@dataclass
+class _Waiting:
+    priority: int
+    order: int
+    future: asyncio.Future = field(repr=False)
+
+    def __lt__(self, other: _Waiting) -> bool:
+        return (self.priority, self.order) < (other.priority, other.order)
+
+
+class _Engine:
+    def __init__(self, options: EngineOptions) -> None:
+        self.options = options
+        self.versions = dict.fromkeys(options.models, options.version)
+        self.staged: dict[str, int] = {}
+        self.leaving = False
+        self.faults = _Faults()
+        self.highest_fence = -1
+        self.running = 0
+        self.started: dict[str, int] = {}
+        self.orders: list[dict] = []
+        self._waiting: list[_Waiting] = []
+        self._count = itertools.count()
+        self._running_weights = asyncio.Event()
+        self._running_weights.set()
+
+    async def load(self, request: web.Request) -> web.Response:
+        return web.json_response(
+            {
+                "name": self.options.name,
+                "running": self.running,
+                "waiting": len(self._waiting),
+                "slots": self.options.slots,
+                "state": "leaving" if self.leaving else "serving",
+                "versions": self.versions,
+                "staged": self.staged,
+            }
+        )
+
+    async def complete(self, request: web.Request) -> web.StreamResponse:
+        body = await request.json()
+        request_id = request.headers.get("X-Request-Id", "")
+        if body["model"] not in self.versions:
+            return web.json_response({"error": "no such model"}, status=404)
+        await self._enter(int(body.get("priority", 0)))
+        try:
+            self.started[request_id] = self.started.get(request_id, 0) + 1
+            return await self._stream(request, request_id, body)
+        finally:
+            self._leave()
+
+    async def _stream(
+        self, request: web.Request, request_id: str, body: dict
+    ) -> web.StreamResponse:
+        response = web.StreamResponse()
+        response.content_type = "text/event-stream"
+        await response.prepare(request)
+        tag = prompt_tag(body["prompt"])
+        offset = int(body.get("resume", {}).get("tokens", 0))
+        length = int(body["max_tokens"])
+        breaks_at = length // 2 if self.faults.cut_streams > 0 else -1
+        if breaks_at >= 0:
+            self.faults.cut_streams -= 1
+        made = 0
+        while made < length:
+            count = min(self.options.chunk, length - made)
+            await asyncio.sleep(count * self.options.token_s * self.faults.slow)
+            await self._running_weights.wait()
+            version = self.versions[body["model"]]
+            texts = [
+                token_text(version, self.options.name, tag, offset + made + i)
+                for i in range(count)
+            ]
+            made += count
+            finish = "length" if made == length else None
+            event = self._event(request_id, "".join(texts), count, version, finish)
+            await response.write(f"data: {json.dumps(event)}\n\n".encode())
+            if 0 <= breaks_at <= made:
+                cut(request)
+                return response
+        await response.write(b"data: [DONE]\n\n")
+        await response.write_eof()
+        return response
+
+    def _event(
+        self, request_id: str, text: str, count: int, version: int, finish: str | None
+    ) -> dict:
+        event = {
+            "id": request_id,
+            "choices": [{"index": 0, "text": text, "finish_reason": finish}],
+            "tokens": count,
+            "weight_version": version,
+        }
+        if self.faults.hide_version > 0:
+            self.faults.hide_version -= 1
+            del event["weight_version"]
+        return event
+
+    async def _enter(self, priority: int) -> None:
+        if self.running < self.options.slots and not self._waiting:
+            self.running += 1
+            return
+        loop = asyncio.get_running_loop()
+        waiting = _Waiting(priority, next(self._count), loop.create_future())
+        heapq.heappush(self._waiting, waiting)
+        try:
+            await waiting.future
+        except asyncio.CancelledError:
+            if waiting.future.done() and not waiting.future.cancelled():
+                self._leave()
+            raise
+
+    def _leave(self) -> None:
+        while self._waiting:
+            waiting = heapq.heappop(self._waiting)
+            if not waiting.future.done():
+                waiting.future.set_result(None)
+                return
+        self.running -= 1
+
+    async def order(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        self.orders.append(body)
+        if self.options.fenced and body["fence"] < self.highest_fence:
+            return web.json_response({"fence": self.highest_fence}, status=409)
+        self.highest_fence = max(self.highest_fence, body["fence"])
+        if body["action"] == "stage":
+            return await self._stage(body["model"], body["version"])
+        return await self._activate(body["model"], body["version"])
+
+    async def _stage(self, model: str, version: int) -> web.Response:
+        if self.options.weight_store and not await self._download(model, version):
+            return web.json_response({"error": "weight store"}, status=503)
+        self.staged[model] = version
+        return web.json_response({"state": "done"})
+
+    async def _download(self, model: str, version: int) -> bool:
+        url = f"{self.options.weight_store}/v1/weights/{model}/{version}"
+        async with aiohttp.ClientSession() as session:
+            for _ in range(20):
+                async with session.get(url) as response:
+                    if response.status == 200:
+                        return True
+                    if response.status != 429:
+                        return False
+                    await asyncio.sleep(float(response.headers["Retry-After"]))
+        return False
+
+    async def _activate(self, model: str, version: int) -> web.Response:
+        if self.staged.get(model) != version:
+            return web.json_response({"error": "not staged"}, status=422)
+        if self.faults.pretend_activate > 0:
+            self.faults.pretend_activate -= 1
+            return web.json_response({"state": "done"})
+        self._running_weights.clear()
+        try:
+            await asyncio.sleep(self.options.activate_s)
+            if self.faults.fail_activate > 0:
+                self.faults.fail_activate -= 1
+                self.staged.pop(model, None)
+                return web.json_response({"error": "swap failed"}, status=500)
+            self.versions[model] = version
+        finally:
+            self._running_weights.set()
+        return web.json_response({"state": "done"})
+
+    async def fake(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        for name in vars(self.faults):
+            if name in body:
+                setattr(self.faults, name, body[name])
+        self.leaving = bool(body.get("leaving", self.leaving))
+        self.versions.update(body.get("versions", {}))
+        return web.json_response(
+            {
+                "started": self.started,
+                "orders": self.orders,
+                "highest_fence": self.highest_fence,
+            }
+        )
+
+
+def engine_app(options: EngineOptions) -> web.Application:
+    """
+    Return an engine.
+    """
+    engine = _Engine(options)
+    app = web.Application(client_max_size=64_000_000)
+    app.router.add_get("/v1/load", engine.load)
+    app.router.add_post("/v1/completions", engine.complete)
+    app.router.add_post("/v1/orders", engine.order)
+    app.router.add_post("/fake", engine.fake)
+    return app
--- /dev/null
+++ b/packages/saddledoor-standins/src/saddledoor_standins/fleet.py
@@ -0,0 +1,223 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Starts and ends the processes of a deployment on loopback addresses.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from urllib.request import Request, urlopen
+
+import yaml
+
+
+__all__ = ["Fleet", "Process", "Vm", "daemon_settings", "read_json", "wait_listening"]
+
+#: How long a process may take to end after SIGTERM, in seconds.
+_END_TIMEOUT = 15.0
+
+
+@dataclass(frozen=True)
+class Vm:
+    """
+    An entry VM: its name, data centre and one loopback address.
+    """
+
+    name: str
+    data_centre: str
+    ip: str
+
+    @property
+    def http(self) -> str:
+        return f"{self.ip}:7001"
+
+    @property
+    def grpc(self) -> str:
+        return f"{self.ip}:7002"
+
+    @property
+    def listed(self) -> dict[str, str]:
+        """
+        The VM as the platform lists it.
+        """
+        return {
+            "vm": self.name,
+            "data_centre": self.data_centre,
+            "http": self.http,
+            "grpc": self.grpc,
+            "state": "live",
+        }
+
+
+@dataclass
+class Process:
+    """
+    A process that this fleet started.
+    """
+
+    name: str
+    popen: subprocess.Popen
+    log_path: Path
+
+    @property
+    def running(self) -> bool:
+        return self.popen.poll() is None
+
+    def signal(self, number: int) -> None:
+        if self.running:
+            self.popen.send_signal(number)
+
+    def wait(self, timeout: float = _END_TIMEOUT) -> int:
+        return self.popen.wait(timeout)
+
+    def log(self) -> str:
+        return self.log_path.read_text(errors="replace")
+
+
+class Fleet:
+    """
+    A set of processes that end together, whatever happens to the caller.
+    """
+
+    def __init__(self) -> None:
+        self._folder = tempfile.TemporaryDirectory(prefix="saddledoor-")
+        self.folder = Path(self._folder.name)
+        self.processes: dict[str, Process] = {}
+
+    @classmethod
+    @contextlib.contextmanager
+    def open(cls) -> Iterator[Fleet]:
+        """
+        Yield a fleet and end its processes afterwards, also on Ctrl-C.
+        """
+        fleet = cls()
+
+        def stop(number: int, frame: object) -> None:
+            raise KeyboardInterrupt
+
+        before = signal.signal(signal.SIGTERM, stop)
+        try:
+            yield fleet
+        finally:
+            # A second Ctrl-C must not leave processes behind.
+            interrupt = signal.signal(signal.SIGINT, signal.SIG_IGN)
+            fleet.end()
+            signal.signal(signal.SIGINT, interrupt)
+            signal.signal(signal.SIGTERM, before)
+
+    def start(self, name: str, command: Sequence[str], **options: object) -> Process:
+        """
+        Start a process; its output goes to a file.
+        """
+        path = self.folder / f"{name}.log"
+        with path.open("ab") as output:
+            popen = subprocess.Popen(
+                list(command),
+                stdout=options.pop("stdout", output),
+                stderr=output,
+                stdin=subprocess.DEVNULL,
+                # Ctrl-C goes to the launcher alone, which ends everything in order.
+                start_new_session=True,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+        process = Process(name, popen, path)
+        self.processes[name] = process
+        return process
+
+    def stand_in(self, name: str, kind: str, *arguments: str) -> Process:
+        """
+        Start a stand-in.
+        """
+        module = [sys.executable, "-m", "saddledoor_standins"]
+        return self.start(name, [*module, kind, *arguments])
+
+    def daemon(self, name: str, settings: dict) -> Process:
+        """
+        Start a daemon with these settings.
+        """
+        path = self.folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        binary = str(Path(sys.executable).parent / "saddledoord")
+        return self.start(name, [binary, "--settings", str(path)])
+
+    def end(self) -> None:
+        """
+        End every process that still runs.
+        """
+        for process in self.processes.values():
+            # A stopped process cannot end before it is continued.
+            process.signal(signal.SIGCONT)
+            process.signal(signal.SIGKILL)
+        for process in self.processes.values():
+            process.popen.wait()
+        self._folder.cleanup()
+
+
+def daemon_settings(
+    vm: Vm,
+    deployment: str,
+    *,
+    log_service: str,
+    vm_list: str,
+    weight_store: str,
+    **timings: float,
+) -> dict:
+    """
+    Return the settings of a VM's daemon.
+
+    :param timings: Durations that differ from the defaults, in seconds.
+    """
+    return {
+        "vm": vm.name,
+        "data_centre": vm.data_centre,
+        "deployment": deployment,
+        "http": vm.http,
+        "grpc": vm.grpc,
+        "log_service": f"http://{log_service}",
+        "vm_list": f"http://{vm_list}",
+        "weight_store": f"http://{weight_store}",
+        "peer_secret": "a secret for stand-ins only",
+        "timings": timings,
+    }
+
+
+def wait_listening(addresses: Sequence[str], timeout: float = 30.0) -> None:
+    """
+    Wait until every address takes connections.
+
+    :raises TimeoutError: Naming the first that does not.
+    """
+    give_up = time.monotonic() + timeout
+    for address in addresses:
+        host, _, port = address.rpartition(":")
+        while True:
+            with contextlib.suppress(OSError):
+                socket.create_connection((host, int(port)), 0.5).close()
+                break
+            if time.monotonic() > give_up:
+                raise TimeoutError(f"nothing listens on {address}")
+            time.sleep(0.03)
+
+
+def read_json(url: str, body: object = None, timeout: float = 5.0) -> dict:
+    """
+    Ask a stand-in or a daemon for JSON.
+
+    :raises OSError: If there is no answer.
+    """
+    data = None if body is None else json.dumps(body).encode()
+    request = Request(url, data=data, headers={"Content-Type": "application/json"})
+    with urlopen(request, timeout=timeout) as response:
+        return json.load(response)
--- /dev/null
+++ b/packages/saddledoor-standins/src/saddledoor_standins/log_service.py
@@ -0,0 +1,122 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Stand-in of the append-only log service: streams with offsets, outages, lost answers.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass, field
+
+from aiohttp import web
+
+from ._serve import cut
+
+
+__all__ = ["log_app"]
+
+#: Records in one answer to a read, a count.
+_PAGE = 500
+
+
+@dataclass
+class _Stream:
+    first: int = 0
+    records: list[dict] = field(default_factory=list)
+
+    @property
+    def next_offset(self) -> int:
+        return self.first + len(self.records)
+
+
+class _Log:
+    """
+    All streams, and the failures that a test asks for.
+
+    :ivar away: Every request is cut.
+    :ivar lose_answers: So many appends take effect and lose their answer.
+    :ivar refuse_appends: So many appends are cut before they take effect.
+    """
+
+    def __init__(self) -> None:
+        self.streams: dict[str, _Stream] = {}
+        self.away = False
+        self.lose_answers = 0
+        self.refuse_appends = 0
+        self.appends = 0
+        self._grown = asyncio.Condition()
+
+    def stream(self, name: str) -> _Stream:
+        return self.streams.setdefault(name, _Stream())
+
+    async def append(self, request: web.Request) -> web.Response:
+        if self.away:
+            return cut(request)
+        if self.refuse_appends > 0:
+            self.refuse_appends -= 1
+            return cut(request)
+        body = await request.json()
+        stream = self.stream(request.match_info["stream"])
+        first = stream.next_offset
+        for data in body["records"]:
+            record = {"offset": stream.next_offset, "at": time.time(), "data": data}
+            stream.records.append(record)
+        self.appends += 1
+        async with self._grown:
+            self._grown.notify_all()
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            return cut(request)
+        return web.json_response({"first": first})
+
+    async def read(self, request: web.Request) -> web.Response:
+        if self.away:
+            return cut(request)
+        stream = self.stream(request.match_info["stream"])
+        start = int(request.query.get("from", "0"))
+        wait = min(30.0, float(request.query.get("wait", "0")))
+        if wait > 0 and stream.next_offset <= start:
+            try:
+                async with asyncio.timeout(wait), self._grown:
+                    await self._grown.wait_for(
+                        lambda: stream.next_offset > start or self.away
+                    )
+            except TimeoutError:
+                pass
+        if self.away:
+            return cut(request)
+        begin = max(start, stream.first) - stream.first
+        page = stream.records[begin : begin + _PAGE]
+        following = page[-1]["offset"] + 1 if page else max(start, stream.first)
+        following = min(following, stream.next_offset) if not page else following
+        return web.json_response(
+            {"first": stream.first, "next": following, "records": page}
+        )
+
+    async def fake(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        self.away = bool(body.get("away", self.away))
+        self.lose_answers = int(body.get("lose_answers", self.lose_answers))
+        self.refuse_appends = int(body.get("refuse_appends", self.refuse_appends))
+        for name, offset in body.get("drop_before", {}).items():
+            stream = self.stream(name)
+            kept = max(0, int(offset) - stream.first)
+            stream.records = stream.records[kept:]
+            stream.first += kept
+        async with self._grown:
+            self._grown.notify_all()
+        return web.json_response({"appends": self.appends})
+
+
+def log_app() -> web.Application:
+    """
+    Return the log service.
+    """
+    log = _Log()
+    app = web.Application(client_max_size=64_000_000)
+    app.router.add_post("/v1/streams/{stream}", log.append)
+    app.router.add_get("/v1/streams/{stream}", log.read)
+    app.router.add_post("/fake", log.fake)
+    return app
--- /dev/null
+++ b/packages/saddledoor-standins/src/saddledoor_standins/service.py
@@ -0,0 +1,92 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Stand-in of a plain service that knows how often it ran each reference.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import Counter
+from dataclasses import dataclass
+
+from aiohttp import web
+
+from ._serve import cut
+
+
+__all__ = ["service_app"]
+
+
+@dataclass
+class _Faults:
+    """
+    What goes wrong next; each counts down.
+
+    :ivar not_started: Refuse and vouch that nothing was started.
+    :ivar run_and_close: Run and close the connection without an answer.
+    :ivar read_and_close: Read the request and close, without running it.
+    """
+
+    not_started: int = 0
+    run_and_close: int = 0
+    read_and_close: int = 0
+    delay_s: float = 0.0
+
+
+class _Service:
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.runs: Counter[str] = Counter()
+        self.running = 0
+        self.faults = _Faults()
+
+    def _take(self, fault: str) -> bool:
+        left = getattr(self.faults, fault)
+        if left > 0:
+            setattr(self.faults, fault, left - 1)
+        return left > 0
+
+    async def load(self, request: web.Request) -> web.Response:
+        return web.json_response(
+            {"name": self.name, "running": self.running, "waiting": 0}
+        )
+
+    async def call(self, request: web.Request) -> web.Response:
+        raw = await request.read()
+        if self._take("not_started"):
+            return web.Response(status=503, headers={"X-Not-Started": "1"})
+        if self._take("read_and_close"):
+            return cut(request)
+        reference = request.query.get("ref") or json.loads(raw or b"{}").get("ref", "")
+        self.runs[f"{request.path} {reference}"] += 1
+        self.running += 1
+        try:
+            await asyncio.sleep(0.002 + self.faults.delay_s)
+        finally:
+            self.running -= 1
+        if self._take("run_and_close"):
+            return cut(request)
+        return web.json_response(
+            {"ref": reference, "path": request.path, "by": self.name}
+        )
+
+    async def fake(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        for name in vars(self.faults):
+            if name in body:
+                setattr(self.faults, name, body[name])
+        return web.json_response({"runs": self.runs})
+
+
+def service_app(name: str) -> web.Application:
+    """
+    Return a plain service.
+    """
+    service = _Service(name)
+    app = web.Application()
+    app.router.add_get("/v1/load", service.load)
+    app.router.add_post("/fake", service.fake)
+    app.router.add_route("*", "/{path:.*}", service.call)
+    return app
--- /dev/null
+++ b/packages/saddledoor/src/saddledoor/_deployment.py
@@ -0,0 +1,357 @@
+# SPDX-License-Identifier: MIT
+
+"""
+The deployment file: what operators declare, as checked frozen data classes.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import re
+from collections.abc import Iterable
+from typing import Annotated, Literal
+
+from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
+from pydantic.dataclasses import dataclass
+from pydantic_core import PydanticCustomError
+
+from .exceptions import InvalidDocumentError, Problem
+
+
+__all__ = [
+    "Deployment",
+    "Engine",
+    "Instance",
+    "Limits",
+    "Model",
+    "Partner",
+    "Pool",
+    "Route",
+    "Service",
+    "Trainer",
+    "deployment_from_json",
+    "deployment_schema",
+    "deployment_to_json",
+    "token_digest",
+    "validate",
+]
+
+_STRICT = ConfigDict(extra="forbid", strict=True)
+_checked = dataclass(frozen=True, kw_only=True, config=_STRICT)
+
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
+Address = Annotated[str, Field(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
+Digest = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+Seconds = Annotated[float, Field(gt=0, le=86_400, strict=False)]
+Count = Annotated[int, Field(ge=1, le=1_000_000)]
+NotNegative = Annotated[int, Field(ge=0)]
+
+
+@_checked
+class Engine:
+    """
+    One model engine.
+
+    :param slots: Requests it works on at once, a count.
+    :param state: ``serving``, or ``leaving`` when it must get no new work.
+    :param fenced: Whether it refuses orders that carry an old fencing number.
+    """
+
+    name: Name
+    data_centre: Name
+    address: Address
+    slots: Count
+    state: Literal["serving", "leaving"] = "serving"
+    fenced: bool = True
+
+
+@_checked
+class Model:
+    """
+    A model or adapter of a pool, and the weight version it should be at.
+
+    :param version: A pinned version, or ``follow`` for the weight store's newest.
+    """
+
+    name: Name
+    version: NotNegative | Literal["follow"] = "follow"
+
+
+@_checked
+class Pool:
+    """
+    Engines that serve the same models.
+
+    :param swap_share: Largest share of a data centre's engines that may swap at once.
+    """
+
+    name: Name
+    models: tuple[Model, ...] = Field(min_length=1)
+    engines: tuple[Engine, ...] = ()
+    swap_share: Annotated[float, Field(gt=0, le=1, strict=False)] = 0.5
+
+
+@_checked
+class Route:
+    """
+    A path prefix of a service and whether its calls may be repeated.
+    """
+
+    path: Annotated[str, Field(pattern=r"^/[A-Za-z0-9/_.-]*$")]
+    unrepeatable: bool = False
+
+
+@_checked
+class Instance:
+    """
+    One process of a plain service.
+    """
+
+    name: Name
+    data_centre: Name
+    address: Address
+    slots: Count
+    state: Literal["serving", "leaving"] = "serving"
+
+
+@_checked
+class Service:
+    """
+    A plain service that calls are passed through to.
+    """
+
+    name: Name
+    routes: tuple[Route, ...] = Field(min_length=1)
+    instances: tuple[Instance, ...] = ()
+
+    def route(self, path: str) -> Route | None:
+        """
+        Return the longest route whose path is a prefix of ``path``.
+        """
+        fitting = [r for r in self.routes if _is_below(path, r.path)]
+        return max(fitting, key=lambda r: len(r.path), default=None)
+
+
+@_checked
+class Partner:
+    """
+    Someone who sends requests; none is favoured beyond its weight.
+    """
+
+    name: Name
+    token_sha256: Digest
+    weight: Annotated[float, Field(gt=0, le=1000, strict=False)] = 1.0
+
+
+@_checked
+class Trainer:
+    """
+    Someone who draws samples.
+
+    :param staleness_bound: Weight versions that a sample's oldest run may lie behind.
+    :param preference: What is given up first when both cannot be had.
+    """
+
+    name: Name
+    token_sha256: Digest
+    pool: Name
+    model: Name
+    staleness_bound: NotNegative
+    preference: Literal["idle", "staleness"] = "idle"
+
+
+@_checked
+class Limits:
+    """
+    Bounds that hold for the whole deployment.
+
+    :param claim_remember_s: How long a caller's key is remembered, in seconds; the
+        log must keep its records longer.
+    """
+
+    max_body_bytes: Annotated[int, Field(ge=1024, le=64_000_000)] = 1_000_000
+    request_timeout_s: Seconds = 30.0
+    body_timeout_s: Seconds = 5.0
+    max_queue: Count = 256
+    retry_ratio: Annotated[float, Field(ge=0, le=1, strict=False)] = 0.2
+    retry_burst: Annotated[float, Field(ge=0, strict=False)] = 10.0
+    claim_partitions: Annotated[int, Field(ge=1, le=256)] = 4
+    claim_remember_s: Seconds = 3600.0
+
+
+@_checked
+class Deployment:
+    """
+    One whole deployment file.
+    """
+
+    schema_version: Literal[1]
+    name: Name
+    data_centres: tuple[Name, ...] = Field(min_length=1)
+    pools: tuple[Pool, ...] = ()
+    services: tuple[Service, ...] = ()
+    partners: tuple[Partner, ...] = ()
+    trainers: tuple[Trainer, ...] = ()
+    limits: Limits = Limits()
+
+    def __post_init__(self) -> None:
+        problems = tuple(_cross_check(self))
+        if problems:
+            raise PydanticCustomError(
+                "cross_check", "{text}", {"text": "|".join(problems)}
+            )
+
+    def pool(self, name: str) -> Pool | None:
+        return next((p for p in self.pools if p.name == name), None)
+
+    def service(self, name: str) -> Service | None:
+        return next((s for s in self.services if s.name == name), None)
+
+    def trainer(self, name: str) -> Trainer | None:
+        return next((t for t in self.trainers if t.name == name), None)
+
+
+_ADAPTER = TypeAdapter(Deployment)
+
+
+def token_digest(token: str) -> str:
+    """
+    Return what the deployment file keeps in place of a bearer token.
+    """
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+def validate(name: str, document: object) -> Deployment:
+    """
+    Check a parsed document as a whole.
+
+    :param name: The document's name, for messages.
+    :param document: Plain maps, lists and scalars.
+    :raises InvalidDocumentError: With every problem found; nothing is applied.
+    """
+    try:
+        return _ADAPTER.validate_json(_ADAPTER_JSON.dump_json(document))
+    except ValidationError as error:
+        raise InvalidDocumentError(name, problems_of(error)) from None
+
+
+# Lists become tuples and YAML's scalars meet JSON's strict rules on this way round.
+_ADAPTER_JSON = TypeAdapter(object)
+
+
+def problems_of(error: ValidationError) -> tuple[Problem, ...]:
+    """
+    Turn a validation error into problems that name path, finding and allowance.
+    """
+    problems: list[Problem] = []
+    for item in error.errors(include_url=False):
+        path = "".join(
+            f"[{part}]" if isinstance(part, int) else f".{part}" for part in item["loc"]
+        )
+        if item["type"] == "cross_check":
+            problems += [_cross_problem(text) for text in item["msg"].split("|")]
+            continue
+        found = repr(item.get("input"))
+        if len(found) > 80:
+            found = found[:77] + "..."
+        if item["type"] == "missing":
+            found = "nothing"
+        problems.append(Problem(path.lstrip(".") or "document", found, item["msg"]))
+    return tuple(problems)
+
+
+def deployment_to_json(deployment: Deployment) -> bytes:
+    """
+    Return the canonical form that a configuration record carries.
+    """
+    return _ADAPTER.dump_json(deployment)
+
+
+def deployment_from_json(data: bytes) -> Deployment:
+    """
+    Read the canonical form.
+
+    :raises InvalidDocumentError: If this release cannot use the file.
+    """
+    try:
+        return _ADAPTER.validate_json(data)
+    except ValidationError as error:
+        raise InvalidDocumentError("record", problems_of(error)) from None
+
+
+def deployment_schema() -> dict[str, object]:
+    """
+    Return the JSON Schema of the deployment file, for editors.
+    """
+    return _ADAPTER.json_schema()
+
+
+def _is_below(path: str, prefix: str) -> bool:
+    trimmed = prefix.rstrip("/")
+    return path == trimmed or path.startswith(trimmed + "/")
+
+
+def _cross_problem(text: str) -> Problem:
+    place, found, allowed = re.split("~", text)
+    return Problem(place, found, allowed)
+
+
+def _duplicates(place: str, names: Iterable[str]) -> Iterable[str]:
+    seen: set[str] = set()
+    for index, name in enumerate(names):
+        if name in seen:
+            yield f"{place}[{index}].name~{name!r} a second time~a name used once"
+        seen.add(name)
+
+
+def _cross_check(deployment: Deployment) -> Iterable[str]:
+    yield from _duplicates("pools", (p.name for p in deployment.pools))
+    yield from _duplicates("services", (s.name for s in deployment.services))
+    yield from _duplicates("partners", (p.name for p in deployment.partners))
+    yield from _duplicates("trainers", (t.name for t in deployment.trainers))
+    yield from _check_members(deployment)
+    yield from _check_trainers(deployment)
+    yield from _check_tokens(deployment)
+
+
+def _check_members(deployment: Deployment) -> Iterable[str]:
+    known = set(deployment.data_centres)
+    seen: set[str] = set()
+    groups = [
+        *((f"pools[{i}].engines", p.engines) for i, p in enumerate(deployment.pools)),
+        *(
+            (f"services[{i}].instances", s.instances)
+            for i, s in enumerate(deployment.services)
+        ),
+    ]
+    for place, members in groups:
+        for index, member in enumerate(members):
+            here = f"{place}[{index}]"
+            if member.name in seen:
+                yield f"{here}.name~{member.name!r} a second time~a name used once"
+            seen.add(member.name)
+            if member.data_centre not in known:
+                yield (
+                    f"{here}.data_centre~{member.data_centre!r}~one of {sorted(known)}"
+                )
+
+
+def _check_trainers(deployment: Deployment) -> Iterable[str]:
+    for index, trainer in enumerate(deployment.trainers):
+        pool = deployment.pool(trainer.pool)
+        place = f"trainers[{index}]"
+        if pool is None:
+            allowed = sorted(p.name for p in deployment.pools)
+            yield f"{place}.pool~{trainer.pool!r}~one of {allowed}"
+        elif trainer.model not in {m.name for m in pool.models}:
+            allowed = sorted(m.name for m in pool.models)
+            yield f"{place}.model~{trainer.model!r}~one of {allowed}"
+
+
+def _check_tokens(deployment: Deployment) -> Iterable[str]:
+    seen: set[str] = set()
+    for kind in ("partners", "trainers"):
+        for index, owner in enumerate(getattr(deployment, kind)):
+            if owner.token_sha256 in seen:
+                yield f"{kind}[{index}].token_sha256~a token used before~one's own"
+            seen.add(owner.token_sha256)
--- /dev/null
+++ b/packages/saddledoor/src/saddledoor/_routing.py
@@ -0,0 +1,131 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Choice of a back end: policies are closures from candidates to a choice.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+
+
+__all__ = [
+    "Candidate",
+    "Choose",
+    "least_reported",
+    "rendezvous",
+    "rendezvous_order",
+    "round_robin",
+    "two_choices",
+    "uniform",
+]
+
+
+@dataclass(frozen=True)
+class Candidate:
+    """
+    A back end that may take the request.
+
+    :param slots: Requests it works on at once, a count.
+    :param own: Requests that this node has in flight there, a count.
+    :param reported: Load that the back end reported, a count of requests.
+    :param age: Age of that report, in seconds.
+    """
+
+    name: str
+    slots: int
+    own: int
+    reported: float = 0.0
+    age: float = float("inf")
+
+
+Choose = Callable[[Sequence[Candidate]], Candidate]
+
+
+def uniform(random: Callable[[], float]) -> Choose:
+    """
+    Return a policy that takes any candidate; a baseline.
+
+    :param random: Returns numbers in [0, 1).
+    """
+
+    def choose(candidates: Sequence[Candidate]) -> Candidate:
+        return candidates[int(random() * len(candidates))]
+
+    return choose
+
+
+def round_robin() -> Choose:
+    """
+    Return a policy that takes candidates in turn; a baseline.
+    """
+    turn = 0
+
+    def choose(candidates: Sequence[Candidate]) -> Candidate:
+        nonlocal turn
+        turn += 1
+        return candidates[turn % len(candidates)]
+
+    return choose
+
+
+def least_reported() -> Choose:
+    """
+    Return a policy that trusts reports alone; a baseline that herds when they lag.
+    """
+
+    def choose(candidates: Sequence[Candidate]) -> Candidate:
+        return min(candidates, key=lambda c: c.reported / c.slots)
+
+    return choose
+
+
+def two_choices(random: Callable[[], float], half_life: float = 1.0) -> Choose:
+    """
+    Return a policy that compares two random candidates.
+
+    A candidate's load is this node's own work there plus the reported load,
+    discounted by the report's age.
+    Source: Mitzenmacher, "The power of two choices in randomized load balancing".
+
+    :param random: Returns numbers in [0, 1).
+    :param half_life: Age at which a report counts half, in seconds.
+    """
+
+    def load(candidate: Candidate) -> float:
+        trust = 0.5 ** (candidate.age / half_life)
+        others = max(0.0, candidate.reported - candidate.own)
+        return (candidate.own + trust * others) / candidate.slots
+
+    def choose(candidates: Sequence[Candidate]) -> Candidate:
+        if len(candidates) == 1:
+            return candidates[0]
+        first = int(random() * len(candidates))
+        second = int(random() * (len(candidates) - 1))
+        second += second >= first
+        return min(candidates[first], candidates[second], key=load)
+
+    return choose
+
+
+def rendezvous_order(key: str, nodes: Iterable[str]) -> list[str]:
+    """
+    Return the nodes by highest random weight, the same order on every node.
+
+    Source: Thaler and Ravishankar, "A name-based mapping scheme for rendezvous".
+    """
+
+    def weight(node: str) -> bytes:
+        return hashlib.blake2b(f"{key}\x00{node}".encode(), digest_size=8).digest()
+
+    return sorted(nodes, key=weight, reverse=True)
+
+
+def rendezvous(key: str, nodes: Iterable[str]) -> str | None:
+    """
+    Return the node that is responsible for a key, or none.
+    """
+    order = rendezvous_order(key, nodes)
+    return order[0] if order else None
--- /dev/null
+++ b/packages/saddledoor/src/saddledoor/checked_yaml.py
@@ -0,0 +1,114 @@
+# SPDX-License-Identifier: MIT
+
+"""
+YAML documents whose problems are told with the line that they stand on.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+from typing import TypeVar
+
+import yaml
+
+from .exceptions import InvalidDocumentError, Problem
+
+
+__all__ = ["MAX_DOCUMENT_BYTES", "load_checked"]
+
+#: Largest document that is read, in bytes.
+MAX_DOCUMENT_BYTES = 1_000_000
+
+_T = TypeVar("_T")
+_Loader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+
+
+def load_checked(name: str, data: bytes, validate: Callable[[str, object], _T]) -> _T:
+    """
+    Parse a document and check it as a whole.
+
+    :param name: The file's name, for messages.
+    :param data: The file's content.
+    :param validate: Takes the name and plain data; raises `InvalidDocumentError`
+        with paths such as ``pools[0].name``.
+    :raises InvalidDocumentError: With the line of each problem where it is known.
+    """
+    root = _parse(name, data)
+    try:
+        return validate(name, _construct(name, data))
+    except InvalidDocumentError as error:
+        located = tuple(_locate(root, problem) for problem in error.problems)
+        raise InvalidDocumentError(name, located) from None
+
+
+def _parse(name: str, data: bytes) -> yaml.Node:
+    if len(data) > MAX_DOCUMENT_BYTES:
+        found = f"{len(data)} bytes"
+        raise _invalid(name, "file", found, f"at most {MAX_DOCUMENT_BYTES} bytes")
+    try:
+        text = data.decode("utf-8")
+    except UnicodeDecodeError as error:
+        found = f"a byte that is not UTF-8 at position {error.start}"
+        raise _invalid(name, "file", found, "UTF-8 text") from None
+    try:
+        root = yaml.compose(text, Loader=_Loader)
+    except yaml.MarkedYAMLError as error:
+        mark = error.problem_mark
+        place = f"line {mark.line + 1}" if mark else "file"
+        raise _invalid(name, place, str(error.problem), "YAML") from None
+    except yaml.YAMLError as error:
+        raise _invalid(name, "file", str(error).splitlines()[0], "YAML") from None
+    if root is None:
+        raise _invalid(name, "file", "nothing", "a YAML mapping")
+    _refuse_repeated_keys(name, root, 0)
+    return root
+
+
+def _construct(name: str, data: bytes) -> object:
+    try:
+        return yaml.load(data.decode("utf-8"), Loader=_Loader)
+    except yaml.YAMLError as error:
+        raise _invalid(name, "file", str(error).splitlines()[0], "YAML") from None
+
+
+def _refuse_repeated_keys(name: str, node: yaml.Node, depth: int) -> None:
+    # YAML's own reader lets the last of two equal keys win in silence.
+    if depth > 50:
+        raise _invalid(name, f"line {node.start_mark.line + 1}", "deep nesting", "50")
+    if isinstance(node, yaml.SequenceNode):
+        for item in node.value:
+            _refuse_repeated_keys(name, item, depth + 1)
+    if not isinstance(node, yaml.MappingNode):
+        return
+    seen: set[str] = set()
+    for key, value in node.value:
+        if key.value in seen:
+            place = f"line {key.start_mark.line + 1}"
+            raise _invalid(name, place, f"key {key.value!r} twice", "each key once")
+        if isinstance(key.value, str):
+            seen.add(key.value)
+        _refuse_repeated_keys(name, value, depth + 1)
+
+
+def _locate(root: yaml.Node, problem: Problem) -> Problem:
+    node = root
+    for part in re.findall(r"[^.\[\]]+", problem.place):
+        child = _child(node, part)
+        if child is None:
+            break
+        node = child
+    place = f"{problem.place} (line {node.start_mark.line + 1})"
+    return Problem(place, problem.found, problem.allowed)
+
+
+def _child(node: yaml.Node, part: str) -> yaml.Node | None:
+    if isinstance(node, yaml.SequenceNode) and part.isdigit():
+        return node.value[int(part)] if int(part) < len(node.value) else None
+    if isinstance(node, yaml.MappingNode):
+        return next((v for k, v in node.value if k.value == part), None)
+    return None
+
+
+def _invalid(name: str, place: str, found: str, allowed: str) -> InvalidDocumentError:
+    return InvalidDocumentError(name, (Problem(place, found, allowed),))
--- /dev/null
+++ b/packages/saddledoorctl/src/saddledoorctl/__init__.py
@@ -0,0 +1,5 @@
+# SPDX-License-Identifier: MIT
+
+"""
+The operators' command line: configuration, status, reports and replay.
+"""
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/_backends.py
@@ -0,0 +1,269 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Adapters to back ends: engines' completions and orders, and calls to plain services.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+import aiohttp
+
+from saddledoor import NotRun, OutcomeUnknown, ResultCode
+
+
+__all__ = [
+    "Backends",
+    "CallAnswer",
+    "CompletionBrokenError",
+    "CompletionPart",
+    "LoadReading",
+]
+
+#: A back end that refused before it started says so with this header.
+NOT_STARTED_HEADER = "X-Not-Started"
+#: Longest line of an engine's event stream, in bytes.
+_MAX_EVENT = 1_000_000
+#: Longest wait for a connection, in seconds.
+_CONNECT_TIMEOUT = 1.0
+#: Largest answer of a plain service, in bytes.
+_MAX_ANSWER = 8_000_000
+
+
+class CompletionBrokenError(Exception):
+    """
+    An engine's stream ended before its end marker.
+
+    :param handed_over: Whether any byte of the request may have reached the engine.
+    """
+
+    def __init__(self, reason: str, handed_over: bool) -> None:
+        self.handed_over = handed_over
+        super().__init__(reason)
+
+
+@dataclass(frozen=True)
+class CompletionPart:
+    """
+    A part of an engine's answer.
+
+    :param version: Weight version that the engine names in this part, or none.
+    :param finish_reason: Set in the last part only.
+    """
+
+    text: str
+    tokens: int
+    version: int | None
+    finish_reason: str | None = None
+
+
+@dataclass(frozen=True)
+class CallAnswer:
+    """
+    A plain service's whole answer.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+@dataclass(frozen=True)
+class LoadReading:
+    """
+    What a back end says of itself.
+    """
+
+    load: float
+    leaving: bool
+    versions: dict[str, int]
+    staged: dict[str, int]
+
+
+class Backends:
+    """
+    HTTP clients towards back ends.
+
+    Unrepeatable calls use connections of their own, never reused ones: the client
+    library repeats some methods by itself when a reused connection was closed.
+    """
+
+    def __init__(
+        self, session: aiohttp.ClientSession, single_use: aiohttp.ClientSession
+    ) -> None:
+        self._session = session
+        self._single_use = single_use
+
+    @classmethod
+    def open(cls) -> Backends:
+        """
+        Open the clients; needs a running loop.
+        """
+        pooled = aiohttp.TCPConnector(limit=0, keepalive_timeout=15)
+        single = aiohttp.TCPConnector(limit=0, force_close=True)
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_TIMEOUT)
+        return cls(
+            aiohttp.ClientSession(
+                connector=pooled, timeout=timeout, read_bufsize=_MAX_EVENT
+            ),
+            aiohttp.ClientSession(
+                connector=single, timeout=timeout, auto_decompress=False
+            ),
+        )
+
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        """
+        The pooled client, for other adapters of this process.
+        """
+        return self._session
+
+    async def close(self) -> None:
+        await self._session.close()
+        await self._single_use.close()
+
+    async def read_load(self, address: str, timeout: float) -> LoadReading:
+        """
+        Ask a back end for its load and state.
+
+        :raises aiohttp.ClientError: If it gave no usable answer.
+        """
+        limit = aiohttp.ClientTimeout(total=timeout)
+        url = f"http://{address}/v1/load"
+        async with self._session.get(url, timeout=limit) as response:
+            response.raise_for_status()
+            data = await response.json()
+        try:
+            return LoadReading(
+                float(data["running"]) + float(data["waiting"]),
+                data.get("state") == "leaving",
+                {str(k): int(v) for k, v in data.get("versions", {}).items()},
+                {str(k): int(v) for k, v in data.get("staged", {}).items()},
+            )
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            raise aiohttp.ClientPayloadError(f"load: {error!r}") from None
+
+    async def order(self, address: str, order: dict, timeout: float) -> int:
+        """
+        Give an engine an order and wait until it says that it is done.
+
+        :returns: The HTTP status; 409 means that the fencing number is old.
+        :raises aiohttp.ClientError: If the outcome is not known.
+        """
+        limit = aiohttp.ClientTimeout(total=timeout)
+        url = f"http://{address}/v1/orders"
+        async with self._session.post(url, json=order, timeout=limit) as response:
+            await response.read()
+            return response.status
+
+    async def complete(
+        self, address: str, request_id: str, body: dict, silence: float
+    ) -> AsyncIterator[CompletionPart]:
+        """
+        Stream a completion; the last part carries the finish reason.
+
+        :param silence: Longest wait for the next part, in seconds.
+        :raises CompletionBrokenError: If the end marker did not come.
+        """
+        url = f"http://{address}/v1/completions"
+        headers = {"X-Request-Id": request_id}
+        limit = aiohttp.ClientTimeout(
+            total=None, sock_connect=_CONNECT_TIMEOUT, sock_read=silence
+        )
+        finish: str | None = None
+        try:
+            async with self._session.post(
+                url, json=body, headers=headers, timeout=limit
+            ) as response:
+                if response.status != 200:
+                    reason = f"status {response.status}"
+                    not_started = NOT_STARTED_HEADER in response.headers
+                    raise CompletionBrokenError(reason, not not_started)
+                async for line in response.content:
+                    data = line.strip().removeprefix(b"data:").strip()
+                    if not data:
+                        continue
+                    if data == b"[DONE]":
+                        break
+                    part = _read_part(data, request_id)
+                    finish = part.finish_reason
+                    yield part
+                else:
+                    raise CompletionBrokenError("no end marker", True)
+        except aiohttp.ClientConnectorError as error:
+            raise CompletionBrokenError(str(error), False) from None
+        except (TimeoutError, aiohttp.ClientError, ValueError) as error:
+            raise CompletionBrokenError(repr(error), True) from None
+        if finish is None:
+            raise CompletionBrokenError("end marker without a finish reason", True)
+
+    async def call(
+        self,
+        address: str,
+        *,
+        request_id: str,
+        method: str,
+        target: str,
+        content_type: str,
+        body: bytes,
+        unrepeatable: bool,
+        timeout: float,
+    ) -> CallAnswer | NotRun | OutcomeUnknown:
+        """
+        Hand a request to a plain service and take its whole answer.
+
+        :param target: Path and query.
+        """
+        session = self._single_use if unrepeatable else self._session
+        headers = {"X-Request-Id": request_id, "Content-Type": content_type}
+        limit = aiohttp.ClientTimeout(total=timeout, sock_connect=_CONNECT_TIMEOUT)
+        try:
+            async with session.request(
+                method,
+                f"http://{address}{target}",
+                data=body,
+                headers=headers,
+                timeout=limit,
+                allow_redirects=False,
+            ) as response:
+                return await _read_answer(response)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            return NotRun(ResultCode.NO_BACKEND, f"not connected: {error}")
+        except (TimeoutError, aiohttp.ClientError) as error:
+            return OutcomeUnknown(ResultCode.OUTCOME_UNKNOWN, repr(error))
+
+
+async def _read_answer(
+    response: aiohttp.ClientResponse,
+) -> CallAnswer | NotRun | OutcomeUnknown:
+    if response.status == 503 and NOT_STARTED_HEADER in response.headers:
+        return NotRun(
+            ResultCode.NO_BACKEND, "the service vouches that it did not start"
+        )
+    body = await response.content.read(_MAX_ANSWER + 1)
+    while len(body) <= _MAX_ANSWER and not response.content.at_eof():
+        body += await response.content.read(_MAX_ANSWER + 1 - len(body))
+    if len(body) > _MAX_ANSWER:
+        return OutcomeUnknown(ResultCode.OUTCOME_UNKNOWN, "the answer is too large")
+    content_type = response.headers.get("Content-Type", "application/octet-stream")
+    return CallAnswer(response.status, content_type, body)
+
+
+def _read_part(data: bytes, request_id: str) -> CompletionPart:
+    event = json.loads(data)
+    if not isinstance(event, dict) or event.get("id") != request_id:
+        raise CompletionBrokenError("a part of another request", True)
+    try:
+        choice = event["choices"][0]
+        version = event.get("weight_version")
+        return CompletionPart(
+            str(choice["text"]),
+            int(event.get("tokens", 0)),
+            version if isinstance(version, int) else None,
+            choice.get("finish_reason"),
+        )
+    except (KeyError, IndexError, TypeError) as error:
+        raise CompletionBrokenError(f"event: {error!r}", True) from None
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/_collector.py
@@ -0,0 +1,286 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Collectors: one VM per trainer gathers a step's samples and hands them out.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from dataclasses import dataclass
+
+import structlog
+
+from saddledoor import (
+    FetchRequest,
+    HeldLease,
+    NotRun,
+    ResultCode,
+    Resync,
+    Sample,
+    Slot,
+    StepBook,
+    Trainer,
+    VersionRun,
+)
+
+from ._lease_keeper import LeaseKeeper
+from ._metrics import Metrics
+from ._peer_client import PeerAwayError, PeerClient
+from ._sample_runner import SampleRunner, StepRun
+from ._state import NodeState
+from ._wire_types import outcome_from_code
+from .filters.decode import FetchBody, StepBody, decode_fetch, decode_step
+from .wire import peer_pb2 as pb
+
+
+__all__ = ["Collected", "Collectors", "collector_lease"]
+
+_log = structlog.get_logger()
+
+#: Steps of a trainer that are kept, a count; the oldest goes first.
+_STEPS_KEPT = 2
+#: Longest wait for the collector's answer beyond a fetch's own wait, in seconds.
+_FORWARD_TIMEOUT = 10.0
+#: How long a successor tries to take over a lease that is being released, in seconds.
+_INHERIT_FOR = 5.0
+
+
+@dataclass(frozen=True)
+class Collected:
+    """
+    An answer to a trainer's operation.
+    """
+
+    payload: bytes
+
+
+def collector_lease(trainer: str) -> str:
+    """
+    Return the name of a trainer's collector lease.
+    """
+    return f"collector/{trainer}"
+
+
+class Collectors:
+    """
+    Serves trainers' operations here or passes them to the collector.
+    """
+
+    def __init__(
+        self,
+        state: NodeState,
+        keeper: LeaseKeeper,
+        peers: PeerClient,
+        runner: SampleRunner,
+        metrics: Metrics,
+    ) -> None:
+        self._state = state
+        self._keeper = keeper
+        self._peers = peers
+        self._runner = runner
+        self._metrics = metrics
+        self._runs: dict[tuple[str, int], StepRun] = {}
+        self._inherited: dict[tuple[str, int], list[Sample]] = {}
+
+    async def serve(
+        self, trainer: Trainer, operation: str, step: int, payload: bytes
+    ) -> Collected | NotRun:
+        """
+        Serve an operation that a trainer sent to this VM.
+
+        :param operation: ``submit`` or ``fetch``.
+        """
+        lease = collector_lease(trainer.name)
+        if self._keeper.held(lease) is not None:
+            return await self.serve_here(trainer.name, operation, step, payload)
+        address = self._keeper.holder_address(lease)
+        if address is not None and not self._keeper.may_take(lease):
+            return await self._forward(address, trainer, operation, step, payload)
+        if operation != "submit":
+            return NotRun(ResultCode.RESYNC, "the trainer has no collector now", 0.0)
+        if self._state.stage != "serving":
+            return NotRun(ResultCode.STOPPING, "this VM takes no new steps", 0.0)
+        if await self._keeper.take(lease) is None:
+            return NotRun(ResultCode.NO_COLLECTOR, "the lease is not to be had", 0.5)
+        return await self.serve_here(trainer.name, operation, step, payload)
+
+    async def serve_here(
+        self, trainer_name: str, operation: str, step: int, payload: bytes
+    ) -> Collected | NotRun:
+        """
+        Serve an operation as the collector.
+        """
+        held = self._keeper.held(collector_lease(trainer_name))
+        deployment = self._state.deployment
+        trainer = deployment.trainer(trainer_name) if deployment else None
+        if held is None or trainer is None:
+            return NotRun(ResultCode.NO_COLLECTOR, "this VM is not the collector", 0.2)
+        if operation == "submit":
+            body = decode_step(payload)
+            if isinstance(body, NotRun):
+                return body
+            return self._submit(held, trainer, step, body)
+        fetch = decode_fetch(payload)
+        if isinstance(fetch, NotRun):
+            return fetch
+        return await self._fetch(trainer, step, fetch)
+
+    async def inherit(self, trainer: str, step: int, samples: bytes) -> None:
+        """
+        Keep a stopping collector's finished samples and take its lease over.
+        """
+        key = (trainer, step)
+        self._inherited[key] = [_sample_from_json(item) for item in json.loads(samples)]
+        while len(self._inherited) > _STEPS_KEPT * 8:
+            self._inherited.pop(next(iter(self._inherited)))
+        deadline = asyncio.get_running_loop().time() + _INHERIT_FOR
+        while asyncio.get_running_loop().time() < deadline:
+            if await self._keeper.take(collector_lease(trainer)) is not None:
+                return
+            await asyncio.sleep(0.1)
+
+    async def hand_over(self, address: str | None) -> None:
+        """
+        Give finished samples to a peer; called once when this VM stops.
+        """
+        for (trainer, step), run in self._runs.items():
+            await run.stop()
+            samples = json.dumps([_sample_to_json(s) for s in run.book.ready.values()])
+            if address is None or run.book.complete:
+                continue
+            request = pb.HandOverRequest(
+                trainer=trainer, step=step, samples=samples.encode()
+            )
+            try:
+                await self._peers.hand_over(address, request, _FORWARD_TIMEOUT)
+                _log.info("step_handed_over", trainer=trainer, step=step, to=address)
+            except PeerAwayError:
+                _log.warning("step_not_handed_over", trainer=trainer, step=step)
+
+    async def finish_running(self) -> None:
+        """
+        Start no more samples, and wait for those that run.
+        """
+        await asyncio.gather(*(run.drain() for run in self._runs.values()))
+
+    def steps(self) -> list[dict[str, object]]:
+        """
+        Return what `status` shows of the steps collected here.
+        """
+        return [
+            {
+                "trainer": trainer,
+                "step": step,
+                "samples": len(run.book.specs),
+                "received": len(run.book.received),
+                "ready": len(run.book.ready),
+            }
+            for (trainer, step), run in self._runs.items()
+        ]
+
+    async def _forward(
+        self, address: str, trainer: Trainer, operation: str, step: int, payload: bytes
+    ) -> Collected | NotRun:
+        request = pb.CollectRequest(
+            trainer=trainer.name, operation=operation, step=step, payload=payload
+        )
+        try:
+            reply = await self._peers.collect(
+                address, request, _FORWARD_TIMEOUT + _longest_wait(operation)
+            )
+        except PeerAwayError as error:
+            # Both operations may be repeated, so "not run" is what the caller may
+            # take it for: a repeated one changes nothing.
+            return NotRun(ResultCode.NO_COLLECTOR, str(error), 0.3)
+        if reply.code == ResultCode.DONE:
+            return Collected(reply.payload)
+        outcome = outcome_from_code(reply.code, reply.detail, reply.retry_after)
+        if isinstance(outcome, NotRun):
+            return outcome
+        return NotRun(ResultCode.NO_COLLECTOR, outcome.detail, 0.3)
+
+    def _submit(
+        self, held: HeldLease, trainer: Trainer, step: int, body: StepBody
+    ) -> Collected | NotRun:
+        key = (trainer.name, step)
+        before = self._runs.get(key)
+        earlier = before.book if before and before.book.fence == held.fence else None
+        book = StepBook.open(
+            held.fence,
+            trainer.staleness_bound,
+            [sample.spec for sample in body.samples],
+            [Slot(group, index) for group, index in body.received],
+            before=earlier,
+        )
+        if len(book.specs) != len(body.samples):
+            return NotRun(ResultCode.BAD_REQUEST, "samples: a slot stands twice", 0.0)
+        for sample in self._inherited.pop(key, []):
+            book.add(sample)
+        if before is None:
+            self._runs[key] = self._runner.start(trainer, step, book, body.version)
+            self._forget_old(trainer.name)
+        else:
+            before.reopen(book, body.version)
+        return _collected(
+            {"fence": held.fence, "cursor": book.cursor, "missing": len(book.missing)}
+        )
+
+    def _forget_old(self, trainer: str) -> None:
+        steps = sorted(step for name, step in self._runs if name == trainer)
+        for step in steps[:-_STEPS_KEPT]:
+            self._runs.pop((trainer, step)).cancel()
+
+    async def _fetch(
+        self, trainer: Trainer, step: int, body: FetchBody
+    ) -> Collected | NotRun:
+        run = self._runs.get((trainer.name, step))
+        if run is None:
+            return NotRun(ResultCode.RESYNC, "the step is not known here", 0.0)
+        run.note_version(body.version)
+        if body.fence == run.book.fence:
+            await run.wait_ready(body.wait_s)
+        request = FetchRequest(body.fence, body.cursor, body.version, body.limit)
+        answer = run.book.fetch(request)
+        if isinstance(answer, Resync):
+            return NotRun(ResultCode.RESYNC, f"the fence is {answer.fence} now", 0.0)
+        run.wake()
+        self._metrics.samples.add(len(answer.samples), {"what": "handed_out"})
+        return _collected(
+            {
+                "fence": answer.fence,
+                "number": answer.number,
+                "remaining": answer.remaining,
+                "samples": [_sample_to_json(sample) for sample in answer.samples],
+            }
+        )
+
+
+def _longest_wait(operation: str) -> float:
+    return 20.0 if operation == "fetch" else 0.0
+
+
+def _collected(data: dict[str, object]) -> Collected:
+    return Collected(json.dumps(data).encode())
+
+
+def _sample_to_json(sample: Sample) -> dict[str, object]:
+    return {
+        "group": sample.slot.group,
+        "index": sample.slot.index,
+        "text": sample.text,
+        "tokens": sample.tokens,
+        "runs": [[run.version, run.first, run.last] for run in sample.runs],
+        "finish_reason": sample.finish_reason,
+    }
+
+
+def _sample_from_json(data: dict) -> Sample:
+    return Sample(
+        Slot(int(data["group"]), int(data["index"])),
+        str(data["text"]),
+        int(data["tokens"]),
+        tuple(VersionRun(*map(int, run)) for run in data["runs"]),
+        str(data["finish_reason"]),
+    )
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/_daemon.py
@@ -0,0 +1,268 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Puts a daemon together, runs it, and stops it as planned.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import signal
+import socket
+from collections.abc import Coroutine
+
+import structlog
+import uvicorn
+
+from ._backends import Backends
+from ._claim_log import ClaimLog
+from ._clock import boot_time
+from ._collector import Collectors, collector_lease
+from ._control import Control
+from ._dispatch import Dispatcher
+from ._exchange import Exchange
+from ._follower import follow_config
+from ._http import InFlight, build_app
+from ._lease_keeper import LeaseKeeper
+from ._log_client import LogClient
+from ._metrics import Metrics
+from ._peer_client import PeerClient
+from ._peer_server import PeerService, start_peer_server
+from ._pipeline import Pipeline
+from ._sample_runner import SampleRunner
+from ._settings import Settings
+from ._state import NodeState
+from ._status import status_reader
+from ._watcher import Watcher
+from .filters.claim import KeyLedger
+
+
+__all__ = ["Daemon"]
+
+_log = structlog.get_logger()
+
+#: An idle caller's connection is closed after so long, in seconds.
+_KEEP_ALIVE = 30
+#: Largest header block of a caller, in bytes.
+_MAX_HEADERS = 32_768
+
+
+class _Server(uvicorn.Server):
+    @contextlib.contextmanager
+    def capture_signals(self):
+        # The daemon itself handles signals: a planned stop is more than closing.
+        yield
+
+
+class Daemon:
+    """
+    One ``saddledoord`` process.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._state = NodeState.from_settings(settings)
+        self._tasks: set[asyncio.Task] = set()
+        self._stop = asyncio.Event()
+        self._stop_now = asyncio.Event()
+
+    async def run(self) -> None:
+        """
+        Serve until a signal stops it.
+
+        :raises OSError: If an address cannot be had.
+        """
+        self._handle_signals()
+        settings, state = self._settings, self._state
+        metrics = Metrics()
+        backends = Backends.open()
+        peers = PeerClient(settings.peer_secret)
+        timeout = settings.timings.log_timeout
+        log = LogClient(backends.session, settings.log_service, timeout, metrics)
+        config, control_stream = follow_config(log, state, self._spawn)
+        keeper = LeaseKeeper(log, state, control_stream)
+        dispatcher = Dispatcher(state)
+        watcher = Watcher(state, backends)
+        exchange = Exchange(state, peers, watcher, metrics)
+        claims = ClaimLog(log, state, metrics)
+        ledger = KeyLedger()
+        runner = SampleRunner(state, dispatcher, backends, peers, metrics)
+        collectors = Collectors(state, keeper, peers, runner, metrics)
+        pipeline = Pipeline(state, dispatcher, backends, peers, claims, ledger, metrics)
+        control = Control(state, keeper, backends, log, metrics)
+        status = status_reader(state, collectors, dispatcher)
+        app, in_flight = build_app(state, pipeline, collectors, metrics, status)
+        service = PeerService(
+            state,
+            exchange,
+            claims,
+            ledger,
+            collectors,
+            dispatcher,
+            backends,
+            metrics,
+            pipeline.run_issued,
+        )
+        _gauges(metrics, state, in_flight, dispatcher)
+        peer_server = await start_peer_server(
+            service, settings.grpc, settings.peer_secret
+        )
+        http = _Server(_uvicorn_config(app))
+        listener = _listen(settings.http)
+        serving = asyncio.create_task(http.serve(sockets=[listener]))
+        _log.info("started", vm=settings.vm, http=settings.http, grpc=settings.grpc)
+        for loop in (
+            config.run(),
+            control_stream.run(),
+            keeper.run(),
+            control.run(),
+            watcher.run(),
+            dispatcher.review(),
+            claims.run_releases(),
+            exchange.run_vm_list(backends.session),
+            exchange.run_pulls(),
+            exchange.run_summaries(),
+            _show_leases(exchange, keeper),
+        ):
+            self._spawn(loop)
+
+        await self._stop.wait()
+        drained = asyncio.create_task(
+            self._drain(in_flight, collectors, keeper, exchange, claims)
+        )
+        second = asyncio.create_task(self._stop_now.wait())
+        await asyncio.wait({drained, second}, return_when=asyncio.FIRST_COMPLETED)
+        second.cancel()
+        state.stage = "stopped"
+        http.should_exit = True
+        if not drained.done():
+            _log.warning("stopped_by_second_signal", in_flight=in_flight.count)
+            drained.cancel()
+            http.force_exit = True
+        await serving
+        await peer_server.stop(1.0 if drained.done() else 0)
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await peers.close()
+        await backends.close()
+        _log.info("stopped")
+
+    def _spawn(self, work: Coroutine) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._finished)
+
+    def _finished(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        # A loop that died would leave the VM half alive: end it, its peers go on.
+        _log.error("task_failed", exc_info=task.exception())
+        self._stop.set()
+
+    def _handle_signals(self) -> None:
+        def signalled() -> None:
+            if self._stop.is_set():
+                self._stop_now.set()
+            self._stop.set()
+
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, signalled)
+
+    async def _drain(
+        self,
+        in_flight: InFlight,
+        collectors: Collectors,
+        keeper: LeaseKeeper,
+        exchange: Exchange,
+        claims: ClaimLog,
+    ) -> None:
+        """
+        The planned stop: unready at once, then finish or hand over everything.
+        """
+        state, timings = self._state, self._settings.timings
+        state.stage = "draining"
+        exchange.refresh_own()
+        _log.info("draining", in_flight=in_flight.count)
+        deadline = boot_time() + timings.lame_duck + timings.drain
+        for name in keeper.names():
+            if not name.startswith(collector_lease("")):
+                await keeper.release(name)
+        lame_duck = asyncio.create_task(asyncio.sleep(timings.lame_duck))
+        try:
+            # Fetches are still served meanwhile, so trainers take what is finished.
+            async with asyncio.timeout(timings.drain):
+                await collectors.finish_running()
+        except TimeoutError:
+            _log.warning("samples_given_up")
+        await lame_duck
+        while in_flight.count > 0 and boot_time() < deadline:
+            await asyncio.sleep(0.02)
+        await collectors.hand_over(self._successor())
+        for name in keeper.names():
+            await keeper.release(name)
+        # Whoever came meanwhile is answered by the fetch that follows the lease.
+        await asyncio.sleep(0.1)
+        while in_flight.count > 0 and boot_time() < deadline:
+            await asyncio.sleep(0.02)
+
+    def _successor(self) -> str | None:
+        own = self._settings.vm
+        serving = [
+            m.grpc
+            for m in self._state.live_members()
+            if m.vm != own and m.state == "serving"
+        ]
+        for site in self._state.members.sites(boot_time()):
+            serving += [] if serving else list(site.peers)
+        return random.choice(serving) if serving else None
+
+
+async def _show_leases(exchange: Exchange, keeper: LeaseKeeper) -> None:
+    while True:
+        exchange.held_leases = keeper.names()
+        await asyncio.sleep(0.5)
+
+
+def _gauges(
+    metrics: Metrics, state: NodeState, in_flight: InFlight, dispatcher: Dispatcher
+) -> None:
+    metrics.gauge(
+        "saddledoor_config_offset",
+        lambda: state.in_force.offset,
+        "Offset of the configuration in force",
+    )
+    metrics.gauge("saddledoor_in_flight", lambda: in_flight.count, "Requests in flight")
+    metrics.gauge("saddledoor_waiting", dispatcher.waiting, "Requests that wait")
+
+
+def _uvicorn_config(app) -> uvicorn.Config:
+    return uvicorn.Config(
+        app,
+        http="h11",
+        ws="none",
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        timeout_keep_alive=_KEEP_ALIVE,
+        h11_max_incomplete_event_size=_MAX_HEADERS,
+        server_header=False,
+    )
+
+
+def _listen(address: str) -> socket.socket:
+    host, _, port = address.rpartition(":")
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind((host, int(port)))
+    except OSError as error:
+        listener.close()
+        raise OSError(f"{address}: {error.strerror}") from None
+    listener.listen(1024)
+    listener.setblocking(False)
+    return listener
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/_dispatch.py
@@ -0,0 +1,272 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Slots of back ends on this node: who may use one now, and who waits.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from saddledoor import (
+    BackendReport,
+    Candidate,
+    Choose,
+    Engine,
+    FairQueue,
+    Instance,
+    NotRun,
+    ResultCode,
+    WorkClass,
+    two_choices,
+)
+
+from ._clock import boot_time
+from ._state import NodeState
+
+
+__all__ = ["Dispatcher", "Grant", "Wanted"]
+
+#: A back end that just failed this node gets no work for so long, in seconds.
+_PENALTY = 1.0
+#: A report that says a back end is dead is believed for so long, in seconds.
+_DEAD_REPORT_AGE = 5.0
+#: How often waiting requests are looked at again, in seconds.
+_REVIEW = 0.05
+
+
+@dataclass(frozen=True)
+class Wanted:
+    """
+    What a request needs of a back end.
+
+    :param target: Name of a pool or service.
+    :param model: Model whose version counts; empty for services.
+    :param min_version: Oldest version that will do, or -1.
+    :param cost: Expected work, in tokens.
+    :param deadline: When waiting is over, in seconds of the daemon's clock.
+    :param avoid: Back ends that failed this request before.
+    """
+
+    target: str
+    work: WorkClass
+    partner: str
+    weight: float
+    cost: float
+    deadline: float
+    model: str = ""
+    min_version: int = -1
+    avoid: frozenset[str] = frozenset()
+    local_only: bool = False
+
+
+@dataclass(frozen=True)
+class Grant:
+    """
+    A slot of a back end, to be given back by ``release``.
+    """
+
+    name: str
+    address: str
+    release: Callable[[], None]
+
+
+@dataclass
+class _Waiter:
+    wanted: Wanted
+    future: asyncio.Future = field(repr=False)
+
+
+class Dispatcher:
+    """
+    Hands out slots of all pools and services.
+
+    :param choose: The policy that picks among back ends with room.
+    """
+
+    def __init__(self, state: NodeState, choose: Choose | None = None) -> None:
+        self._state = state
+        self._choose = choose or two_choices(random.random)
+        self._own: dict[str, int] = {}
+        self._failed_at: dict[str, float] = {}
+        self._queues: dict[str, FairQueue[_Waiter]] = {}
+
+    def in_flight(self, name: str) -> int:
+        """
+        Return this node's requests at a back end, a count.
+        """
+        return self._own.get(name, 0)
+
+    def waiting(self) -> int:
+        """
+        Return the requests that wait, a count.
+        """
+        return sum(len(queue) for queue in self._queues.values())
+
+    def note_failure(self, name: str) -> None:
+        """
+        Keep new work from a back end that just failed.
+        """
+        self._failed_at[name] = boot_time()
+
+    async def acquire(self, wanted: Wanted) -> Grant | NotRun:
+        """
+        Wait for a slot, at most until the request's deadline.
+        """
+        usable = self._usable(wanted)
+        if not usable:
+            return NotRun(ResultCode.NO_BACKEND, f"no back end for {wanted.target}")
+        queue = self._queue(wanted.target)
+        if not len(queue):
+            grant = self._try_grant(wanted)
+            if grant is not None:
+                return grant
+        waiter = _Waiter(wanted, asyncio.get_running_loop().create_future())
+        if not queue.push(
+            wanted.work, wanted.partner, wanted.cost, wanted.weight, waiter
+        ):
+            return NotRun(ResultCode.OVERLOADED, "the queue is full", 1.0)
+        return await self._wait(waiter)
+
+    async def review(self) -> None:
+        """
+        Serve waiting requests when slots come free by other ways than a release.
+        """
+        while True:
+            await asyncio.sleep(_REVIEW)
+            for target in list(self._queues):
+                self._serve(target)
+
+    async def _wait(self, waiter: _Waiter) -> Grant | NotRun:
+        limit = max(0.0, waiter.wanted.deadline - boot_time())
+        try:
+            return await asyncio.wait_for(waiter.future, limit)
+        except TimeoutError:
+            return NotRun(ResultCode.TIMED_OUT_IN_QUEUE, "no slot came free", 1.0)
+        except asyncio.CancelledError:
+            # The caller left in the very step in which it got the slot.
+            if waiter.future.done() and not waiter.future.cancelled():
+                waiter.future.result().release()
+            raise
+
+    def _queue(self, target: str) -> FairQueue[_Waiter]:
+        if target not in self._queues:
+            deployment = self._state.deployment
+            capacity = deployment.limits.max_queue if deployment else 1
+            self._queues[target] = FairQueue(capacity)
+        return self._queues[target]
+
+    def _serve(self, target: str) -> None:
+        queue = self._queues[target]
+        blocked: dict[WorkClass, _Waiter] = {}
+        while (waiter := queue.pop(frozenset(blocked))) is not None:
+            if waiter.future.done():
+                continue
+            grant = self._try_grant(waiter.wanted)
+            if grant is None:
+                blocked[waiter.wanted.work] = waiter
+            else:
+                waiter.future.set_result(grant)
+        for work, waiter in blocked.items():
+            # Its cost was counted when it was queued: it keeps its place in front.
+            queue.push_front(work, waiter)
+
+    def _try_grant(self, wanted: Wanted) -> Grant | None:
+        candidates = [
+            (member, candidate)
+            for member, candidate in self._usable(wanted)
+            if self._has_room(candidate)
+        ]
+        if not candidates:
+            return None
+        chosen = self._choose([candidate for _, candidate in candidates])
+        member = next(m for m, c in candidates if c is chosen)
+        return self._grant(member, wanted.target)
+
+    def _grant(self, member: Engine | Instance, target: str) -> Grant:
+        self._own[member.name] = self.in_flight(member.name) + 1
+        released = False
+
+        def release() -> None:
+            nonlocal released
+            if released:
+                return
+            released = True
+            self._own[member.name] -= 1
+            if target in self._queues:
+                self._serve(target)
+
+        return Grant(member.name, member.address, release)
+
+    def _usable(self, wanted: Wanted) -> list[tuple[Engine | Instance, Candidate]]:
+        members = self._members(wanted.target)
+        reports = self._state.members.reports()
+        now = boot_time()
+        local = self._state.data_centre
+        near = [m for m in members if m.data_centre == local]
+        far = (
+            [] if wanted.local_only else [m for m in members if m.data_centre != local]
+        )
+        for group in (near, far):
+            usable = [
+                (m, self._candidate(m, reports.get(m.name), now))
+                for m in group
+                if self._may_use(m, wanted, reports.get(m.name), now)
+            ]
+            if usable:
+                return usable
+        return []
+
+    def _members(self, target: str) -> tuple[Engine | Instance, ...]:
+        deployment = self._state.deployment
+        if deployment is None:
+            return ()
+        pool = deployment.pool(target)
+        if pool is not None:
+            return pool.engines
+        service = deployment.service(target)
+        return service.instances if service else ()
+
+    def _may_use(
+        self,
+        member: Engine | Instance,
+        wanted: Wanted,
+        report: BackendReport | None,
+        now: float,
+    ) -> bool:
+        if member.state == "leaving" or member.name in wanted.avoid:
+            return False
+        if now - self._failed_at.get(member.name, -math.inf) < _PENALTY:
+            return False
+        if report is not None:
+            if report.leaving:
+                return False
+            if not report.alive and now - report.at < _DEAD_REPORT_AGE:
+                return False
+        if wanted.min_version < 0:
+            return True
+        # Training work only where the engine itself reported a version that will do.
+        known = report.versions.get(wanted.model, -1) if report else -1
+        return known >= wanted.min_version
+
+    def _candidate(
+        self, member: Engine | Instance, report: BackendReport | None, now: float
+    ) -> Candidate:
+        own = self.in_flight(member.name)
+        if report is None:
+            return Candidate(member.name, member.slots, own)
+        return Candidate(member.name, member.slots, own, report.load, now - report.at)
+
+    def _has_room(self, candidate: Candidate) -> bool:
+        # This node's even share is always its own; beyond it, what others seem to
+        # use counts, less and less as the report grows old.
+        nodes = max(1, len(self._state.live_vms()))
+        share = max(1, candidate.slots // nodes)
+        if candidate.own < share:
+            return True
+        others = max(0.0, candidate.reported - candidate.own) * 0.5**candidate.age
+        return candidate.own + others < candidate.slots
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/_follower.py
@@ -0,0 +1,213 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Follows the log's streams and feeds the folds.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import uuid
+from collections.abc import Callable
+
+import structlog
+
+from saddledoor import (
+    ConfigFold,
+    ConfigVerdict,
+    LeaseFold,
+    Record,
+    deployment_from_json,
+    rendezvous_order,
+    unpack_document,
+)
+from saddledoor.exceptions import InvalidDocumentError, UndecodableRecordError
+
+from ._log_client import LogAwayError, LogClient, LogPage
+from ._state import NodeState
+
+
+__all__ = ["CONFIG_STREAM", "CONTROL_STREAM", "StreamFollower", "follow_config"]
+
+#: Stream that operators publish to.
+CONFIG_STREAM = "config"
+#: Stream of leases.
+CONTROL_STREAM = "control"
+
+_log = structlog.get_logger()
+
+#: Wait before the log is asked again after it was away, in seconds.
+_RETRY_WAIT = 0.3
+#: Wait per rank before a node judges a proposal that others should judge, in seconds.
+_VERDICT_STEP = 0.3
+
+
+class StreamFollower:
+    """
+    Reads one stream in order, by long polls, and lets others wait for an offset.
+
+    :param begin: Called with the oldest offset the log has before the first record,
+        and again if the log has dropped records that were not read yet.
+    :param apply: Called with each record and its offset.
+    """
+
+    @property
+    def next_offset(self) -> int:
+        """
+        Offset of the next record to read; -1 before the first read.
+        """
+        return self._next
+
+    def __init__(
+        self,
+        log: LogClient,
+        state: NodeState,
+        stream: str,
+        begin: Callable[[int], None],
+        apply: Callable[[int, Record | None], None],
+    ) -> None:
+        self._log = log
+        self._state = state
+        self._stream = stream
+        self._begin = begin
+        self._apply = apply
+        self._next = -1
+        self._moved = asyncio.Condition()
+        self.wait = state.settings.timings.log_wait
+
+    async def run(self) -> None:
+        """
+        Follow until cancelled.
+        """
+        while True:
+            try:
+                await self.poll(self.wait if self._next >= 0 else 0.0)
+                self._state.log.note(answered=True)
+            except LogAwayError:
+                self._state.log.note(answered=False)
+                await asyncio.sleep(_RETRY_WAIT)
+
+    async def poll(self, wait: float) -> None:
+        """
+        Read once and fold what came.
+
+        :raises LogAwayError: If the log gave no answer.
+        """
+        page = await self._log.read(self._stream, max(self._next, 0), wait)
+        self._take(page)
+        async with self._moved:
+            self._moved.notify_all()
+
+    async def reach(self, offset: int, timeout: float) -> bool:
+        """
+        Wait until the record at ``offset`` has been folded.
+        """
+        try:
+            async with asyncio.timeout(timeout), self._moved:
+                await self._moved.wait_for(lambda: self._next > offset)
+        except TimeoutError:
+            return False
+        return True
+
+    async def catch_up(self) -> None:
+        """
+        Read everything that the log has now.
+
+        :raises LogAwayError: If the log gave no answer.
+        """
+        before = -2
+        while self._next != before:
+            before = self._next
+            await self.poll(0.0)
+
+    def _take(self, page: LogPage) -> None:
+        # Two polls may be under way at once (the long one and a catch-up): an older
+        # page's records were folded already and are passed over.
+        if page.first > self._next:
+            self._begin(page.first)
+            self._next = max(self._next, page.first)
+        for entry in page.records:
+            if entry.offset >= self._next:
+                self._next = entry.offset + 1
+                self._apply(entry.offset, entry.record)
+        self._next = max(self._next, page.next_offset if not page.records else 0)
+
+
+def follow_config(
+    log: LogClient, state: NodeState, spawn: Callable[..., object]
+) -> tuple[StreamFollower, StreamFollower]:
+    """
+    Return followers of the configuration and the lease stream.
+
+    :param spawn: Runs a coroutine in the background.
+    """
+
+    def begin_config(first: int) -> None:
+        if state.config_fold is None or first > 0:
+            state.config_fold = ConfigFold.starting_at(first)
+
+    def apply_config(offset: int, record: Record | None) -> None:
+        if record is None:
+            return
+        state.config_fold = state.config_fold.apply(offset, record)
+        state.offer_config(state.config_fold.accepted)
+        if offset in state.config_fold.pending:
+            spawn(_judge(log, state, offset))
+
+    def begin_leases(first: int) -> None:
+        state.lease_fold = LeaseFold(next_offset=first, leases=state.lease_fold.leases)
+
+    def apply_leases(offset: int, record: Record | None) -> None:
+        if record is None:
+            return
+        state.lease_fold = state.lease_fold.apply(offset, record)
+        state.observe_leases()
+
+    return (
+        StreamFollower(log, state, CONFIG_STREAM, begin_config, apply_config),
+        StreamFollower(log, state, CONTROL_STREAM, begin_leases, apply_leases),
+    )
+
+
+async def _judge(log: LogClient, state: NodeState, offset: int) -> None:
+    """
+    Append a verdict, unless a node that ranks before this one has done so.
+    """
+    await asyncio.sleep(_verdict_rank(state, offset) * _VERDICT_STEP)
+    while offset in state.config_fold.pending:
+        verdict = _verdict(state, offset)
+        try:
+            await log.append(CONFIG_STREAM, [verdict])
+            return
+        except LogAwayError:
+            await asyncio.sleep(_RETRY_WAIT)
+
+
+def _verdict_rank(state: NodeState, offset: int) -> int:
+    key = f"verdict/{offset}"
+    deployment = state.deployment
+    sites = deployment.data_centres if deployment else (state.data_centre,)
+    site_order = rendezvous_order(key, sites)
+    vms = rendezvous_order(key, state.live_vms())
+    site = site_order.index(state.data_centre) if state.data_centre in site_order else 0
+    own = vms.index(state.settings.vm) if state.settings.vm in vms else len(vms)
+    return site * 2 + own
+
+
+def _verdict(state: NodeState, offset: int) -> ConfigVerdict:
+    proposal = state.config_fold.pending[offset]
+    try:
+        deployment = deployment_from_json(unpack_document(proposal.document))
+    except (InvalidDocumentError, UndecodableRecordError) as error:
+        return ConfigVerdict(offset, valid=False, reason=str(error)[:2000])
+    if deployment.name != state.settings.deployment:
+        reason = f"it is the deployment {deployment.name!r}"
+        return ConfigVerdict(offset, valid=False, reason=reason)
+    return ConfigVerdict(offset, valid=True)
+
+
+def new_record_id() -> str:
+    """
+    Return a name for a record, unique across processes.
+    """
+    return uuid.uuid4().hex
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/_http.py
@@ -0,0 +1,328 @@
+# SPDX-License-Identifier: MIT
+
+"""
+The HTTP face: completions, pass-through, trainers' steps and operators' endpoints.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections.abc import AsyncIterator, Callable
+
+import falcon.asgi
+
+from saddledoor import NotRun, OutcomeUnknown, ResultCode
+
+from ._backends import CallAnswer, CompletionPart
+from ._collector import Collectors
+from ._metrics import Metrics
+from ._pipeline import Pipeline, ServiceRequest
+from ._state import NodeState
+from .filters.collect import WholeAnswer, collect_whole
+from .filters.identify import Caller
+
+
+__all__ = ["InFlight", "build_app"]
+
+#: Largest body of a submitted step, in bytes.
+_MAX_STEP_BYTES = 32_000_000
+#: Largest body while no configuration says otherwise, in bytes.
+_DEFAULT_MAX_BODY = 1_000_000
+#: Longest wait for a body's end while no configuration says otherwise, in seconds.
+_DEFAULT_BODY_TIMEOUT = 5.0
+
+_JSON = "application/json"
+
+
+class InFlight:
+    """
+    Counts callers' requests; a planned stop waits for it to reach zero.
+    """
+
+    def __init__(self, state: NodeState) -> None:
+        self._state = state
+        self.count = 0
+
+    async def process_request(self, req, resp) -> None:
+        self.count += 1
+        req.context.counted = True
+
+    async def process_response(self, req, resp, resource, succeeded) -> None:
+        # A streamed answer is counted until its last part, see `_counted_stream`.
+        if not getattr(req.context, "streams", False):
+            self.count -= 1
+        resp.set_header("X-Saddledoor-Vm", self._state.settings.vm)
+        if self._state.stage != "serving":
+            resp.set_header("Connection", "close")
+
+
+def _encode_refusal(resp, outcome: NotRun | OutcomeUnknown) -> None:
+    resp.status = outcome.code.http_status
+    resp.content_type = _JSON
+    resp.text = json.dumps({"error": _error_body(outcome)})
+    if isinstance(outcome, NotRun) and outcome.retry_after > 0:
+        resp.set_header("Retry-After", f"{outcome.retry_after:.1f}")
+    if outcome.code is ResultCode.BODY_TIMEOUT:
+        resp.set_header("Connection", "close")
+
+
+def _error_body(outcome: NotRun | OutcomeUnknown) -> dict[str, object]:
+    body: dict[str, object] = {
+        "code": int(outcome.code),
+        "name": outcome.code.name.lower(),
+        "family": outcome.code.family.value,
+        "message": outcome.detail,
+    }
+    if isinstance(outcome, NotRun):
+        body["retry_after_s"] = outcome.retry_after
+    return body
+
+
+async def _read_body(req, state: NodeState, largest: int) -> bytes | NotRun:
+    deployment = state.deployment
+    timeout = deployment.limits.body_timeout_s if deployment else _DEFAULT_BODY_TIMEOUT
+    if (req.content_length or 0) > largest:
+        detail = f"{req.content_length} bytes; at most {largest}"
+        return NotRun(ResultCode.TOO_LARGE, detail, 0.0)
+    try:
+        body = await asyncio.wait_for(req.stream.read(largest + 1), timeout)
+    except TimeoutError:
+        detail = f"the body did not end within {timeout} s"
+        return NotRun(ResultCode.BODY_TIMEOUT, detail, 0.0)
+    if len(body) > largest:
+        return NotRun(ResultCode.TOO_LARGE, f"at most {largest} bytes", 0.0)
+    return body
+
+
+class _Resource:
+    def __init__(
+        self,
+        state: NodeState,
+        pipeline: Pipeline,
+        metrics: Metrics,
+        in_flight: InFlight,
+    ) -> None:
+        self._state = state
+        self._pipeline = pipeline
+        self._metrics = metrics
+        self._in_flight = in_flight
+
+    def _max_body(self) -> int:
+        deployment = self._state.deployment
+        return deployment.limits.max_body_bytes if deployment else _DEFAULT_MAX_BODY
+
+    def _identify(self, req) -> Caller | NotRun:
+        return self._pipeline.identify(req.get_header("Authorization"))
+
+    def _refuse(self, resp, kind: str, outcome: NotRun | OutcomeUnknown) -> None:
+        self._count(kind, outcome.code)
+        _encode_refusal(resp, outcome)
+
+    def _count(self, kind: str, code: ResultCode) -> None:
+        self._metrics.requests.add(1, {"kind": kind, "code": str(int(code))})
+
+
+class _Completions(_Resource):
+    async def on_post(self, req, resp) -> None:
+        caller = self._identify(req)
+        if isinstance(caller, NotRun):
+            return self._refuse(resp, "completion", caller)
+        raw = await _read_body(req, self._state, self._max_body())
+        if isinstance(raw, NotRun):
+            return self._refuse(resp, "completion", raw)
+        body = self._pipeline.decode_completion(raw)
+        if isinstance(body, NotRun):
+            return self._refuse(resp, "completion", body)
+        parts = self._pipeline.complete(caller, body)
+        if isinstance(parts, NotRun):
+            return self._refuse(resp, "completion", parts)
+        if body.stream:
+            return await self._stream(req, resp, parts)
+        whole = await collect_whole(parts)
+        if not isinstance(whole, WholeAnswer):
+            return self._refuse(resp, "completion", whole)
+        self._count("completion", ResultCode.DONE)
+        resp.media = _completion_media(whole, body.model)
+
+    async def _stream(self, req, resp, parts: AsyncIterator) -> None:
+        # The first part decides the status: what never ran is refused plainly.
+        first = await anext(parts)
+        if not isinstance(first, CompletionPart):
+            return self._refuse(resp, "completion", first)
+        req.context.streams = True
+        resp.content_type = "text/event-stream"
+        resp.stream = self._events(first, parts)
+
+    async def _events(self, first: CompletionPart, parts: AsyncIterator):
+        try:
+            part = first
+            while isinstance(part, CompletionPart):
+                yield _event(_part_media(part))
+                if part.finish_reason is not None:
+                    self._count("completion", ResultCode.DONE)
+                    yield b"data: [DONE]\n\n"
+                    return
+                part = await anext(parts)
+            # No end marker: what was sent is not a whole answer, and says so.
+            self._count("completion", part.code)
+            yield _event({"error": _error_body(part)})
+        finally:
+            await parts.aclose()
+            self._in_flight.count -= 1
+
+
+class _Services(_Resource):
+    async def on_request(self, req, resp, service: str, path: str) -> None:
+        caller = self._identify(req)
+        if isinstance(caller, NotRun):
+            return self._refuse(resp, "call", caller)
+        body = await _read_body(req, self._state, self._max_body())
+        if isinstance(body, NotRun):
+            return self._refuse(resp, "call", body)
+        query = f"?{req.query_string}" if req.query_string else ""
+        request = ServiceRequest(
+            service=service,
+            method=req.method,
+            path=f"/{path}",
+            target=f"/{path}{query}",
+            content_type=req.content_type or "application/octet-stream",
+            body=body,
+            key=req.get_header("Idempotency-Key") or "",
+        )
+        result = await self._pipeline.call(caller, request)
+        if not isinstance(result, CallAnswer):
+            return self._refuse(resp, "call", result)
+        self._count("call", ResultCode.DONE)
+        resp.status = result.status
+        resp.content_type = result.content_type
+        resp.data = result.body
+
+    on_get = on_post = on_put = on_delete = on_patch = on_request
+
+
+class _Keys(_Resource):
+    async def on_post(self, req, resp) -> None:
+        caller = self._identify(req)
+        if isinstance(caller, NotRun):
+            return self._refuse(resp, "key", caller)
+        if self._state.stage != "serving":
+            stopping = NotRun(ResultCode.STOPPING, "this VM issues no more keys", 0.1)
+            return self._refuse(resp, "key", stopping)
+        resp.media = {"key": self._pipeline.issue_key(caller)}
+
+
+class _Steps(_Resource):
+    def __init__(self, *shared, collectors: Collectors) -> None:
+        super().__init__(*shared)
+        self._collectors = collectors
+
+    async def on_post(self, req, resp, trainer: str, step: int) -> None:
+        await self._operate(req, resp, trainer, step, "submit", _MAX_STEP_BYTES)
+
+    async def on_post_fetch(self, req, resp, trainer: str, step: int) -> None:
+        await self._operate(req, resp, trainer, step, "fetch", self._max_body())
+
+    async def _operate(
+        self, req, resp, trainer: str, step: int, operation: str, largest: int
+    ) -> None:
+        caller = self._identify(req)
+        if isinstance(caller, NotRun):
+            return self._refuse(resp, operation, caller)
+        if caller.trainer is None or caller.trainer.name != trainer:
+            other = NotRun(ResultCode.FORBIDDEN, "the token is not this trainer's", 0.0)
+            return self._refuse(resp, operation, other)
+        body = await _read_body(req, self._state, largest)
+        if isinstance(body, NotRun):
+            return self._refuse(resp, operation, body)
+        result = await self._collectors.serve(caller.trainer, operation, step, body)
+        if isinstance(result, NotRun):
+            return self._refuse(resp, operation, result)
+        self._count(operation, ResultCode.DONE)
+        resp.content_type = _JSON
+        resp.data = result.payload
+
+
+class _Operators:
+    def __init__(
+        self, state: NodeState, metrics: Metrics, status: Callable[[], dict]
+    ) -> None:
+        self._state = state
+        self._metrics = metrics
+        self._status = status
+
+    async def on_get_health(self, req, resp) -> None:
+        resp.media = {"healthy": True}
+
+    async def on_get_ready(self, req, resp) -> None:
+        reason = None
+        if self._state.stage != "serving":
+            reason = self._state.stage
+        elif self._state.deployment is None:
+            reason = "no_configuration"
+        resp.status = 200 if reason is None else 503
+        resp.media = {"ready": reason is None, "reason": reason}
+
+    async def on_get_metrics(self, req, resp) -> None:
+        resp.content_type = "text/plain; version=0.0.4; charset=utf-8"
+        resp.data = self._metrics.render()
+
+    async def on_get_status(self, req, resp) -> None:
+        resp.media = self._status()
+
+
+def build_app(
+    state: NodeState,
+    pipeline: Pipeline,
+    collectors: Collectors,
+    metrics: Metrics,
+    status: Callable[[], dict],
+) -> tuple[falcon.asgi.App, InFlight]:
+    """
+    Return the application and its counter of requests in flight.
+    """
+    in_flight = InFlight(state)
+    app = falcon.asgi.App(middleware=[in_flight])
+    shared = (state, pipeline, metrics, in_flight)
+    steps = _Steps(*shared, collectors=collectors)
+    operators = _Operators(state, metrics, status)
+    app.add_route("/v1/completions", _Completions(*shared))
+    app.add_route("/v1/services/{service}/{path:path}", _Services(*shared))
+    app.add_route("/v1/keys", _Keys(*shared))
+    app.add_route("/v1/trainers/{trainer}/steps/{step:int}", steps)
+    app.add_route(
+        "/v1/trainers/{trainer}/steps/{step:int}/fetch", steps, suffix="fetch"
+    )
+    app.add_route("/healthz", operators, suffix="health")
+    app.add_route("/readyz", operators, suffix="ready")
+    app.add_route("/metrics", operators, suffix="metrics")
+    app.add_route("/v1/status", operators, suffix="status")
+    return app, in_flight
+
+
+def _completion_media(whole: WholeAnswer, model: str) -> dict[str, object]:
+    return {
+        "object": "text_completion",
+        "created": int(time.time()),
+        "model": model,
+        "choices": [
+            {"index": 0, "text": whole.text, "finish_reason": whole.finish_reason}
+        ],
+        "usage": {"completion_tokens": whole.tokens},
+        "weight_versions": [[r.version, r.first, r.last] for r in whole.runs],
+    }
+
+
+def _part_media(part: CompletionPart) -> dict[str, object]:
+    return {
+        "choices": [
+            {"index": 0, "text": part.text, "finish_reason": part.finish_reason}
+        ],
+        "tokens": part.tokens,
+        "weight_version": part.version,
+    }
+
+
+def _event(data: dict[str, object]) -> bytes:
+    return f"data: {json.dumps(data)}\n\n".encode()
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/_lease_keeper.py
@@ -0,0 +1,157 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Takes, renews and releases this VM's leases in the log.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import structlog
+
+from saddledoor import HeldLease, LeaseClaim, LeaseRelease, LeaseRenewal
+
+from ._clock import boot_time
+from ._follower import CONTROL_STREAM, StreamFollower, new_record_id
+from ._log_client import LogAwayError, LogClient
+from ._state import NodeState
+
+
+__all__ = ["LeaseKeeper"]
+
+_log = structlog.get_logger()
+
+#: Renewals per term, a count.
+_RENEWALS = 3
+
+
+class LeaseKeeper:
+    """
+    The leases that this process holds, with their deadlines.
+    """
+
+    def __init__(
+        self, log: LogClient, state: NodeState, follower: StreamFollower
+    ) -> None:
+        self._log = log
+        self._state = state
+        self._follower = follower
+        self._held: dict[str, HeldLease] = {}
+        self._claiming: dict[str, asyncio.Lock] = {}
+
+    def names(self) -> tuple[str, ...]:
+        return tuple(sorted(self._held))
+
+    def held(self, name: str) -> HeldLease | None:
+        """
+        Return the lease if the log's order still gives it to this process.
+
+        Whether it may be *acted on* now is for `HeldLease.may_act`.
+        """
+        held = self._held.get(name)
+        if held is None:
+            return None
+        lease = self._state.lease_fold.get(name)
+        if lease is not None and lease.fence > held.fence:
+            del self._held[name]
+            _log.warning("lease_lost", lease=name, fence=held.fence)
+            return None
+        return held
+
+    def holder_address(self, name: str) -> str | None:
+        """
+        Return the peer address of another holder, or none if the lease is free.
+        """
+        lease = self._state.lease_fold.get(name)
+        if lease is None or lease.released:
+            return None
+        return lease.holder.partition("@")[2]
+
+    def may_take(self, name: str) -> bool:
+        """
+        Tell whether the lease is free, or its holder silent for longer than its term.
+        """
+        lease = self._state.lease_fold.get(name)
+        return self._state.watch(name).may_take(lease, boot_time())
+
+    async def take(self, name: str) -> HeldLease | None:
+        """
+        Try to take a lease; the log's order decides.
+        """
+        lock = self._claiming.setdefault(name, asyncio.Lock())
+        async with lock:
+            held = self.held(name)
+            if held is not None or not self.may_take(name):
+                return held
+            return await self._claim(name)
+
+    async def _claim(self, name: str) -> HeldLease | None:
+        lease = self._state.lease_fold.get(name)
+        seen = lease.last if lease else -1
+        claim = LeaseClaim(new_record_id(), name, self._state.owner, seen)
+        before = boot_time()
+        try:
+            await self._log.append(CONTROL_STREAM, [claim])
+        except LogAwayError:
+            pass
+        try:
+            # Also after a lost answer: only the log tells whether the claim stands.
+            await self._follower.catch_up()
+        except LogAwayError:
+            return None
+        lease = self._state.lease_fold.get(name)
+        if lease is None or lease.claim_id != claim.record_id:
+            return None
+        term = self._state.settings.timings.lease_term
+        self._held[name] = HeldLease(name, lease.fence, before + term)
+        _log.info("lease_taken", lease=name, fence=lease.fence)
+        return self._held[name]
+
+    async def run(self) -> None:
+        """
+        Renew what is held, until cancelled.
+        """
+        term = self._state.settings.timings.lease_term
+        while True:
+            await asyncio.sleep(term / _RENEWALS)
+            await self.renew()
+
+    async def renew(self) -> None:
+        """
+        Renew every lease held, in one append.
+        """
+        held = [lease for name in self.names() if (lease := self.held(name))]
+        if not held:
+            return
+        before = boot_time()
+        records = [LeaseRenewal(lease.name, lease.fence) for lease in held]
+        try:
+            offset = await self._log.append(CONTROL_STREAM, records)
+            await self._follower.catch_up()
+        except LogAwayError:
+            return
+        term = self._state.settings.timings.lease_term
+        for index, lease in enumerate(held):
+            current = self._state.lease_fold.get(lease.name)
+            # The renewal counts only if the fold took it.
+            if (
+                current
+                and current.fence == lease.fence
+                and current.last >= offset + index
+            ):
+                renewed = HeldLease(lease.name, lease.fence, before + term)
+                self._held[lease.name] = renewed
+
+    async def release(self, name: str) -> None:
+        """
+        Give a lease up; if the log is away it lapses by itself.
+        """
+        held = self._held.pop(name, None)
+        if held is None:
+            return
+        try:
+            await self._log.append(CONTROL_STREAM, [LeaseRelease(name, held.fence)])
+            _log.info("lease_released", lease=name, fence=held.fence)
+        except LogAwayError:
+            pass
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/_peer_client.py
@@ -0,0 +1,170 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Calls to other daemons, over gRPC channels that are kept open.
+"""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+
+import grpc
+
+from saddledoor import KeyClaim, NotRun, OutcomeUnknown, ResultCode
+
+from ._backends import CallAnswer, CompletionPart
+from ._wire_types import (
+    answer_from_wire,
+    outcome_from_code,
+    part_from_wire,
+    work_to_wire,
+)
+from .filters.attempt import CompletionJob
+from .wire import peer_pb2 as pb
+from .wire.peer_pb2_grpc import PeerStub
+
+
+__all__ = ["MAX_MESSAGE", "PeerAwayError", "PeerClient"]
+
+#: Largest message between peers, in bytes.
+MAX_MESSAGE = 64_000_000
+#: Metadata that carries the deployment's peer secret.
+SECRET_KEY = "saddledoor-peer"
+
+_OPTIONS = [
+    ("grpc.max_receive_message_length", MAX_MESSAGE),
+    ("grpc.max_send_message_length", MAX_MESSAGE),
+    ("grpc.enable_retries", 0),
+    ("grpc.initial_reconnect_backoff_ms", 200),
+    ("grpc.max_reconnect_backoff_ms", 1000),
+    ("grpc.use_local_subchannel_pool", 1),
+]
+
+
+class PeerAwayError(Exception):
+    """
+    A peer gave no answer; what it was asked for may have happened.
+    """
+
+
+class PeerClient:
+    """
+    One channel per peer address.
+
+    :param secret: What daemons of one deployment prove to each other.
+    """
+
+    def __init__(self, secret: str) -> None:
+        self._metadata = ((SECRET_KEY, secret),)
+        self._channels: dict[str, grpc.aio.Channel] = {}
+        self._stubs: dict[str, PeerStub] = {}
+
+    async def close(self) -> None:
+        for channel in self._channels.values():
+            await channel.close()
+
+    async def keep_only(self, addresses: set[str]) -> None:
+        """
+        Close channels to peers that are gone.
+        """
+        for address in set(self._channels) - addresses:
+            self._stubs.pop(address)
+            await self._channels.pop(address).close()
+
+    async def exchange(
+        self, address: str, request: pb.ExchangeRequest, timeout: float
+    ) -> pb.ExchangeReply:
+        return await self._unary(address, "Exchange", request, timeout)
+
+    async def summary(
+        self, address: str, request: pb.SummaryRequest, timeout: float
+    ) -> pb.SummaryReply:
+        return await self._unary(address, "Summary", request, timeout)
+
+    async def claim(
+        self, address: str, partition: int, claim: KeyClaim, timeout: float
+    ) -> KeyClaim | None:
+        """
+        Ask a writer of claims who owns a key; none if the log could not be asked.
+
+        :raises PeerAwayError: If the writer gave no answer.
+        """
+        request = pb.ClaimRequest(
+            partition=partition,
+            key=claim.key,
+            claim_id=claim.claim_id,
+            owner=claim.owner,
+        )
+        reply = await self._unary(address, "Claim", request, timeout)
+        if not reply.decided:
+            return None
+        return KeyClaim(claim.key, reply.claim_id, reply.owner)
+
+    async def outcome(
+        self, address: str, claim_id: str, wait: float
+    ) -> CallAnswer | NotRun | OutcomeUnknown | None:
+        """
+        Ask the owner of a key what became of it; none if it does not know.
+
+        :raises PeerAwayError: If the owner gave no answer.
+        """
+        request = pb.OutcomeRequest(claim_id=claim_id, wait_s=wait)
+        reply = await self._unary(address, "Outcome", request, wait + 1.0)
+        return answer_from_wire(reply)
+
+    async def call(
+        self, address: str, work: pb.ServiceWork, timeout: float
+    ) -> CallAnswer | NotRun | OutcomeUnknown | None:
+        """
+        Run a call at the VM that issued its key.
+
+        :raises PeerAwayError: If that VM gave no answer; the call may have run.
+        """
+        return answer_from_wire(await self._unary(address, "Call", work, timeout))
+
+    async def collect(
+        self, address: str, request: pb.CollectRequest, timeout: float
+    ) -> pb.CollectReply:
+        """
+        Pass a trainer's operation to its collector.
+        """
+        return await self._unary(address, "Collect", request, timeout)
+
+    async def hand_over(
+        self, address: str, request: pb.HandOverRequest, timeout: float
+    ) -> bool:
+        """
+        Give finished samples to the next collector.
+        """
+        reply = await self._unary(address, "HandOver", request, timeout)
+        return reply.taken
+
+    async def complete(
+        self, address: str, job: CompletionJob, timeout: float
+    ) -> AsyncIterator[CompletionPart | NotRun | OutcomeUnknown]:
+        """
+        Run a sample at an engine of the peer's data centre.
+        """
+        work = work_to_wire(job, timeout)
+        try:
+            async for part in self._stub(address).Complete(
+                work, metadata=self._metadata
+            ):
+                yield part_from_wire(part)
+        except grpc.aio.AioRpcError as error:
+            detail = f"peer {address}: {error.code().name}"
+            yield outcome_from_code(ResultCode.ANSWER_CUT, detail, 0.0)
+
+    def _stub(self, address: str) -> PeerStub:
+        if address not in self._stubs:
+            channel = grpc.aio.insecure_channel(address, options=_OPTIONS)
+            self._channels[address] = channel
+            self._stubs[address] = PeerStub(channel)
+        return self._stubs[address]
+
+    async def _unary(self, address: str, method: str, request, timeout: float):
+        call = getattr(self._stub(address), method)
+        try:
+            return await call(request, timeout=timeout, metadata=self._metadata)
+        except grpc.aio.AioRpcError as error:
+            raise PeerAwayError(f"{address}: {error.code().name}") from None
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/_peer_server.py
@@ -0,0 +1,171 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Serves other daemons over gRPC; a caller without the peer secret is refused.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hmac
+from collections.abc import Awaitable, Callable
+
+import grpc
+
+from saddledoor import (
+    KeyClaim,
+    NotRun,
+    ResultCode,
+    RetryBudget,
+)
+
+from ._backends import Backends
+from ._claim_log import ClaimLog
+from ._collector import Collected, Collectors
+from ._dispatch import Dispatcher
+from ._exchange import Exchange
+from ._metrics import Metrics
+from ._peer_client import MAX_MESSAGE, SECRET_KEY
+from ._state import NodeState
+from ._wire_types import answer_to_wire, part_to_wire, work_from_wire
+from .filters.attempt import attempt_completion
+from .filters.claim import KeyLedger
+from .wire import peer_pb2 as pb
+from .wire.peer_pb2_grpc import PeerServicer, add_PeerServicer_to_server
+
+
+__all__ = ["PeerService", "start_peer_server"]
+
+#: Longest wait for another request's outcome, in seconds.
+_MAX_OUTCOME_WAIT = 60.0
+
+IssuedCall = Callable[[pb.ServiceWork], Awaitable[object]]
+
+
+class _SecretCheck(grpc.aio.ServerInterceptor):
+    def __init__(self, secret: str) -> None:
+        self._secret = secret.encode()
+
+    async def intercept_service(self, continuation, details):
+        sent = dict(details.invocation_metadata).get(SECRET_KEY, "")
+        sent = sent if isinstance(sent, bytes) else sent.encode()
+        if hmac.compare_digest(sent, self._secret):
+            return await continuation(details)
+
+        async def refuse(request, context):
+            await context.abort(grpc.StatusCode.UNAUTHENTICATED, "not a known peer")
+
+        return grpc.unary_unary_rpc_method_handler(refuse)
+
+
+class PeerService(PeerServicer):
+    """
+    The daemon's side of ``peer.proto``.
+    """
+
+    def __init__(
+        self,
+        state: NodeState,
+        exchange: Exchange,
+        claims: ClaimLog,
+        ledger: KeyLedger,
+        collectors: Collectors,
+        dispatcher: Dispatcher,
+        backends: Backends,
+        metrics: Metrics,
+        run_issued: IssuedCall,
+    ) -> None:
+        self._state = state
+        self._exchange = exchange
+        self._claims = claims
+        self._ledger = ledger
+        self._collectors = collectors
+        self._dispatcher = dispatcher
+        self._backends = backends
+        self._metrics = metrics
+        self._run_issued = run_issued
+        self._tasks: set[asyncio.Task] = set()
+
+    async def Exchange(self, request, context):
+        return self._exchange.answer(request)
+
+    async def Summary(self, request, context):
+        return self._exchange.summarise(request)
+
+    async def Claim(self, request, context):
+        claim = KeyClaim(request.key, request.claim_id, request.owner)
+        owner = await self._claims.claim(request.partition, claim)
+        if owner is None:
+            return pb.ClaimReply(decided=False)
+        return pb.ClaimReply(decided=True, claim_id=owner.claim_id, owner=owner.owner)
+
+    async def Outcome(self, request, context):
+        wait = min(request.wait_s, _MAX_OUTCOME_WAIT)
+        result = await self._ledger.outcome(request.claim_id, wait)
+        return pb.CallResult() if result is None else answer_to_wire(result)
+
+    async def Call(self, request, context):
+        return answer_to_wire(await self._run_issued(request))
+
+    async def Complete(self, request, context):
+        deployment = self._state.deployment
+        if deployment is None:
+            refusal = NotRun(ResultCode.NO_CONFIGURATION, "no configuration yet")
+            yield part_to_wire(refusal)
+            return
+        budget = RetryBudget.from_config(deployment.limits)
+        parts = attempt_completion(
+            work_from_wire(request),
+            self._dispatcher,
+            self._backends,
+            budget,
+            self._metrics,
+        )
+        async for part in parts:
+            yield part_to_wire(part)
+
+    async def Collect(self, request, context):
+        result = await self._collectors.serve_here(
+            request.trainer, request.operation, request.step, request.payload
+        )
+        if isinstance(result, Collected):
+            return pb.CollectReply(code=ResultCode.DONE, payload=result.payload)
+        return pb.CollectReply(
+            code=result.code, detail=result.detail, retry_after=result.retry_after
+        )
+
+    async def HandOver(self, request, context):
+        if self._state.stage != "serving":
+            return pb.HandOverReply(taken=False)
+        task = asyncio.create_task(
+            self._collectors.inherit(request.trainer, request.step, request.samples)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return pb.HandOverReply(taken=True)
+
+
+async def start_peer_server(
+    service: PeerService, address: str, secret: str
+) -> grpc.aio.Server:
+    """
+    Start to serve peers.
+
+    :raises OSError: If the address cannot be had.
+    """
+    options = [
+        ("grpc.max_receive_message_length", MAX_MESSAGE),
+        ("grpc.max_send_message_length", MAX_MESSAGE),
+        ("grpc.so_reuseport", 0),
+        ("grpc.max_metadata_size", 16_384),
+    ]
+    server = grpc.aio.server(interceptors=[_SecretCheck(secret)], options=options)
+    add_PeerServicer_to_server(service, server)
+    try:
+        bound = server.add_insecure_port(address)
+    except RuntimeError as error:
+        raise OSError(f"{address}: {error}") from None
+    if bound == 0:
+        raise OSError(f"{address}: cannot be bound")
+    await server.start()
+    return server
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/_pipeline.py
@@ -0,0 +1,287 @@
+# SPDX-License-Identifier: MIT
+
+"""
+The request's path: a chain of filters, each in a module of its own.
+
+    decode -> identify -> classify -> admit -> claim (unrepeatable only) -> route
+           -> attempt -> collect the whole answer -> label -> encode
+
+Admission and routing are the dispatcher's, inside the attempt; encoding is the HTTP
+layer's.
+"""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+from saddledoor import (
+    IssuedKeys,
+    NotRun,
+    OutcomeUnknown,
+    ResultCode,
+    RetryBudget,
+    WorkClass,
+)
+
+from ._backends import Backends, CallAnswer, CompletionPart
+from ._claim_log import ClaimLog
+from ._clock import boot_time
+from ._dispatch import Dispatcher
+from ._metrics import Metrics
+from ._peer_client import PeerAwayError, PeerClient
+from ._state import NodeState
+from .filters.attempt import CompletionJob, attempt_completion
+from .filters.call import ServiceJob, attempt_call
+from .filters.claim import KeyLedger, claimed_call
+from .filters.decode import CompletionBody, decode_completion
+from .filters.identify import Caller, identify
+from .wire import peer_pb2 as pb
+
+
+__all__ = ["Pipeline", "ServiceRequest"]
+
+#: Longest idempotency key, in characters.
+_MAX_KEY = 256
+
+
+@dataclass(frozen=True)
+class ServiceRequest:
+    """
+    A call to a plain service, as it came in.
+
+    :param target: Path and query within the service.
+    """
+
+    service: str
+    method: str
+    path: str
+    target: str
+    content_type: str
+    body: bytes
+    key: str
+
+
+class Pipeline:
+    """
+    What the filters share on one VM.
+    """
+
+    def __init__(
+        self,
+        state: NodeState,
+        dispatcher: Dispatcher,
+        backends: Backends,
+        peers: PeerClient,
+        claims: ClaimLog,
+        ledger: KeyLedger,
+        metrics: Metrics,
+    ) -> None:
+        self._state = state
+        self._dispatcher = dispatcher
+        self._backends = backends
+        self._peers = peers
+        self._claims = claims
+        self._ledger = ledger
+        self._metrics = metrics
+        self._budgets: dict[str, RetryBudget] = {}
+        self._issued = IssuedKeys(state.owner.encode().hex())
+
+    def identify(self, authorization: str | None) -> Caller | NotRun:
+        """
+        Find out who sent a request.
+        """
+        return identify(self._state.deployment, authorization)
+
+    def decode_completion(self, body: bytes) -> CompletionBody | NotRun:
+        """
+        Read a completions call's body.
+        """
+        return decode_completion(body)
+
+    def complete(
+        self, caller: Caller, body: CompletionBody
+    ) -> AsyncIterator[CompletionPart | NotRun | OutcomeUnknown] | NotRun:
+        """
+        Return the parts of a completion, or why there will be none.
+        """
+        job = self._classify_completion(caller, body)
+        if isinstance(job, NotRun):
+            return job
+        budget = self._budget(caller.name)
+        return attempt_completion(
+            job, self._dispatcher, self._backends, budget, self._metrics
+        )
+
+    async def call(
+        self, caller: Caller, request: ServiceRequest
+    ) -> CallAnswer | NotRun | OutcomeUnknown:
+        """
+        Pass a call through to a plain service.
+        """
+        job = self._classify_call(caller, request)
+        if isinstance(job, NotRun):
+            return job
+        if not (job.unrepeatable and job.key):
+            return await self._attempt(job)
+        if IssuedKeys.decider(job.key) is not None:
+            return await self._call_by_issued_key(job, request)
+        return await claimed_call(
+            job,
+            self._attempt,
+            self._state,
+            self._claims,
+            self._peers,
+            self._ledger,
+        )
+
+    def issue_key(self, caller: Caller) -> str:
+        """
+        Return a key that this VM's memory decides, for use also with the log away.
+        """
+        return self._issued.issue(uuid.uuid4().hex, caller.name)
+
+    async def run_issued(
+        self, work: pb.ServiceWork
+    ) -> CallAnswer | NotRun | OutcomeUnknown | None:
+        """
+        Run a call under a key that this VM issued, for a peer or for itself.
+        """
+        ledger_name = f"{work.partner}/{work.service}/{work.key}"
+        if not self._issued.take(work.key, work.partner):
+            known = await self._ledger.outcome(ledger_name, work.timeout_s)
+            return known or OutcomeUnknown(
+                ResultCode.KEY_SPENT, "the key was not issued here, or was used"
+            )
+        result: CallAnswer | NotRun | OutcomeUnknown = OutcomeUnknown(
+            ResultCode.OUTCOME_UNKNOWN, "the request was cut off"
+        )
+        future = self._ledger.open(ledger_name)
+        try:
+            result = await self._attempt(_job_from_wire(work))
+        finally:
+            future.set_result(result)
+        if isinstance(result, NotRun):
+            self._issued.give_back(work.key)
+        return result
+
+    def _classify_completion(
+        self, caller: Caller, body: CompletionBody
+    ) -> CompletionJob | NotRun:
+        pool = self._state.pool_of_model(body.model)
+        if pool is None:
+            return NotRun(ResultCode.UNKNOWN_TARGET, f"model {body.model!r}", 0.0)
+        timeout = self._state.deployment.limits.request_timeout_s
+        return CompletionJob(
+            attempt_id=uuid.uuid4().hex,
+            partner=caller.name,
+            weight=caller.weight,
+            pool=pool.name,
+            model=body.model.rpartition("/")[2],
+            prompt=body.prompt,
+            max_tokens=body.max_tokens,
+            work=WorkClass.INTERACTIVE,
+            deadline=boot_time() + timeout,
+        )
+
+    def _classify_call(
+        self, caller: Caller, request: ServiceRequest
+    ) -> ServiceJob | NotRun:
+        service = self._state.service(request.service)
+        if service is None:
+            return NotRun(
+                ResultCode.UNKNOWN_TARGET, f"service {request.service!r}", 0.0
+            )
+        route = service.route(request.path)
+        if route is None:
+            return NotRun(ResultCode.UNKNOWN_TARGET, f"path {request.path!r}", 0.0)
+        if len(request.key) > _MAX_KEY:
+            detail = f"Idempotency-Key: at most {_MAX_KEY} characters"
+            return NotRun(ResultCode.BAD_REQUEST, detail, 0.0)
+        timeout = self._state.deployment.limits.request_timeout_s
+        return ServiceJob(
+            request_id=uuid.uuid4().hex,
+            partner=caller.name,
+            weight=caller.weight,
+            service=service.name,
+            method=request.method,
+            target=request.target,
+            content_type=request.content_type,
+            body=request.body,
+            unrepeatable=route.unrepeatable,
+            key=request.key,
+            deadline=boot_time() + timeout,
+        )
+
+    async def _attempt(self, job: ServiceJob) -> CallAnswer | NotRun | OutcomeUnknown:
+        budget = self._budget(job.partner)
+        return await attempt_call(
+            job, self._dispatcher, self._backends, budget, self._metrics
+        )
+
+    async def _call_by_issued_key(
+        self, job: ServiceJob, request: ServiceRequest
+    ) -> CallAnswer | NotRun | OutcomeUnknown:
+        work = _job_to_wire(job)
+        decider = IssuedKeys.decider(job.key)
+        if decider == self._state.owner.encode().hex():
+            return await self.run_issued(work)
+        spent = OutcomeUnknown(
+            ResultCode.KEY_SPENT, "the key's VM is not there any more"
+        )
+        address = self._known_peer(decider)
+        if address is None:
+            return spent
+        try:
+            return await self._peers.call(address, work, work.timeout_s + 1) or spent
+        except PeerAwayError as error:
+            # Asking again with the same key is safe: the decider's memory judges it.
+            return OutcomeUnknown(ResultCode.OUTCOME_UNKNOWN, str(error))
+
+    def _known_peer(self, decider: str) -> str | None:
+        # The key came from a caller: never connect to an address just because it
+        # stands in there.
+        try:
+            address = bytes.fromhex(decider).decode().partition("@")[2]
+        except ValueError:
+            return None
+        known = {m.grpc for m in self._state.members.all_entries()}
+        known |= {str(item["grpc"]) for item in self._state.vm_list.values()}
+        return address if address in known else None
+
+    def _budget(self, partner: str) -> RetryBudget:
+        if partner not in self._budgets:
+            limits = self._state.deployment.limits
+            self._budgets[partner] = RetryBudget.from_config(limits)
+        return self._budgets[partner]
+
+
+def _job_to_wire(job: ServiceJob) -> pb.ServiceWork:
+    return pb.ServiceWork(
+        request_id=job.request_id,
+        partner=job.partner,
+        service=job.service,
+        method=job.method,
+        path=job.target,
+        content_type=job.content_type,
+        body=job.body,
+        key=job.key,
+        timeout_s=max(0.1, job.deadline - boot_time()),
+    )
+
+
+def _job_from_wire(work: pb.ServiceWork) -> ServiceJob:
+    return ServiceJob(
+        request_id=work.request_id,
+        partner=work.partner,
+        weight=1.0,
+        service=work.service,
+        method=work.method,
+        target=work.path,
+        content_type=work.content_type,
+        body=work.body,
+        unrepeatable=True,
+        key=work.key,
+        deadline=boot_time() + work.timeout_s,
+    )
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/_sample_runner.py
@@ -0,0 +1,288 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Runs the samples of a step at engines of all data centres.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import uuid
+from dataclasses import dataclass
+
+from saddledoor import (
+    RetryBudget,
+    Sample,
+    SampleSpec,
+    Slot,
+    StepBook,
+    Trainer,
+    WorkClass,
+)
+
+from ._backends import Backends
+from ._clock import boot_time
+from ._dispatch import Dispatcher
+from ._metrics import Metrics
+from ._peer_client import PeerClient
+from ._state import NodeState
+from ._watcher import backends_here
+from .filters.attempt import CompletionJob, attempt_completion
+from .filters.collect import WholeAnswer, collect_whole
+
+
+__all__ = ["SampleRunner", "StepRun"]
+
+#: Samples in flight per slot that is known to be there; above one, so that an engine
+#: never waits for the collector.
+_WINDOW_FACTOR = 1.25
+#: Wait before a slot whose attempt failed is tried again, in seconds.
+_FAILED_WAIT = 0.1
+#: Longest time a sample may wait for an engine, in seconds.
+_SAMPLE_QUEUE = 30.0
+#: How often a step looks at the sites again, in seconds.
+_REVIEW = 0.2
+#: How long ends of samples are gathered before the book is looked at, in seconds.
+_COALESCE = 0.01
+
+
+@dataclass(frozen=True)
+class _Site:
+    """
+    A data centre that can take samples; no address means this one.
+    """
+
+    name: str
+    slots: int
+    peers: tuple[str, ...] = ()
+
+
+class SampleRunner:
+    """
+    What every step's run needs.
+    """
+
+    def __init__(
+        self,
+        state: NodeState,
+        dispatcher: Dispatcher,
+        backends: Backends,
+        peers: PeerClient,
+        metrics: Metrics,
+    ) -> None:
+        self.state = state
+        self.metrics = metrics
+        self._dispatcher = dispatcher
+        self._backends = backends
+        self._peers = peers
+
+    def start(
+        self, trainer: Trainer, step: int, book: StepBook, version: int
+    ) -> StepRun:
+        """
+        Start to fill a step's book.
+        """
+        return StepRun(self, trainer, step, book, version)
+
+    def sites(self, pool: str) -> list[_Site]:
+        """
+        Return the data centres that have slots for a pool.
+        """
+        reports = self.state.members.reports()
+        own = sum(
+            member.slots
+            for member in backends_here(self.state)
+            if member.state == "serving" and self._is_of(pool, member.name)
+            if (report := reports.get(member.name)) and report.alive
+        )
+        sites = [_Site(self.state.data_centre, own)] if own else []
+        for summary in self.state.members.sites(boot_time()):
+            if summary.slots(pool) and summary.peers:
+                slots = summary.slots(pool)
+                sites.append(_Site(summary.data_centre, slots, summary.peers))
+        return sites
+
+    async def attempt(
+        self, site: _Site, job: CompletionJob, budget: RetryBudget
+    ) -> WholeAnswer | None:
+        """
+        Run a sample once; none if no whole, labelled answer came.
+        """
+        if site.peers:
+            peer = random.choice(site.peers)
+            parts = self._peers.complete(peer, job, _SAMPLE_QUEUE)
+        else:
+            parts = attempt_completion(
+                job, self._dispatcher, self._backends, budget, self.metrics
+            )
+        whole = await collect_whole(parts)
+        if isinstance(whole, WholeAnswer) and whole.labelled:
+            return whole
+        outcome = "unlabelled" if isinstance(whole, WholeAnswer) else whole.code.name
+        self.metrics.samples.add(1, {"what": f"failed_{outcome.lower()}"})
+        return None
+
+    def _is_of(self, pool: str, engine: str) -> bool:
+        found = self.state.deployment.pool(pool) if self.state.deployment else None
+        return found is not None and any(e.name == engine for e in found.engines)
+
+
+class StepRun:
+    """
+    One step on its way: its book and the samples in flight.
+    """
+
+    def __init__(
+        self,
+        runner: SampleRunner,
+        trainer: Trainer,
+        step: int,
+        book: StepBook,
+        version: int,
+    ) -> None:
+        self.book = book
+        self._runner = runner
+        self._trainer = trainer
+        self._step = step
+        self._version = version
+        self._in_flight: dict[Slot, str] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self._draining = False
+        self._changed = asyncio.Event()
+        limits = runner.state.deployment.limits
+        self._budget = RetryBudget.from_config(limits)
+        self._task = asyncio.create_task(self._run())
+
+    def reopen(self, book: StepBook, version: int) -> None:
+        """
+        Go on with a new book, after the trainer submitted the step again.
+        """
+        self.book = book
+        self.note_version(version)
+        self.wake()
+
+    def note_version(self, version: int) -> None:
+        """
+        Take the version that the trainer names now.
+        """
+        self._version = max(self._version, version)
+
+    def wake(self) -> None:
+        """
+        Look at the book again.
+        """
+        self._changed.set()
+
+    async def wait_ready(self, wait: float) -> None:
+        """
+        Wait until a fresh sample is ready or nothing is left to wait for.
+        """
+        try:
+            async with asyncio.timeout(wait):
+                while not self.book.complete:
+                    self.book.drop_stale(self._version)
+                    if self.book.ready:
+                        return
+                    self._changed.clear()
+                    await self._changed.wait()
+        except TimeoutError:
+            return
+
+    async def drain(self) -> None:
+        """
+        Start nothing more and wait for the samples in flight.
+        """
+        self._draining = True
+        while self._tasks:
+            await asyncio.wait(set(self._tasks))
+
+    async def stop(self) -> None:
+        """
+        Stop for good; what runs is given up.
+        """
+        self.cancel()
+        await asyncio.gather(self._task, *self._tasks, return_exceptions=True)
+
+    def cancel(self) -> None:
+        self._task.cancel()
+        for task in self._tasks:
+            task.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            if not self._draining:
+                self._start_samples()
+            try:
+                async with asyncio.timeout(_REVIEW):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+            self._changed.clear()
+            # Many samples end close together: look at the book once for all of them.
+            await asyncio.sleep(_COALESCE)
+
+    def _start_samples(self) -> None:
+        waiting = [s for s in self.book.missing if s.slot not in self._in_flight]
+        if not waiting:
+            return
+        sites = self._runner.sites(self._trainer.pool)
+        # The longest first: a step ends when its longest sample does.
+        waiting.sort(key=lambda spec: -spec.max_tokens)
+        for spec in waiting:
+            site = self._roomiest(sites)
+            if site is None:
+                return
+            self._in_flight[spec.slot] = site.name
+            task = asyncio.create_task(self._sample(spec, site))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    def _roomiest(self, sites: list[_Site]) -> _Site | None:
+        used: dict[str, int] = {}
+        for name in self._in_flight.values():
+            used[name] = used.get(name, 0) + 1
+        with_room = [
+            site
+            for site in sites
+            if used.get(site.name, 0) < max(1, int(site.slots * _WINDOW_FACTOR))
+        ]
+        return min(
+            with_room,
+            key=lambda site: used.get(site.name, 0) / site.slots,
+            default=None,
+        )
+
+    async def _sample(self, spec: SampleSpec, site: _Site) -> None:
+        try:
+            whole = await self._runner.attempt(site, self._job(spec), self._budget)
+            if whole is None:
+                await asyncio.sleep(_FAILED_WAIT)
+                return
+            sample = Sample(
+                spec.slot, whole.text, whole.tokens, whole.runs, whole.finish_reason
+            )
+            taken = self.book.add(sample)
+            what = "won" if taken else "not_needed"
+            self._runner.metrics.samples.add(1, {"what": what})
+        finally:
+            del self._in_flight[spec.slot]
+            self.wake()
+
+    def _job(self, spec: SampleSpec) -> CompletionJob:
+        slot = spec.slot
+        attempt = f"{self._trainer.name}-{self._step}-{slot.group}-{slot.index}"
+        oldest = max(0, self._version - self._trainer.staleness_bound)
+        return CompletionJob(
+            attempt_id=f"{attempt}-{uuid.uuid4().hex[:8]}",
+            partner=f"trainer:{self._trainer.name}",
+            weight=1.0,
+            pool=self._trainer.pool,
+            model=self._trainer.model,
+            prompt=spec.prompt,
+            max_tokens=spec.max_tokens,
+            work=WorkClass.TRAINING,
+            deadline=boot_time() + _SAMPLE_QUEUE,
+            min_version=oldest,
+            local_only=True,
+        )
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/_settings.py
@@ -0,0 +1,106 @@
+# SPDX-License-Identifier: MIT
+
+"""
+The daemon's own settings: addresses, data centre, platform services and timings.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
+from pydantic.dataclasses import dataclass
+
+from saddledoor import problems_of
+from saddledoor.checked_yaml import load_checked
+from saddledoor.exceptions import InvalidDocumentError, Problem
+
+
+__all__ = ["Settings", "Timings", "load_settings"]
+
+_checked = dataclass(
+    frozen=True, kw_only=True, config=ConfigDict(extra="forbid", strict=True)
+)
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
+Address = Annotated[str, Field(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
+Url = Annotated[str, Field(pattern=r"^http://\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
+Seconds = Annotated[float, Field(gt=0, le=3600, strict=False)]
+
+
+@_checked
+class Timings:
+    """
+    Durations in seconds.
+
+    :param lease_term: Term of every lease; longer than ``order_timeout`` and a
+        renewal together.
+    :param order_timeout: Longest time an order to an engine may take.
+    :param lame_duck: How long a stopping VM goes on taking what is still sent to it.
+    :param drain: Longest wait for requests in flight after that.
+    """
+
+    lease_term: Seconds = 6.0
+    order_timeout: Seconds = 2.0
+    exchange: Seconds = 0.5
+    summary: Seconds = 1.0
+    watch: Seconds = 0.5
+    member_expiry: Seconds = 5.0
+    vm_list: Seconds = 2.0
+    log_timeout: Seconds = 2.0
+    log_wait: Seconds = 10.0
+    lame_duck: Seconds = 2.0
+    drain: Seconds = 60.0
+
+
+@_checked
+class Settings:
+    """
+    One daemon's settings file.
+
+    :param http: Where callers and operators are served.
+    :param grpc: Where other daemons are served.
+    :param peer_secret: What daemons of one deployment prove to each other.
+    """
+
+    vm: Name
+    data_centre: Name
+    deployment: Name
+    http: Address
+    grpc: Address
+    log_service: Url
+    vm_list: Url
+    weight_store: Url | None = None
+    peer_secret: Annotated[str, Field(min_length=16, max_length=256)]
+    log_format: Literal["json", "terminal"] = "json"
+    timings: Timings = Timings()
+
+    def __post_init__(self) -> None:
+        timings = self.timings
+        if timings.order_timeout >= timings.lease_term / 2:
+            raise ValueError("timings.order_timeout must be below half of lease_term")
+
+
+_ADAPTER = TypeAdapter(Settings)
+_JSON = TypeAdapter(object)
+
+
+def load_settings(path: Path) -> Settings:
+    """
+    Read and check a settings file as a whole.
+
+    :raises InvalidDocumentError: With file, line, finding and allowance.
+    """
+    try:
+        data = path.read_bytes()
+    except OSError as error:
+        problem = Problem("file", error.strerror or "an error", "a readable file")
+        raise InvalidDocumentError(str(path), (problem,)) from None
+    return load_checked(str(path), data, _validate)
+
+
+def _validate(name: str, document: object) -> Settings:
+    try:
+        return _ADAPTER.validate_json(_JSON.dump_json(document))
+    except ValidationError as error:
+        raise InvalidDocumentError(name, problems_of(error)) from None
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/_state.py
@@ -0,0 +1,180 @@
+# SPDX-License-Identifier: MIT
+
+"""
+What one daemon holds in memory: configuration in force, folds and members.
+"""
+
+from __future__ import annotations
+
+import time
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import structlog
+
+from saddledoor import (
+    Accepted,
+    ConfigFold,
+    Deployment,
+    InForce,
+    LeaseFold,
+    LeaseWatch,
+    MemberEntry,
+    MemberTable,
+    Pool,
+    Service,
+    deployment_from_json,
+    unpack_document,
+)
+from saddledoor.exceptions import InvalidDocumentError, UndecodableRecordError
+
+from ._clock import boot_time
+from ._settings import Settings
+
+
+__all__ = ["LogHealth", "NodeState"]
+
+_log = structlog.get_logger()
+
+
+@dataclass
+class LogHealth:
+    """
+    Whether the log answers, as the newest call saw it.
+    """
+
+    away_since: float | None = None
+
+    def note(self, answered: bool) -> None:
+        """
+        Take the outcome of a call; a change of state is logged once.
+        """
+        if answered and self.away_since is not None:
+            seconds = round(boot_time() - self.away_since, 1)
+            _log.info("log_back", away_s=seconds)
+            self.away_since = None
+        elif not answered and self.away_since is None:
+            _log.warning("log_away")
+            self.away_since = boot_time()
+
+
+@dataclass
+class NodeState:
+    """
+    The daemon's memory; folds are replaced, never changed in place.
+
+    :param incarnation: Unique name of this process; sorts by start time.
+    """
+
+    settings: Settings
+    incarnation: str
+    members: MemberTable
+    config_fold: ConfigFold | None = None
+    lease_fold: LeaseFold = field(default_factory=LeaseFold)
+    in_force: InForce = field(default_factory=InForce)
+    deployment: Deployment | None = None
+    stage: str = "serving"
+    log: LogHealth = field(default_factory=LogHealth)
+    vm_list: dict[str, dict] = field(default_factory=dict)
+    _watches: dict[str, LeaseWatch] = field(default_factory=dict)
+    _listeners: list[Callable[[Deployment], None]] = field(default_factory=list)
+
+    @property
+    def data_centre(self) -> str:
+        return self.settings.data_centre
+
+    @property
+    def owner(self) -> str:
+        """
+        How this process names itself in records: incarnation and peer address.
+        """
+        return f"{self.incarnation}@{self.settings.grpc}"
+
+    @classmethod
+    def from_settings(cls, settings: Settings) -> NodeState:
+        # Start time first, so that a VM's next process ranks above its last.
+        started = f"{int(time.time() * 1000):013d}"
+        incarnation = f"{started}-{settings.vm}-{uuid.uuid4().hex[:8]}"
+        members = MemberTable(settings.timings.member_expiry)
+        return cls(settings, incarnation.replace(".", "_"), members)
+
+    def on_change(self, listener: Callable[[Deployment], None]) -> None:
+        """
+        Call ``listener`` with each deployment that comes in force.
+        """
+        self._listeners.append(listener)
+
+    def offer_config(self, accepted: Accepted | None) -> None:
+        """
+        Put an accepted configuration in force if it is newer and usable.
+        """
+        if accepted is None or accepted.offset <= self.in_force.offset:
+            return
+        deployment, reason = self._read(accepted)
+        before = self.in_force
+        self.in_force = before.offer(accepted, usable=deployment is not None)
+        if self.in_force is before:
+            return
+        if deployment is None:
+            _log.error("config_unusable", offset=accepted.offset, reason=reason)
+            return
+        self.deployment = deployment
+        _log.info("config_in_force", offset=accepted.offset)
+        for listener in self._listeners:
+            listener(deployment)
+
+    def _read(self, accepted: Accepted) -> tuple[Deployment | None, str]:
+        try:
+            deployment = deployment_from_json(unpack_document(accepted.document))
+        except (InvalidDocumentError, UndecodableRecordError) as error:
+            return None, str(error)
+        if deployment.name != self.settings.deployment:
+            return None, f"it is the deployment {deployment.name!r}"
+        return deployment, ""
+
+    def watch(self, lease: str) -> LeaseWatch:
+        """
+        Return this node's own clock on a lease.
+        """
+        term = self.settings.timings.lease_term
+        return self._watches.setdefault(lease, LeaseWatch(term))
+
+    def observe_leases(self) -> None:
+        """
+        Start the clocks of leases whose renewal was just read.
+        """
+        now = boot_time()
+        for name, lease in self.lease_fold.leases.items():
+            self.watch(name).observe(lease, now)
+
+    def live_members(self) -> list[MemberEntry]:
+        """
+        Return the VMs of the own data centre that are heard of, this one included.
+        """
+        return self.members.live(boot_time())
+
+    def live_vms(self) -> list[str]:
+        """
+        Return their names, for choices that every node should make alike.
+        """
+        names = {m.vm for m in self.live_members() if m.state == "serving"}
+        if self.stage == "serving":
+            names.add(self.settings.vm)
+        return sorted(names)
+
+    def pool_of_model(self, model: str) -> Pool | None:
+        """
+        Return the pool that serves a model, named plainly or as ``pool/model``.
+        """
+        if self.deployment is None:
+            return None
+        pool_name, _, model_name = model.rpartition("/")
+        for pool in self.deployment.pools:
+            fits = not pool_name or pool.name == pool_name
+            if fits and any(m.name == model_name for m in pool.models):
+                return pool
+        return None
+
+    def service(self, name: str) -> Service | None:
+        return self.deployment.service(name) if self.deployment else None
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/_status.py
@@ -0,0 +1,101 @@
+# SPDX-License-Identifier: MIT
+
+"""
+What a VM reports to operators.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ._clock import boot_time
+from ._collector import Collectors
+from ._dispatch import Dispatcher
+from ._state import NodeState
+
+
+__all__ = ["status_reader"]
+
+
+def status_reader(
+    state: NodeState, collectors: Collectors, dispatcher: Dispatcher
+) -> Callable[[], dict]:
+    """
+    Return a function that renders this VM's view as plain data.
+    """
+
+    def read() -> dict:
+        now = boot_time()
+        return {
+            "vm": state.settings.vm,
+            "data_centre": state.data_centre,
+            "stage": state.stage,
+            "config_offset": state.in_force.offset,
+            "config_unusable": state.in_force.unusable,
+            "log_away_s": _away(state, now),
+            "waiting": dispatcher.waiting(),
+            "vms": _vms(state),
+            "sites": _sites(state, now),
+            "backends": _backends(state, now),
+            "leases": _leases(state),
+            "steps": collectors.steps(),
+        }
+
+    return read
+
+
+def _away(state: NodeState, now: float) -> float | None:
+    since = state.log.away_since
+    return None if since is None else round(now - since, 1)
+
+
+def _vms(state: NodeState) -> list[dict]:
+    return [
+        {
+            "vm": entry.vm,
+            "data_centre": entry.data_centre,
+            "state": entry.state,
+            "http": entry.http,
+            "config_offset": entry.config_offset,
+            "leases": list(entry.leases),
+        }
+        for entry in sorted(state.live_members(), key=lambda e: e.vm)
+    ]
+
+
+def _sites(state: NodeState, now: float) -> list[dict]:
+    return [
+        {
+            "data_centre": site.data_centre,
+            "config_offset": site.config_offset,
+            "age_s": round(now - site.at, 1),
+            "slots": {pool.name: pool.slots for pool in site.pools},
+        }
+        for site in state.members.sites(now)
+    ]
+
+
+def _backends(state: NodeState, now: float) -> list[dict]:
+    return [
+        {
+            "name": report.name,
+            "alive": report.alive,
+            "leaving": report.leaving,
+            "load": report.load,
+            "versions": report.versions,
+            "age_s": round(now - report.at, 1),
+        }
+        for _, report in sorted(state.members.reports().items())
+    ]
+
+
+def _leases(state: NodeState) -> list[dict]:
+    return [
+        {
+            "name": lease.name,
+            "holder": lease.holder,
+            "fence": lease.fence,
+            "released": lease.released,
+        }
+        for _, lease in sorted(state.lease_fold.leases.items())
+    ]
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/_wire_types.py
@@ -0,0 +1,185 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Between the library's types and the messages that peers send each other.
+"""
+
+from __future__ import annotations
+
+from saddledoor import (
+    BackendReport,
+    Family,
+    MemberEntry,
+    NotRun,
+    OutcomeUnknown,
+    ResultCode,
+    WorkClass,
+)
+
+from ._backends import CallAnswer, CompletionPart
+from ._clock import boot_time
+from .filters.attempt import CompletionJob
+from .wire import peer_pb2 as pb
+
+
+__all__ = [
+    "answer_from_wire",
+    "answer_to_wire",
+    "entry_from_wire",
+    "entry_to_wire",
+    "outcome_from_code",
+    "part_from_wire",
+    "part_to_wire",
+    "work_from_wire",
+    "work_to_wire",
+]
+
+#: How a part without a version is written.
+_NO_VERSION = -1
+
+
+def outcome_from_code(
+    code: int, detail: str, retry_after: float
+) -> NotRun | OutcomeUnknown:
+    """
+    Return the tagged outcome of a numbered code.
+
+    A code that this release does not know must not read as "not run".
+    """
+    try:
+        known = ResultCode(code)
+    except ValueError:
+        return OutcomeUnknown(ResultCode.OUTCOME_UNKNOWN, f"code {code}: {detail}")
+    if known.family is Family.NOT_RUN:
+        return NotRun(known, detail, retry_after)
+    if known.family is Family.UNKNOWN:
+        return OutcomeUnknown(known, detail)
+    return OutcomeUnknown(ResultCode.OUTCOME_UNKNOWN, detail)
+
+
+def answer_to_wire(result: CallAnswer | NotRun | OutcomeUnknown) -> pb.CallResult:
+    if isinstance(result, CallAnswer):
+        return pb.CallResult(
+            code=ResultCode.DONE,
+            status=result.status,
+            content_type=result.content_type,
+            body=result.body,
+        )
+    retry_after = result.retry_after if isinstance(result, NotRun) else 0.0
+    return pb.CallResult(
+        code=result.code, detail=result.detail, retry_after=retry_after
+    )
+
+
+def answer_from_wire(
+    reply: pb.CallResult,
+) -> CallAnswer | NotRun | OutcomeUnknown | None:
+    """
+    Read a result; none if the peer does not know what it was asked about.
+    """
+    if reply.code == 0:
+        return None
+    if reply.code == ResultCode.DONE:
+        return CallAnswer(reply.status, reply.content_type, reply.body)
+    return outcome_from_code(reply.code, reply.detail, reply.retry_after)
+
+
+def part_to_wire(part: CompletionPart | NotRun | OutcomeUnknown) -> pb.CompletionPart:
+    if isinstance(part, CompletionPart):
+        return pb.CompletionPart(
+            text=part.text,
+            tokens=part.tokens,
+            version=_NO_VERSION if part.version is None else part.version,
+            finish_reason=part.finish_reason or "",
+        )
+    retry_after = part.retry_after if isinstance(part, NotRun) else 0.0
+    return pb.CompletionPart(
+        code=part.code, detail=part.detail, retry_after=retry_after
+    )
+
+
+def part_from_wire(part: pb.CompletionPart) -> CompletionPart | NotRun | OutcomeUnknown:
+    if part.code:
+        return outcome_from_code(part.code, part.detail, part.retry_after)
+    version = None if part.version == _NO_VERSION else part.version
+    return CompletionPart(part.text, part.tokens, version, part.finish_reason or None)
+
+
+def work_to_wire(job: CompletionJob, timeout: float) -> pb.CompletionWork:
+    return pb.CompletionWork(
+        attempt_id=job.attempt_id,
+        partner=job.partner,
+        pool=job.pool,
+        model=job.model,
+        prompt=job.prompt,
+        max_tokens=job.max_tokens,
+        min_version=job.min_version,
+        timeout_s=timeout,
+    )
+
+
+def work_from_wire(work: pb.CompletionWork) -> CompletionJob:
+    """
+    Read a sample's work; it is always training work and stays in this data centre.
+    """
+    return CompletionJob(
+        attempt_id=work.attempt_id,
+        partner=work.partner,
+        weight=1.0,
+        pool=work.pool,
+        model=work.model,
+        prompt=work.prompt,
+        max_tokens=work.max_tokens,
+        work=WorkClass.TRAINING,
+        deadline=boot_time() + min(work.timeout_s, 600.0),
+        min_version=work.min_version,
+        local_only=True,
+    )
+
+
+def entry_to_wire(entry: MemberEntry, now: float) -> pb.Entry:
+    reports = [
+        pb.Report(
+            name=r.name,
+            alive=r.alive,
+            load=r.load,
+            age=now - r.at,
+            leaving=r.leaving,
+            versions=r.versions,
+        )
+        for r in entry.reports
+    ]
+    return pb.Entry(
+        rank=pb.Rank(vm=entry.vm, incarnation=entry.incarnation, seq=entry.seq),
+        data_centre=entry.data_centre,
+        http=entry.http,
+        grpc=entry.grpc,
+        state=entry.state,
+        config_offset=entry.config_offset,
+        reports=reports,
+        leases=entry.leases,
+    )
+
+
+def entry_from_wire(entry: pb.Entry, now: float) -> MemberEntry:
+    """
+    Read an entry; ages become times of this node's own clock.
+    """
+    reports = tuple(
+        BackendReport(
+            r.name, r.alive, r.load, now - max(0.0, r.age), r.leaving, dict(r.versions)
+        )
+        for r in entry.reports
+    )
+    return MemberEntry(
+        vm=entry.rank.vm,
+        incarnation=entry.rank.incarnation,
+        seq=entry.rank.seq,
+        data_centre=entry.data_centre,
+        http=entry.http,
+        grpc=entry.grpc,
+        state=entry.state,
+        config_offset=entry.config_offset,
+        reports=reports,
+        leases=tuple(entry.leases),
+    )
