--- /dev/null
+++ b/packages/saddledoor-standins/src/saddledoor_standins/testbed.py
@@ -0,0 +1,419 @@
+# SPDX-License-Identifier: MIT
+
+"""
+A small deployment of real processes for focused failure tests and measurements.
+
+Every address that a daemon dials out of its data centre is a forwarder, so that the
+log, a data centre or both can be cut off.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import hashlib
+import json
+import os
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass, field
+from http.client import HTTPConnection
+from pathlib import Path
+
+import yaml
+
+from .fleet import Fleet, Process, Vm, daemon_settings, read_json, wait_listening
+
+
+__all__ = ["Answer", "Testbed", "Shape", "digest", "until"]
+
+MODEL = "model-a"
+POOL = "pool-a"
+SERVICE = "desk"
+TRAINER = "trainer-a"
+PARTNERS = ("partner-a", "partner-b")
+
+
+def digest(token: str) -> str:
+    """
+    Return what a deployment file keeps of a token.
+    """
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+def until(condition: Callable[[], object], timeout: float = 15.0) -> object:
+    """
+    Wait for a condition and return what it returned.
+
+    :raises TimeoutError: If it did not come true.
+    """
+    give_up = time.monotonic() + timeout
+    while True:
+        with contextlib.suppress(OSError):
+            if value := condition():
+                return value
+        if time.monotonic() > give_up:
+            raise TimeoutError(getattr(condition, "__doc__", None) or repr(condition))
+        time.sleep(0.03)
+
+
+@dataclass(frozen=True)
+class Shape:
+    """
+    How large a testbed is.
+
+    :param vms: VMs by data centre.
+    :param engines: Engines by data centre.
+    :param services: Service instances by data centre.
+    :param timings: Daemons' durations that differ from the defaults.
+    :param fenced: Whether engines refuse old fencing numbers.
+    """
+
+    vms: Mapping[str, int] = field(default_factory=lambda: {"dc-a": 2, "dc-b": 2})
+    engines: Mapping[str, int] = field(default_factory=lambda: {"dc-a": 1, "dc-b": 1})
+    services: Mapping[str, int] = field(default_factory=lambda: {"dc-a": 1, "dc-b": 1})
+    timings: Mapping[str, float] = field(default_factory=dict)
+    limits: Mapping[str, float] = field(default_factory=dict)
+    token_s: float = 0.004
+    slots: int = 8
+    staleness_bound: int = 1
+    fenced: bool = True
+
+
+@dataclass(frozen=True)
+class Answer:
+    """
+    An HTTP answer of a daemon.
+
+    :param status: 0 if the connection was cut before a whole answer.
+    """
+
+    status: int
+    data: dict = field(default_factory=dict)
+    retry_after: float | None = None
+    vm: str = ""
+
+    @property
+    def code(self) -> int:
+        """
+        The numbered result code.
+        """
+        if self.status == 200:
+            return 100
+        return self.data.get("error", {}).get("code", 0)
+
+    @property
+    def family(self) -> str:
+        return self.data.get("error", {}).get("family", "")
+
+
+class Testbed:
+    """
+    A running deployment.
+    """
+
+    # pytest would take the class for a test by its name.
+    __test__ = False
+
+    def __init__(self, fleet: Fleet, shape: Shape, network: str) -> None:
+        self.fleet = fleet
+        self.shape = shape
+        self._net = network
+        self.log = f"{network}.5.1:9000"
+        self.weights = f"{network}.5.2:9000"
+        self.vm_list = f"{network}.5.3:9000"
+        self._control = f"{network}.6.1:9100"
+        self.vms = self._make_vms()
+        self.deployment = self._make_deployment()
+        self.offset = -1
+
+    @classmethod
+    @contextlib.contextmanager
+    def open(cls, shape: Shape | None = None) -> Iterator[Testbed]:
+        """
+        Start everything, publish the deployment, and end it all afterwards.
+        """
+        # One network per process, so that runs side by side do not meet.
+        network = f"127.{40 + os.getpid() % 200}"
+        with Fleet.open() as fleet:
+            bed = cls(fleet, shape or Shape(), network)
+            bed._start_platform()
+            for vm in bed.vms.values():
+                bed.start_vm(vm.name, wait=False)
+            wait_listening([vm.http for vm in bed.vms.values()])
+            bed.offset = bed.publish(bed.deployment)["offset"]
+            until(lambda: bed.all_in_force(bed.offset))
+            yield bed
+
+    @property
+    def engines(self) -> dict[str, dict]:
+        return {e["name"]: e for e in self.deployment["pools"][0]["engines"]}
+
+    @property
+    def instances(self) -> dict[str, dict]:
+        return {i["name"]: i for i in self.deployment["services"][0]["instances"]}
+
+    def process(self, name: str) -> Process:
+        return self.fleet.processes[name]
+
+    def start_vm(self, name: str, *, wait: bool = True) -> Process:
+        """
+        Start a VM's daemon, also again after it ended.
+        """
+        vm = self.vms[name]
+        settings = daemon_settings(
+            vm,
+            self.deployment["name"],
+            log_service=self._log_seen_from(vm.data_centre),
+            vm_list=self.vm_list,
+            weight_store=self.weights,
+            **self.shape.timings,
+        )
+        settings["grpc_outside"] = self._outside(vm)
+        process = self.fleet.daemon(name, settings)
+        if wait:
+            wait_listening([vm.http])
+        return process
+
+    def start_engine(self, name: str, version: int = 1) -> None:
+        """
+        Start an engine, also again after it ended.
+        """
+        engine = self.engines[name]
+        options = {
+            "name": name,
+            "models": [MODEL],
+            "slots": self.shape.slots,
+            "token_s": self.shape.token_s,
+            "fenced": self.shape.fenced,
+            "weight_store": f"http://{self.weights}",
+            "version": version,
+        }
+        arguments = ["--listen", engine["address"], "--options", json.dumps(options)]
+        self.fleet.stand_in(name, "engine", *arguments)
+        wait_listening([engine["address"]])
+
+    def cut_log(self, *data_centres: str, mode: str = "cut") -> None:
+        """
+        Change how data centres (all by default) reach the log: see `Forwarder`.
+        """
+        chosen = data_centres or tuple(self.shape.vms)
+        listen = [self._log_seen_from(name) for name in chosen]
+        read_json(f"http://{self._control}/fake", {"mode": mode, "listen": listen})
+
+    def cut_data_centres(self, mode: str = "cut") -> None:
+        """
+        Change how VMs of different data centres reach each other.
+        """
+        listen = [self._outside(vm) for vm in self.vms.values()]
+        read_json(f"http://{self._control}/fake", {"mode": mode, "listen": listen})
+
+    def fake(self, name: str, **body: object) -> dict:
+        """
+        Tell a stand-in to fail, or read its ledger.
+        """
+        addresses = {"log": self.log, "weights": self.weights}
+        addresses |= {n: e["address"] for n, e in self.engines.items()}
+        addresses |= {n: i["address"] for n, i in self.instances.items()}
+        return read_json(f"http://{addresses[name]}/fake", body)
+
+    def publish_weights(self, version: int) -> None:
+        url = f"http://{self.weights}/v1/weights/{MODEL}"
+        read_json(url, {"version": version})
+
+    def engine_versions(self) -> dict[str, int]:
+        """
+        Return the version of each engine that answers.
+        """
+        versions = {}
+        for name, engine in self.engines.items():
+            with contextlib.suppress(OSError):
+                load = read_json(f"http://{engine['address']}/v1/load", timeout=1.0)
+                versions[name] = load["versions"][MODEL]
+        return versions
+
+    def runs(self) -> dict[str, int]:
+        """
+        Return how often each reference ran, over all service instances.
+        """
+        total: dict[str, int] = {}
+        for name in self.instances:
+            for key, count in self.fake(name)["runs"].items():
+                reference = key.partition(" ")[2]
+                total[reference] = total.get(reference, 0) + count
+        return total
+
+    def status(self, vm: str) -> dict:
+        return read_json(f"http://{self.vms[vm].http}/v1/status", timeout=3.0)
+
+    def all_in_force(self, offset: int) -> bool:
+        """
+        Tell whether every running VM has at least this configuration in force.
+        """
+        running = [n for n in self.vms if self.process(n).running]
+        return all(self.status(name)["config_offset"] >= offset for name in running)
+
+    def ctl(self, *arguments: str) -> subprocess.CompletedProcess:
+        """
+        Run ``saddledoorctl``.
+        """
+        binary = str(Path(sys.executable).parent / "saddledoorctl")
+        return subprocess.run(
+            [binary, *arguments], capture_output=True, text=True, timeout=40
+        )
+
+    def publish(self, deployment: dict, base: int | None = None) -> dict:
+        """
+        Publish a deployment through the command line; return what it said.
+        """
+        path = self.fleet.folder / f"deployment-{time.monotonic_ns()}.yaml"
+        path.write_text(yaml.safe_dump(deployment))
+        arguments = ["config", "publish", str(path), "--json"]
+        arguments += ["--log", f"http://{self.log}"]
+        if base is not None:
+            arguments += ["--base", str(base)]
+        done = self.ctl(*arguments)
+        return json.loads(done.stdout or "{}") | {"status": done.returncode}
+
+    def ask(
+        self,
+        vm: str,
+        path: str,
+        body: object = None,
+        *,
+        token: str = PARTNERS[0],
+        key: str = "",
+        method: str = "POST",
+        timeout: float = 20.0,
+    ) -> Answer:
+        """
+        Send one request to one VM, and take what comes.
+        """
+        headers = {"Authorization": f"Bearer {token}"}
+        headers["Content-Type"] = "application/json"
+        if key:
+            headers["Idempotency-Key"] = key
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        connection = HTTPConnection(self.vms[vm].ip, 7001, timeout=timeout)
+        try:
+            connection.request(method, path, data, headers)
+            response = connection.getresponse()
+            raw = response.read()
+            after = response.getheader("Retry-After")
+            return Answer(
+                response.status,
+                json.loads(raw or b"{}"),
+                float(after) if after else None,
+                vm,
+            )
+        except OSError:
+            return Answer(0, vm=vm)
+        finally:
+            connection.close()
+
+    def book(
+        self, vm: str, reference: str, key: str = "", timeout: float = 20.0
+    ) -> Answer:
+        """
+        Make an unrepeatable call.
+        """
+        path = f"/v1/services/{SERVICE}/book"
+        return self.ask(vm, path, {"ref": reference}, key=key, timeout=timeout)
+
+    def look_up(self, vm: str, reference: str = "x", timeout: float = 5.0) -> Answer:
+        """
+        Make a repeatable call.
+        """
+        path = f"/v1/services/{SERVICE}/slots"
+        return self.ask(vm, path, {"ref": reference}, timeout=timeout)
+
+    def complete(self, vm: str, prompt: str, max_tokens: int = 16) -> Answer:
+        """
+        Ask for a completion.
+        """
+        body = {"model": MODEL, "prompt": prompt, "max_tokens": max_tokens}
+        return self.ask(vm, "/v1/completions", body)
+
+    def _make_vms(self) -> dict[str, Vm]:
+        vms = {}
+        for data_centre, count in self.shape.vms.items():
+            for number in range(1, count + 1):
+                name = f"{data_centre}-vm{number}"
+                ip = f"{self._net}.1.{len(vms) + 1}"
+                vms[name] = Vm(name, data_centre, ip)
+        return vms
+
+    def _members(self, counts: Mapping[str, int], prefix: str, third: int) -> list:
+        names = [dc for dc, count in counts.items() for _ in range(count)]
+        return [
+            {
+                "name": f"{prefix}-{number}",
+                "data_centre": data_centre,
+                "address": f"{self._net}.{third}.{number}:8000",
+                "slots": self.shape.slots if prefix == "engine" else 32,
+            }
+            for number, data_centre in enumerate(names, 1)
+        ]
+
+    def _make_deployment(self) -> dict:
+        engines = self._members(self.shape.engines, "engine", 2)
+        for engine in engines:
+            engine["fenced"] = self.shape.fenced
+        return {
+            "schema_version": 1,
+            "name": "testbed",
+            "data_centres": list(self.shape.vms),
+            "pools": [{"name": POOL, "models": [{"name": MODEL}], "engines": engines}],
+            "services": [
+                {
+                    "name": SERVICE,
+                    "routes": [
+                        {"path": "/slots"},
+                        {"path": "/book", "unrepeatable": True},
+                    ],
+                    "instances": self._members(self.shape.services, "desk", 3),
+                }
+            ],
+            "partners": [{"name": p, "token_sha256": digest(p)} for p in PARTNERS],
+            "trainers": [
+                {
+                    "name": TRAINER,
+                    "token_sha256": digest(TRAINER),
+                    "pool": POOL,
+                    "model": MODEL,
+                    "staleness_bound": self.shape.staleness_bound,
+                }
+            ],
+            "limits": {"request_timeout_s": 5.0, **self.shape.limits},
+        }
+
+    def _start_platform(self) -> None:
+        self.fleet.stand_in("log", "log", "--listen", self.log)
+        self.fleet.stand_in("weights", "weights", "--listen", self.weights)
+        self.fleet.stand_in("vm-list", "vms", "--listen", self.vm_list, "--lag", "0.5")
+        routes = {self._log_seen_from(dc): self.log for dc in self.shape.vms}
+        routes |= {self._outside(vm): vm.grpc for vm in self.vms.values()}
+        arguments = ["--listen", self._control, "--routes", json.dumps(routes)]
+        self.fleet.stand_in("forwarder", "forwarder", *arguments)
+        for name, instance in self.instances.items():
+            arguments = ["--listen", instance["address"], "--name", name]
+            self.fleet.stand_in(name, "service", *arguments)
+        for name in self.engines:
+            self.start_engine(name)
+        wait_listening(
+            [self.log, self.weights, self.vm_list, self._control]
+            + [i["address"] for i in self.instances.values()]
+        )
+        self.publish_weights(1)
+        listed = [
+            vm.listed | {"grpc_outside": self._outside(vm)} for vm in self.vms.values()
+        ]
+        read_json(f"http://{self.vm_list}/fake", {"vms": listed})
+
+    def _log_seen_from(self, data_centre: str) -> str:
+        number = list(self.shape.vms).index(data_centre) + 1
+        return f"{self._net}.6.{number + 1}:9000"
+
+    def _outside(self, vm: Vm) -> str:
+        return f"{vm.ip}:7003"
--- a/packages/saddledoor/src/saddledoor/__init__.py
+++ b/packages/saddledoor/src/saddledoor/__init__.py
@@ -9,6 +9,9 @@
 
 from __future__ import annotations
 
+from ._answers import Answer, AnswerBuilder, Part
+from ._attempts import Attempts
+from ._availability import DEAD_REPORT_AGE, PENALTY, Need, may_use
 from ._claims import ClaimFold, IssuedKeys, key_digest, partition_of
 from ._codes import Family, NotRun, OutcomeUnknown, ResultCode, describe
 from ._config_fold import NO_BASE, Accepted, ConfigFold, InForce, PublishResult
@@ -39,6 +42,7 @@
     token_digest,
     validate,
 )
+from ._drain import Drain, Stage
 from ._labels import VersionRun, append_part, is_fresh, is_wholly_labelled
 from ._leases import TAKEOVER_FACTOR, HeldLease, Lease, LeaseFold, LeaseWatch
 from ._members import (
@@ -81,6 +85,16 @@
 
 
 __all__ = [
+    "Answer",
+    "AnswerBuilder",
+    "Attempts",
+    "DEAD_REPORT_AGE",
+    "Drain",
+    "Need",
+    "PENALTY",
+    "Part",
+    "Stage",
+    "may_use",
     "NO_BASE",
     "TAKEOVER_FACTOR",
     "Accepted",
--- a/packages/saddledoor/src/saddledoor/_members.py
+++ b/packages/saddledoor/src/saddledoor/_members.py
@@ -44,6 +44,7 @@
     :param incarnation: Unique name of its process; sorts by start time.
     :param seq: Number of the entry; grows with each change.
     :param state: ``serving``, ``draining`` or ``stopped``.
+    :param grpc_outside: Peer address for VMs of other data centres.
     """
 
     vm: str
@@ -56,6 +57,7 @@
     config_offset: int
     reports: tuple[BackendReport, ...] = ()
     leases: tuple[str, ...] = ()
+    grpc_outside: str = ""
 
     @property
     def rank(self) -> tuple[str, int]:
@@ -83,6 +85,7 @@
     One data centre in a few hundred bytes.
 
     :param at: When it was heard, in seconds.
+    :param unusable: Back ends there that are dead or leaving.
     """
 
     data_centre: str
@@ -90,6 +93,7 @@
     at: float
     pools: tuple[PoolSummary, ...] = ()
     peers: tuple[str, ...] = ()
+    unusable: tuple[str, ...] = ()
 
     def slots(self, pool: str) -> int:
         """
--- a/packages/saddledoor/src/saddledoor/checked_yaml.py
+++ b/packages/saddledoor/src/saddledoor/checked_yaml.py
@@ -57,38 +57,49 @@
         mark = error.problem_mark
         place = f"line {mark.line + 1}" if mark else "file"
         raise _invalid(name, place, str(error.problem), "YAML") from None
-    except yaml.YAMLError as error:
-        raise _invalid(name, "file", str(error).splitlines()[0], "YAML") from None
+    except (yaml.YAMLError, RecursionError) as error:
+        found = str(error).splitlines()[0]
+        raise _invalid(name, "file", found, "YAML") from None
     if root is None:
         raise _invalid(name, "file", "nothing", "a YAML mapping")
-    _refuse_repeated_keys(name, root, 0)
+    try:
+        _refuse_traps(name, root, set())
+    except RecursionError:
+        raise _invalid(name, "file", "too deep a nesting", "plain nesting") from None
     return root
 
 
 def _construct(name: str, data: bytes) -> object:
     try:
         return yaml.load(data.decode("utf-8"), Loader=_Loader)
-    except yaml.YAMLError as error:
+    except (yaml.YAMLError, ValueError) as error:
+        # ValueError: a date that is none.
         raise _invalid(name, "file", str(error).splitlines()[0], "YAML") from None
 
 
-def _refuse_repeated_keys(name: str, node: yaml.Node, depth: int) -> None:
-    # YAML's own reader lets the last of two equal keys win in silence.
-    if depth > 50:
-        raise _invalid(name, f"line {node.start_mark.line + 1}", "deep nesting", "50")
+def _refuse_traps(name: str, node: yaml.Node, visited: set[int]) -> None:
+    """
+    Refuse what YAML's own reader takes in silence: aliases, which can grow a small
+    file without bound, and equal keys, of which the last wins.
+    """
+    place = f"line {node.start_mark.line + 1}"
+    if id(node) in visited:
+        raise _invalid(name, place, "an alias", "values written out")
+    visited.add(id(node))
     if isinstance(node, yaml.SequenceNode):
         for item in node.value:
-            _refuse_repeated_keys(name, item, depth + 1)
+            _refuse_traps(name, item, visited)
     if not isinstance(node, yaml.MappingNode):
         return
     seen: set[str] = set()
     for key, value in node.value:
+        if not isinstance(key, yaml.ScalarNode):
+            raise _invalid(name, place, "a key that is no text", "plain keys")
         if key.value in seen:
             place = f"line {key.start_mark.line + 1}"
             raise _invalid(name, place, f"key {key.value!r} twice", "each key once")
-        if isinstance(key.value, str):
-            seen.add(key.value)
-        _refuse_repeated_keys(name, value, depth + 1)
+        seen.add(key.value)
+        _refuse_traps(name, value, visited)
 
 
 def _locate(root: yaml.Node, problem: Problem) -> Problem:
--- a/packages/saddledoord/src/saddledoord/_backends.py
+++ b/packages/saddledoord/src/saddledoord/_backends.py
@@ -12,14 +12,13 @@
 
 import aiohttp
 
-from saddledoor import NotRun, OutcomeUnknown, ResultCode
+from saddledoor import NotRun, OutcomeUnknown, Part, ResultCode
 
 
 __all__ = [
     "Backends",
     "CallAnswer",
     "CompletionBrokenError",
-    "CompletionPart",
     "LoadReading",
 ]
 
@@ -45,21 +44,6 @@
         super().__init__(reason)
 
 
-@dataclass(frozen=True)
-class CompletionPart:
-    """
-    A part of an engine's answer.
-
-    :param version: Weight version that the engine names in this part, or none.
-    :param finish_reason: Set in the last part only.
-    """
-
-    text: str
-    tokens: int
-    version: int | None
-    finish_reason: str | None = None
-
-
 @dataclass(frozen=True)
 class CallAnswer:
     """
@@ -161,9 +145,9 @@
 
     async def complete(
         self, address: str, request_id: str, body: dict, silence: float
-    ) -> AsyncIterator[CompletionPart]:
+    ) -> AsyncIterator[Part]:
         """
-        Stream a completion; the last part carries the finish reason.
+        Stream a completion's parts, up to the end marker.
 
         :param silence: Longest wait for the next part, in seconds.
         :raises CompletionBrokenError: If the end marker did not come.
@@ -173,7 +157,6 @@
         limit = aiohttp.ClientTimeout(
             total=None, sock_connect=_CONNECT_TIMEOUT, sock_read=silence
         )
-        finish: str | None = None
         try:
             async with self._session.post(
                 url, json=body, headers=headers, timeout=limit
@@ -188,17 +171,13 @@
                         continue
                     if data == b"[DONE]":
                         break
-                    part = _read_part(data, request_id)
-                    finish = part.finish_reason
-                    yield part
+                    yield _read_part(data, request_id)
                 else:
                     raise CompletionBrokenError("no end marker", True)
         except aiohttp.ClientConnectorError as error:
             raise CompletionBrokenError(str(error), False) from None
         except (TimeoutError, aiohttp.ClientError, ValueError) as error:
             raise CompletionBrokenError(repr(error), True) from None
-        if finish is None:
-            raise CompletionBrokenError("end marker without a finish reason", True)
 
     async def call(
         self,
@@ -252,14 +231,14 @@
     return CallAnswer(response.status, content_type, body)
 
 
-def _read_part(data: bytes, request_id: str) -> CompletionPart:
+def _read_part(data: bytes, request_id: str) -> Part:
     event = json.loads(data)
     if not isinstance(event, dict) or event.get("id") != request_id:
         raise CompletionBrokenError("a part of another request", True)
     try:
         choice = event["choices"][0]
         version = event.get("weight_version")
-        return CompletionPart(
+        return Part(
             str(choice["text"]),
             int(event.get("tokens", 0)),
             version if isinstance(version, int) else None,
--- a/packages/saddledoord/src/saddledoord/_daemon.py
+++ b/packages/saddledoord/src/saddledoord/_daemon.py
@@ -45,6 +45,8 @@
 
 #: An idle caller's connection is closed after so long, in seconds.
 _KEEP_ALIVE = 30
+#: How often a stopping VM looks whether it may go on, in seconds.
+_DRAIN_STEP = 0.02
 #: Largest header block of a caller, in bytes.
 _MAX_HEADERS = 32_768
 
@@ -65,8 +67,8 @@
         self._settings = settings
         self._state = NodeState.from_settings(settings)
         self._tasks: set[asyncio.Task] = set()
-        self._stop = asyncio.Event()
-        self._stop_now = asyncio.Event()
+        self._told = asyncio.Event()
+        self._told_again = asyncio.Event()
 
     async def run(self) -> None:
         """
@@ -128,14 +130,14 @@
         ):
             self._spawn(loop)
 
-        await self._stop.wait()
+        await self._told.wait()
         drained = asyncio.create_task(
-            self._drain(in_flight, collectors, keeper, exchange, claims)
+            self._drain(in_flight, collectors, keeper, exchange)
         )
-        second = asyncio.create_task(self._stop_now.wait())
+        second = asyncio.create_task(self._told_again.wait())
         await asyncio.wait({drained, second}, return_when=asyncio.FIRST_COMPLETED)
         second.cancel()
-        state.stage = "stopped"
+        state.drain.stopped = True
         http.should_exit = True
         if not drained.done():
             _log.warning("stopped_by_second_signal", in_flight=in_flight.count)
@@ -161,13 +163,15 @@
             return
         # A loop that died would leave the VM half alive: end it, its peers go on.
         _log.error("task_failed", exc_info=task.exception())
-        self._stop.set()
+        self._state.drain.tell(boot_time())
+        self._told.set()
 
     def _handle_signals(self) -> None:
         def signalled() -> None:
-            if self._stop.is_set():
-                self._stop_now.set()
-            self._stop.set()
+            self._state.drain.tell(boot_time())
+            if self._state.drain.told_again:
+                self._told_again.set()
+            self._told.set()
 
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -179,36 +183,32 @@
         collectors: Collectors,
         keeper: LeaseKeeper,
         exchange: Exchange,
-        claims: ClaimLog,
     ) -> None:
         """
         The planned stop: unready at once, then finish or hand over everything.
         """
-        state, timings = self._state, self._settings.timings
-        state.stage = "draining"
+        drain = self._state.drain
         exchange.refresh_own()
         _log.info("draining", in_flight=in_flight.count)
-        deadline = boot_time() + timings.lame_duck + timings.drain
         for name in keeper.names():
             if not name.startswith(collector_lease("")):
                 await keeper.release(name)
-        lame_duck = asyncio.create_task(asyncio.sleep(timings.lame_duck))
         try:
             # Fetches are still served meanwhile, so trainers take what is finished.
-            async with asyncio.timeout(timings.drain):
+            async with asyncio.timeout(drain.limit):
                 await collectors.finish_running()
         except TimeoutError:
             _log.warning("samples_given_up")
-        await lame_duck
-        while in_flight.count > 0 and boot_time() < deadline:
-            await asyncio.sleep(0.02)
+        while not drain.may_hand_over(boot_time(), in_flight.count):
+            await asyncio.sleep(_DRAIN_STEP)
         await collectors.hand_over(self._successor())
         for name in keeper.names():
             await keeper.release(name)
-        # Whoever came meanwhile is answered by the fetch that follows the lease.
-        await asyncio.sleep(0.1)
-        while in_flight.count > 0 and boot_time() < deadline:
-            await asyncio.sleep(0.02)
+        drain.handed_over = True
+        # Whoever came meanwhile gets its answer too.
+        await asyncio.sleep(_DRAIN_STEP)
+        while not drain.may_stop(boot_time(), in_flight.count):
+            await asyncio.sleep(_DRAIN_STEP)
 
     def _successor(self) -> str | None:
         own = self._settings.vm
--- a/packages/saddledoord/src/saddledoord/_dispatch.py
+++ b/packages/saddledoord/src/saddledoord/_dispatch.py
@@ -19,9 +19,11 @@
     Engine,
     FairQueue,
     Instance,
+    Need,
     NotRun,
     ResultCode,
     WorkClass,
+    may_use,
     two_choices,
 )
 
@@ -31,22 +33,19 @@
 
 __all__ = ["Dispatcher", "Grant", "Wanted"]
 
-#: A back end that just failed this node gets no work for so long, in seconds.
-_PENALTY = 1.0
-#: A report that says a back end is dead is believed for so long, in seconds.
-_DEAD_REPORT_AGE = 5.0
 #: How often waiting requests are looked at again, in seconds.
 _REVIEW = 0.05
 
 
+_NO_NEED = Need()
+
+
 @dataclass(frozen=True)
 class Wanted:
     """
     What a request needs of a back end.
 
     :param target: Name of a pool or service.
-    :param model: Model whose version counts; empty for services.
-    :param min_version: Oldest version that will do, or -1.
     :param cost: Expected work, in tokens.
     :param deadline: When waiting is over, in seconds of the daemon's clock.
     :param avoid: Back ends that failed this request before.
@@ -58,8 +57,7 @@
     weight: float
     cost: float
     deadline: float
-    model: str = ""
-    min_version: int = -1
+    need: Need = _NO_NEED
     avoid: frozenset[str] = frozenset()
     local_only: bool = False
 
@@ -208,9 +206,7 @@
         now = boot_time()
         local = self._state.data_centre
         near = [m for m in members if m.data_centre == local]
-        far = (
-            [] if wanted.local_only else [m for m in members if m.data_centre != local]
-        )
+        far = [] if wanted.local_only else self._usable_afar(members, now)
         for group in (near, far):
             usable = [
                 (m, self._candidate(m, reports.get(m.name), now))
@@ -221,6 +217,14 @@
                 return usable
         return []
 
+    def _usable_afar(
+        self, members: tuple[Engine | Instance, ...], now: float
+    ) -> list[Engine | Instance]:
+        sites = self._state.members.sites(now)
+        unusable = {name for site in sites for name in site.unusable}
+        local = self._state.data_centre
+        return [m for m in members if m.data_centre != local and m.name not in unusable]
+
     def _members(self, target: str) -> tuple[Engine | Instance, ...]:
         deployment = self._state.deployment
         if deployment is None:
@@ -238,20 +242,10 @@
         report: BackendReport | None,
         now: float,
     ) -> bool:
-        if member.state == "leaving" or member.name in wanted.avoid:
-            return False
-        if now - self._failed_at.get(member.name, -math.inf) < _PENALTY:
+        if member.name in wanted.avoid:
             return False
-        if report is not None:
-            if report.leaving:
-                return False
-            if not report.alive and now - report.at < _DEAD_REPORT_AGE:
-                return False
-        if wanted.min_version < 0:
-            return True
-        # Training work only where the engine itself reported a version that will do.
-        known = report.versions.get(wanted.model, -1) if report else -1
-        return known >= wanted.min_version
+        failed_at = self._failed_at.get(member.name, -math.inf)
+        return may_use(member.state, report, wanted.need, now, failed_at)
 
     def _candidate(
         self, member: Engine | Instance, report: BackendReport | None, now: float
--- a/packages/saddledoord/src/saddledoord/_exchange.py
+++ b/packages/saddledoord/src/saddledoord/_exchange.py
@@ -24,7 +24,12 @@
 from ._peer_client import PeerAwayError, PeerClient
 from ._state import NodeState
 from ._watcher import Watcher
-from ._wire_types import entry_from_wire, entry_to_wire
+from ._wire_types import (
+    entry_from_wire,
+    entry_to_wire,
+    site_from_wire,
+    site_to_wire,
+)
 from .wire import peer_pb2 as pb
 
 
@@ -34,6 +39,8 @@
 _TIMEOUT = 1.0
 #: Peers of this data centre that a summary names, a count.
 _SUMMARY_PEERS = 4
+#: A summary is passed on only if it is younger by so much, in seconds.
+_FRESHER = 0.5
 #: Entries of VMs that are gone are dropped after so long, in seconds.
 _FORGET_AFTER = 60.0
 
@@ -120,6 +127,7 @@
             config_offset=self._state.in_force.offset,
             reports=self._watcher.reports(),
             leases=self.held_leases,
+            grpc_outside=settings.grpc_from_afar,
         )
         self._state.members.offer(entry, boot_time())
 
@@ -129,23 +137,41 @@
         """
         ranks = {r.vm: (r.incarnation, r.seq) for r in request.ranks}
         now = boot_time()
-        entries = [entry_to_wire(e, now) for e in self._state.members.newer_than(ranks)]
+        members = self._state.members
+        entries = [entry_to_wire(entry, now) for entry in members.newer_than(ranks)]
+        sites = [
+            site_to_wire(site, now)
+            for site in members.sites(now)
+            if now - site.at + _FRESHER < request.site_ages.get(site.data_centre, 1e9)
+        ]
         return pb.ExchangeReply(
-            entries=entries, config=self._newer_config(request.config_offset)
+            entries=entries,
+            config=self._newer_config(request.config_offset),
+            sites=sites,
         )
 
     def summarise(self, request: pb.SummaryRequest) -> pb.SummaryReply:
         """
         Answer another data centre's pull.
         """
+        now = boot_time()
+        return pb.SummaryReply(
+            site=site_to_wire(self._own_site(now), now),
+            config=self._newer_config(request.config_offset),
+        )
+
+    def _own_site(self, now: float) -> SiteSummary:
         live = [m for m in self._state.live_members() if m.state == "serving"]
         random.shuffle(live)
-        return pb.SummaryReply(
+        reports = self._state.members.reports()
+        unusable = [r.name for r in reports.values() if r.leaving or not r.alive]
+        return SiteSummary(
             data_centre=self._state.data_centre,
             config_offset=self._state.in_force.offset,
-            pools=[pb.PoolSlots(name=p.name, slots=p.slots) for p in self._slots()],
-            peers=[m.grpc for m in live[:_SUMMARY_PEERS]],
-            config=self._newer_config(request.config_offset),
+            at=now,
+            pools=tuple(self._slots()),
+            peers=tuple(m.grpc_outside for m in live[:_SUMMARY_PEERS]),
+            unusable=tuple(unusable),
         )
 
     def _newer_config(self, offset: int) -> pb.Config | None:
@@ -194,6 +220,7 @@
             vm=self._state.settings.vm,
             ranks=ranks,
             config_offset=self._state.in_force.offset,
+            site_ages=self._site_ages(),
         )
         try:
             reply = await self._peers.exchange(address, request, _TIMEOUT)
@@ -207,8 +234,14 @@
             entry = entry_from_wire(wire, now)
             if entry.vm != self._state.settings.vm:
                 self._state.members.offer(entry, now)
+        for site in reply.sites:
+            self._state.members.offer_site(site_from_wire(site, now))
         self._take_config(reply)
 
+    def _site_ages(self) -> dict[str, float]:
+        now = boot_time()
+        return {s.data_centre: now - s.at for s in self._state.members.sites(now)}
+
     async def _pull_summary(self, site: str) -> None:
         address = self._peer_of_site(site)
         if address is None:
@@ -224,14 +257,10 @@
         self._metrics.exchanges.add(1, {"outcome": "site_answered"})
         self._count_bytes(request, reply)
         self._take_config(reply)
-        summary = SiteSummary(
-            data_centre=reply.data_centre,
-            config_offset=reply.config_offset,
-            at=boot_time(),
-            pools=tuple(PoolSummary(p.name, p.slots) for p in reply.pools),
-            peers=tuple(reply.peers),
-        )
-        self._state.members.offer_site(summary)
+        summary = site_from_wire(reply.site, boot_time())
+        # A wrong address must not pass for another data centre's.
+        if summary.data_centre == site:
+            self._state.members.offer_site(summary)
 
     def _peer_of_site(self, site: str) -> str | None:
         known = {
@@ -241,7 +270,7 @@
             for address in summary.peers
         }
         known |= {
-            item["grpc"]
+            item.get("grpc_outside", item["grpc"])
             for item in self._state.vm_list.values()
             if item["data_centre"] == site and item["state"] == "live"
         }
--- a/packages/saddledoord/src/saddledoord/_http.py
+++ b/packages/saddledoord/src/saddledoord/_http.py
@@ -13,14 +13,14 @@
 
 import falcon.asgi
 
-from saddledoor import NotRun, OutcomeUnknown, ResultCode
+from saddledoor import Answer, NotRun, OutcomeUnknown, Part, ResultCode
 
-from ._backends import CallAnswer, CompletionPart
+from ._backends import CallAnswer
 from ._collector import Collectors
 from ._metrics import Metrics
 from ._pipeline import Pipeline, ServiceRequest
 from ._state import NodeState
-from .filters.collect import WholeAnswer, collect_whole
+from .filters.collect import collect_whole
 from .filters.identify import Caller
 
 
@@ -140,8 +140,8 @@
             return self._refuse(resp, "completion", parts)
         if body.stream:
             return await self._stream(req, resp, parts)
-        whole = await collect_whole(parts)
-        if not isinstance(whole, WholeAnswer):
+        whole = await collect_whole(parts, body.max_tokens)
+        if not isinstance(whole, Answer):
             return self._refuse(resp, "completion", whole)
         self._count("completion", ResultCode.DONE)
         resp.media = _completion_media(whole, body.model)
@@ -149,16 +149,16 @@
     async def _stream(self, req, resp, parts: AsyncIterator) -> None:
         # The first part decides the status: what never ran is refused plainly.
         first = await anext(parts)
-        if not isinstance(first, CompletionPart):
+        if not isinstance(first, Part):
             return self._refuse(resp, "completion", first)
         req.context.streams = True
         resp.content_type = "text/event-stream"
         resp.stream = self._events(first, parts)
 
-    async def _events(self, first: CompletionPart, parts: AsyncIterator):
+    async def _events(self, first: Part, parts: AsyncIterator):
         try:
             part = first
-            while isinstance(part, CompletionPart):
+            while isinstance(part, Part):
                 yield _event(_part_media(part))
                 if part.finish_reason is not None:
                     self._count("completion", ResultCode.DONE)
@@ -301,7 +301,7 @@
     return app, in_flight
 
 
-def _completion_media(whole: WholeAnswer, model: str) -> dict[str, object]:
+def _completion_media(whole: Answer, model: str) -> dict[str, object]:
     return {
         "object": "text_completion",
         "created": int(time.time()),
@@ -314,7 +314,7 @@
     }
 
 
-def _part_media(part: CompletionPart) -> dict[str, object]:
+def _part_media(part: Part) -> dict[str, object]:
     return {
         "choices": [
             {"index": 0, "text": part.text, "finish_reason": part.finish_reason}
--- a/packages/saddledoord/src/saddledoord/_peer_client.py
+++ b/packages/saddledoord/src/saddledoord/_peer_client.py
@@ -10,9 +10,9 @@
 
 import grpc
 
-from saddledoor import KeyClaim, NotRun, OutcomeUnknown, ResultCode
+from saddledoor import KeyClaim, NotRun, OutcomeUnknown, Part, ResultCode
 
-from ._backends import CallAnswer, CompletionPart
+from ._backends import CallAnswer
 from ._wire_types import (
     answer_from_wire,
     outcome_from_code,
@@ -141,7 +141,7 @@
 
     async def complete(
         self, address: str, job: CompletionJob, timeout: float
-    ) -> AsyncIterator[CompletionPart | NotRun | OutcomeUnknown]:
+    ) -> AsyncIterator[Part | NotRun | OutcomeUnknown]:
         """
         Run a sample at an engine of the peer's data centre.
         """
--- a/packages/saddledoord/src/saddledoord/_pipeline.py
+++ b/packages/saddledoord/src/saddledoord/_pipeline.py
@@ -20,12 +20,13 @@
     IssuedKeys,
     NotRun,
     OutcomeUnknown,
+    Part,
     ResultCode,
     RetryBudget,
     WorkClass,
 )
 
-from ._backends import Backends, CallAnswer, CompletionPart
+from ._backends import Backends, CallAnswer
 from ._claim_log import ClaimLog
 from ._clock import boot_time
 from ._dispatch import Dispatcher
@@ -102,7 +103,7 @@
 
     def complete(
         self, caller: Caller, body: CompletionBody
-    ) -> AsyncIterator[CompletionPart | NotRun | OutcomeUnknown] | NotRun:
+    ) -> AsyncIterator[Part | NotRun | OutcomeUnknown] | NotRun:
         """
         Return the parts of a completion, or why there will be none.
         """
@@ -246,8 +247,11 @@
             address = bytes.fromhex(decider).decode().partition("@")[2]
         except ValueError:
             return None
-        known = {m.grpc for m in self._state.members.all_entries()}
-        known |= {str(item["grpc"]) for item in self._state.vm_list.values()}
+        known = {m.grpc_outside for m in self._state.members.all_entries()}
+        known |= {
+            item.get("grpc_outside", item["grpc"])
+            for item in self._state.vm_list.values()
+        }
         return address if address in known else None
 
     def _budget(self, partner: str) -> RetryBudget:
--- a/packages/saddledoord/src/saddledoord/_sample_runner.py
+++ b/packages/saddledoord/src/saddledoord/_sample_runner.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 
 from saddledoor import (
+    Answer,
     RetryBudget,
     Sample,
     SampleSpec,
@@ -29,7 +30,7 @@
 from ._state import NodeState
 from ._watcher import backends_here
 from .filters.attempt import CompletionJob, attempt_completion
-from .filters.collect import WholeAnswer, collect_whole
+from .filters.collect import collect_whole
 
 
 __all__ = ["SampleRunner", "StepRun"]
@@ -105,7 +106,7 @@
 
     async def attempt(
         self, site: _Site, job: CompletionJob, budget: RetryBudget
-    ) -> WholeAnswer | None:
+    ) -> Answer | None:
         """
         Run a sample once; none if no whole, labelled answer came.
         """
@@ -116,10 +117,10 @@
             parts = attempt_completion(
                 job, self._dispatcher, self._backends, budget, self.metrics
             )
-        whole = await collect_whole(parts)
-        if isinstance(whole, WholeAnswer) and whole.labelled:
+        whole = await collect_whole(parts, job.max_tokens)
+        if isinstance(whole, Answer) and whole.labelled:
             return whole
-        outcome = "unlabelled" if isinstance(whole, WholeAnswer) else whole.code.name
+        outcome = "unlabelled" if isinstance(whole, Answer) else whole.code.name
         self.metrics.samples.add(1, {"what": f"failed_{outcome.lower()}"})
         return None
 
--- a/packages/saddledoord/src/saddledoord/_settings.py
+++ b/packages/saddledoord/src/saddledoord/_settings.py
@@ -60,6 +60,7 @@
 
     :param http: Where callers and operators are served.
     :param grpc: Where other daemons are served.
+    :param grpc_outside: How daemons of other data centres reach it, if not there.
     :param peer_secret: What daemons of one deployment prove to each other.
     """
 
@@ -68,6 +69,7 @@
     deployment: Name
     http: Address
     grpc: Address
+    grpc_outside: Address | None = None
     log_service: Url
     vm_list: Url
     weight_store: Url | None = None
@@ -75,6 +77,13 @@
     log_format: Literal["json", "terminal"] = "json"
     timings: Timings = Timings()
 
+    @property
+    def grpc_from_afar(self) -> str:
+        """
+        The peer address for other data centres.
+        """
+        return self.grpc_outside or self.grpc
+
     def __post_init__(self) -> None:
         timings = self.timings
         if timings.order_timeout >= timings.lease_term / 2:
--- a/packages/saddledoord/src/saddledoord/_state.py
+++ b/packages/saddledoord/src/saddledoord/_state.py
@@ -17,6 +17,7 @@
     Accepted,
     ConfigFold,
     Deployment,
+    Drain,
     InForce,
     LeaseFold,
     LeaseWatch,
@@ -74,12 +75,19 @@
     lease_fold: LeaseFold = field(default_factory=LeaseFold)
     in_force: InForce = field(default_factory=InForce)
     deployment: Deployment | None = None
-    stage: str = "serving"
+    drain: Drain = field(default_factory=lambda: Drain(0.0, 0.0))
     log: LogHealth = field(default_factory=LogHealth)
     vm_list: dict[str, dict] = field(default_factory=dict)
     _watches: dict[str, LeaseWatch] = field(default_factory=dict)
     _listeners: list[Callable[[Deployment], None]] = field(default_factory=list)
 
+    @property
+    def stage(self) -> str:
+        """
+        ``serving``, ``draining`` or ``stopped``.
+        """
+        return self.drain.stage.value
+
     @property
     def data_centre(self) -> str:
         return self.settings.data_centre
@@ -89,7 +97,7 @@
         """
         How this process names itself in records: incarnation and peer address.
         """
-        return f"{self.incarnation}@{self.settings.grpc}"
+        return f"{self.incarnation}@{self.settings.grpc_from_afar}"
 
     @classmethod
     def from_settings(cls, settings: Settings) -> NodeState:
@@ -97,7 +105,8 @@
         started = f"{int(time.time() * 1000):013d}"
         incarnation = f"{started}-{settings.vm}-{uuid.uuid4().hex[:8]}"
         members = MemberTable(settings.timings.member_expiry)
-        return cls(settings, incarnation.replace(".", "_"), members)
+        drain = Drain(settings.timings.lame_duck, settings.timings.drain)
+        return cls(settings, incarnation.replace(".", "_"), members, drain=drain)
 
     def on_change(self, listener: Callable[[Deployment], None]) -> None:
         """
--- a/packages/saddledoord/src/saddledoord/_wire_types.py
+++ b/packages/saddledoord/src/saddledoord/_wire_types.py
@@ -12,11 +12,14 @@
     MemberEntry,
     NotRun,
     OutcomeUnknown,
+    Part,
+    PoolSummary,
     ResultCode,
+    SiteSummary,
     WorkClass,
 )
 
-from ._backends import CallAnswer, CompletionPart
+from ._backends import CallAnswer
 from ._clock import boot_time
 from .filters.attempt import CompletionJob
 from .wire import peer_pb2 as pb
@@ -30,6 +33,8 @@
     "outcome_from_code",
     "part_from_wire",
     "part_to_wire",
+    "site_from_wire",
+    "site_to_wire",
     "work_from_wire",
     "work_to_wire",
 ]
@@ -84,8 +89,8 @@
     return outcome_from_code(reply.code, reply.detail, reply.retry_after)
 
 
-def part_to_wire(part: CompletionPart | NotRun | OutcomeUnknown) -> pb.CompletionPart:
-    if isinstance(part, CompletionPart):
+def part_to_wire(part: Part | NotRun | OutcomeUnknown) -> pb.CompletionPart:
+    if isinstance(part, Part):
         return pb.CompletionPart(
             text=part.text,
             tokens=part.tokens,
@@ -98,11 +103,11 @@
     )
 
 
-def part_from_wire(part: pb.CompletionPart) -> CompletionPart | NotRun | OutcomeUnknown:
+def part_from_wire(part: pb.CompletionPart) -> Part | NotRun | OutcomeUnknown:
     if part.code:
         return outcome_from_code(part.code, part.detail, part.retry_after)
     version = None if part.version == _NO_VERSION else part.version
-    return CompletionPart(part.text, part.tokens, version, part.finish_reason or None)
+    return Part(part.text, part.tokens, version, part.finish_reason or None)
 
 
 def work_to_wire(job: CompletionJob, timeout: float) -> pb.CompletionWork:
@@ -158,6 +163,7 @@
         config_offset=entry.config_offset,
         reports=reports,
         leases=entry.leases,
+        grpc_outside=entry.grpc_outside,
     )
 
 
@@ -182,4 +188,30 @@
         config_offset=entry.config_offset,
         reports=reports,
         leases=tuple(entry.leases),
+        grpc_outside=entry.grpc_outside,
+    )
+
+
+def site_to_wire(site: SiteSummary, now: float) -> pb.Site:
+    return pb.Site(
+        data_centre=site.data_centre,
+        config_offset=site.config_offset,
+        age=now - site.at,
+        pools=[pb.PoolSlots(name=p.name, slots=p.slots) for p in site.pools],
+        peers=site.peers,
+        unusable=site.unusable,
+    )
+
+
+def site_from_wire(site: pb.Site, now: float) -> SiteSummary:
+    """
+    Read a summary; its age becomes a time of this node's own clock.
+    """
+    return SiteSummary(
+        data_centre=site.data_centre,
+        config_offset=site.config_offset,
+        at=now - max(0.0, site.age),
+        pools=tuple(PoolSummary(p.name, p.slots) for p in site.pools),
+        peers=tuple(site.peers),
+        unusable=tuple(site.unusable),
     )
--- a/packages/saddledoord/src/saddledoord/filters/attempt.py
+++ b/packages/saddledoord/src/saddledoord/filters/attempt.py
@@ -7,12 +7,22 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
-from dataclasses import dataclass, field
-
-from saddledoor import NotRun, OutcomeUnknown, ResultCode, RetryBudget, WorkClass
-
-from .._backends import Backends, CompletionBrokenError, CompletionPart
-from .._dispatch import Dispatcher, Wanted
+from dataclasses import dataclass
+
+from saddledoor import (
+    AnswerBuilder,
+    Attempts,
+    Need,
+    NotRun,
+    OutcomeUnknown,
+    Part,
+    ResultCode,
+    RetryBudget,
+    WorkClass,
+)
+
+from .._backends import Backends, CompletionBrokenError
+from .._dispatch import Dispatcher, Grant, Wanted
 from .._metrics import Metrics
 
 
@@ -23,8 +33,6 @@
 #: Engines that are tried for one completion, a count.
 _MAX_ATTEMPTS = 6
 
-Part = CompletionPart | NotRun | OutcomeUnknown
-
 
 @dataclass(frozen=True)
 class CompletionJob:
@@ -49,120 +57,105 @@
     local_only: bool = False
 
 
-@dataclass
-class _Progress:
-    """
-    What was passed on so far: the resumed part goes on from here.
-    """
-
-    text: str = ""
-    tokens: int = 0
-    handed_over: bool = False
-    finished: bool = False
-    attempts: int = 0
-    avoid: set[str] = field(default_factory=set)
-    reason: str = ""
-
-
 async def attempt_completion(
     job: CompletionJob,
     dispatcher: Dispatcher,
     backends: Backends,
     budget: RetryBudget,
     metrics: Metrics,
-) -> AsyncIterator[Part]:
+) -> AsyncIterator[Part | NotRun | OutcomeUnknown]:
     """
     Yield the parts of one whole answer, or parts and then why it is not whole.
     """
-    progress = _Progress()
+    attempts = Attempts(_MAX_ATTEMPTS, False, ResultCode.ANSWER_CUT)
+    answer = AnswerBuilder(job.max_tokens)
     budget.record_first_attempt()
-    while True:
-        grant = await dispatcher.acquire(_wanted(job, progress))
-        if isinstance(grant, NotRun) and progress.avoid:
-            # Every other engine failed it too: one that failed before may be back.
-            progress.avoid.clear()
-            grant = await dispatcher.acquire(_wanted(job, progress))
+    while answer.whole() is None:
+        grant = await _acquire(job, attempts, answer, dispatcher)
         if isinstance(grant, NotRun):
-            yield _gave_up(progress, grant)
+            yield attempts.give_up(grant)
             return
         try:
-            async for part in _one_attempt(job, grant.address, backends, progress):
+            async for part in _one_attempt(job, grant, backends, attempts, answer):
                 yield part
         finally:
             grant.release()
-        if progress.finished:
+        if answer.whole() is not None:
             metrics.attempts.add(1, {"outcome": "done"})
             return
         metrics.attempts.add(1, {"outcome": "broken"})
         dispatcher.note_failure(grant.name)
-        progress.avoid.add(grant.name)
-        refusal = _may_retry(progress, budget)
+        refusal = attempts.refuse_retry(budget)
         if refusal is not None:
-            yield _gave_up(progress, refusal)
+            yield refusal
             return
 
 
+async def _acquire(
+    job: CompletionJob,
+    attempts: Attempts,
+    answer: AnswerBuilder,
+    dispatcher: Dispatcher,
+) -> Grant | NotRun:
+    grant = await dispatcher.acquire(_wanted(job, attempts, answer))
+    if isinstance(grant, NotRun) and attempts.avoid:
+        # Every other engine failed it too: one that failed before may be back.
+        attempts.avoid.clear()
+        grant = await dispatcher.acquire(_wanted(job, attempts, answer))
+    return grant
+
+
 async def _one_attempt(
-    job: CompletionJob, address: str, backends: Backends, progress: _Progress
-) -> AsyncIterator[CompletionPart]:
-    progress.attempts += 1
-    request_id = f"{job.attempt_id}.{progress.attempts}"
-    stream = backends.complete(address, request_id, _body(job, progress), _SILENCE)
+    job: CompletionJob,
+    grant: Grant,
+    backends: Backends,
+    attempts: Attempts,
+    answer: AnswerBuilder,
+) -> AsyncIterator[Part]:
+    request_id = f"{job.attempt_id}.{attempts.begin()}"
+    body = _body(job, answer)
+    answer.begin_attempt(request_id)
+    last: Part | None = None
     try:
-        async for part in stream:
-            progress.handed_over = True
-            progress.text += part.text
-            progress.tokens += part.tokens
+        async for part in backends.complete(grant.address, request_id, body, _SILENCE):
+            if not answer.take(request_id, part):
+                raise CompletionBrokenError("a part that was not asked for", True)
             if part.finish_reason is None:
                 yield part
-                continue
-            if part.finish_reason == "length" and progress.tokens != job.max_tokens:
-                raise CompletionBrokenError("the length is not the one asked for", True)
-            progress.finished = True
-            yield part
+            else:
+                last = part
+        answer.end(request_id)
+        if last is None or answer.whole() is None:
+            raise CompletionBrokenError("the length is not the one asked for", True)
     except CompletionBrokenError as error:
-        progress.finished = False
-        progress.handed_over |= error.handed_over
-        progress.reason = str(error)
-
-
-def _may_retry(progress: _Progress, budget: RetryBudget) -> NotRun | None:
-    if progress.attempts >= _MAX_ATTEMPTS:
-        return NotRun(ResultCode.NO_BACKEND, progress.reason, 1.0)
-    if not budget.spend():
-        return NotRun(ResultCode.RETRY_BUDGET_SPENT, progress.reason, 1.0)
-    return None
-
-
-def _gave_up(progress: _Progress, refusal: NotRun) -> NotRun | OutcomeUnknown:
-    if not progress.handed_over:
-        return refusal
-    return OutcomeUnknown(ResultCode.ANSWER_CUT, progress.reason or refusal.detail)
+        attempts.failed(grant.name, error.handed_over, str(error))
+        return
+    # The last part goes on only with the end marker behind it.
+    yield last
 
 
-def _wanted(job: CompletionJob, progress: _Progress) -> Wanted:
+def _wanted(job: CompletionJob, attempts: Attempts, answer: AnswerBuilder) -> Wanted:
     return Wanted(
         target=job.pool,
         work=job.work,
         partner=job.partner,
         weight=job.weight,
-        cost=job.max_tokens - progress.tokens,
+        cost=job.max_tokens - answer.tokens,
         deadline=job.deadline,
-        model=job.model,
-        min_version=job.min_version,
-        avoid=frozenset(progress.avoid),
+        need=Need(job.model, job.min_version),
+        avoid=frozenset(attempts.avoid),
         local_only=job.local_only,
     )
 
 
-def _body(job: CompletionJob, progress: _Progress) -> dict[str, object]:
+def _body(job: CompletionJob, answer: AnswerBuilder) -> dict[str, object]:
     body: dict[str, object] = {
         "model": job.model,
         "prompt": job.prompt,
-        "max_tokens": job.max_tokens - progress.tokens,
+        "max_tokens": job.max_tokens - answer.tokens,
         "stream": True,
         "priority": int(job.work),
     }
-    if progress.tokens:
-        body["resume"] = {"text": progress.text, "tokens": progress.tokens}
+    if answer.tokens:
+        body["resume"] = {"text": answer.text, "tokens": answer.tokens}
     return body
--- a/packages/saddledoord/src/saddledoord/filters/call.py
+++ b/packages/saddledoord/src/saddledoord/filters/call.py
@@ -8,7 +8,14 @@
 
 from dataclasses import dataclass
 
-from saddledoor import NotRun, OutcomeUnknown, ResultCode, RetryBudget, WorkClass
+from saddledoor import (
+    Attempts,
+    NotRun,
+    OutcomeUnknown,
+    ResultCode,
+    RetryBudget,
+    WorkClass,
+)
 
 from .._backends import Backends, CallAnswer
 from .._clock import boot_time
@@ -59,22 +66,21 @@
     nothing was handed over.
     """
     budget.record_first_attempt()
-    avoid: frozenset[str] = frozenset()
-    handed_over = False
-    for attempt in range(1, _MAX_ATTEMPTS + 1):
-        grant = await dispatcher.acquire(_wanted(job, avoid))
+    attempts = Attempts(_MAX_ATTEMPTS, job.unrepeatable, ResultCode.OUTCOME_UNKNOWN)
+    while True:
+        grant = await dispatcher.acquire(_wanted(job, frozenset(attempts.avoid)))
         if isinstance(grant, NotRun):
-            return _refused(grant, handed_over)
+            return attempts.give_up(grant)
         try:
             # A VM that was frozen until now must not hand over what its caller, and
             # the memory of claims, have long given up on: checked in this loop step.
             left = job.deadline - boot_time()
             if left <= 0:
                 late = NotRun(ResultCode.TIMED_OUT_IN_QUEUE, "the deadline passed")
-                return _refused(late, handed_over)
+                return attempts.give_up(late)
             result = await backends.call(
                 grant.address,
-                request_id=f"{job.request_id}.{attempt}",
+                request_id=f"{job.request_id}.{attempts.begin()}",
                 method=job.method,
                 target=job.target,
                 content_type=job.content_type,
@@ -88,21 +94,11 @@
         if isinstance(result, CallAnswer):
             return result
         dispatcher.note_failure(grant.name)
-        avoid = avoid | {grant.name}
-        if isinstance(result, OutcomeUnknown):
-            handed_over = True
-            if job.unrepeatable:
-                return result
-        if not budget.spend():
-            spent = NotRun(ResultCode.RETRY_BUDGET_SPENT, result.detail, 1.0)
-            return _refused(spent, handed_over)
-    return _refused(NotRun(ResultCode.NO_BACKEND, "every try failed", 1.0), handed_over)
-
-
-def _refused(refusal: NotRun, handed_over: bool) -> NotRun | OutcomeUnknown:
-    if not handed_over:
-        return refusal
-    return OutcomeUnknown(ResultCode.OUTCOME_UNKNOWN, refusal.detail)
+        handed_over = isinstance(result, OutcomeUnknown)
+        attempts.failed(grant.name, handed_over, result.detail)
+        refusal = attempts.refuse_retry(budget)
+        if refusal is not None:
+            return refusal
 
 
 def _wanted(job: ServiceJob, avoid: frozenset[str]) -> Wanted:
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,102 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Builders of test data.
+"""
+
+from __future__ import annotations
+
+import copy
+
+from saddledoor import (
+    ConfigProposal,
+    Deployment,
+    Sample,
+    SampleSpec,
+    Slot,
+    VersionRun,
+    deployment_to_json,
+    pack_document,
+    token_digest,
+    validate,
+)
+
+
+_DOCUMENT = {
+    "schema_version": 1,
+    "name": "test",
+    "data_centres": ["dc-a", "dc-b"],
+    "pools": [
+        {
+            "name": "pool-a",
+            "models": [{"name": "model-a"}],
+            "engines": [
+                {
+                    "name": "engine-1",
+                    "data_centre": "dc-a",
+                    "address": "127.0.0.1:8000",
+                    "slots": 4,
+                },
+                {
+                    "name": "engine-2",
+                    "data_centre": "dc-b",
+                    "address": "127.0.0.1:8001",
+                    "slots": 4,
+                },
+            ],
+        }
+    ],
+    "services": [
+        {
+            "name": "desk",
+            "routes": [{"path": "/"}, {"path": "/book", "unrepeatable": True}],
+            "instances": [],
+        }
+    ],
+    "partners": [{"name": "partner-a", "token_sha256": token_digest("partner-a")}],
+    "trainers": [
+        {
+            "name": "trainer-a",
+            "token_sha256": token_digest("trainer-a"),
+            "pool": "pool-a",
+            "model": "model-a",
+            "staleness_bound": 1,
+        }
+    ],
+}
+
+
+def make_document(**changes: object) -> dict:
+    """
+    Return a valid deployment document, with top-level fields changed.
+    """
+    return {**copy.deepcopy(_DOCUMENT), **changes}
+
+
+def make_deployment(**changes: object) -> Deployment:
+    return validate("test", make_document(**changes))
+
+
+def make_packed(**changes: object) -> str:
+    return pack_document(deployment_to_json(make_deployment(**changes)))
+
+
+def make_proposal(name: str, base: int, document: str = "") -> ConfigProposal:
+    """
+    Return a proposal; the folds do not read its document.
+    """
+    return ConfigProposal(name, base, document or f"document of {name}")
+
+
+def make_spec(group: int, index: int = 0, max_tokens: int = 4) -> SampleSpec:
+    return SampleSpec(Slot(group, index), f"prompt {group}", max_tokens)
+
+
+def make_sample(
+    group: int, index: int = 0, tokens: int = 4, version: int = 1
+) -> Sample:
+    """
+    Return a whole sample of one version.
+    """
+    runs = (VersionRun(version, 0, tokens - 1),)
+    return Sample(Slot(group, index), "text", tokens, runs)
--- /dev/null
+++ b/tests/proofs/labels.py
@@ -0,0 +1,113 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Every sample names the weight versions that truly produced it.
+
+Off: the label is the version that was last ordered, in place of what each part says.
+"""
+
+from __future__ import annotations
+
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from saddledoor import AnswerBuilder, Part
+
+from ._proof import Proof
+
+
+_LENGTH = 12
+_MOSTLY = st.sampled_from([True, True, True, True, False])
+
+
+def _machine(guard: bool) -> type[RuleBasedStateMachine]:
+    class Labels(RuleBasedStateMachine):
+        """
+        Two engines swap weights, or pretend to, while one sample is made.
+        """
+
+        @initialize()
+        def begin(self):
+            self.active = [1, 1]
+            self.ordered = 1
+            self.truth: list[int] = []
+            self.engine = 0
+            self.attempt = 0
+            self.builder = AnswerBuilder(_LENGTH)
+            self.builder.begin_attempt("0")
+
+        @rule(engine=st.integers(0, 1), obeys=st.booleans())
+        def order_swap(self, engine, obeys):
+            """
+            An order is reported done; whether it was carried out is another matter.
+            """
+            self.ordered += 1
+            if obeys:
+                self.active[engine] = self.ordered
+
+        @rule(engine=st.integers(0, 1))
+        def restart_with_old_weights(self, engine):
+            self.active[engine] = 1
+
+        @rule(version=st.integers(1, 9), engine=st.integers(0, 1))
+        def obey_late_order(self, version, engine):
+            """
+            An engine that ignores fencing numbers takes an old holder's order.
+            """
+            self.active[engine] = version
+
+        @rule()
+        def next_sample(self):
+            if self.builder.whole() is not None:
+                self.truth = []
+                self.builder = AnswerBuilder(_LENGTH)
+                self.resume_elsewhere(self.engine)
+
+        @rule(engine=st.integers(0, 1))
+        def resume_elsewhere(self, engine):
+            self.attempt += 1
+            self.engine = engine
+            self.builder.begin_attempt(str(self.attempt))
+
+        @rule(tokens=st.integers(1, 6), named=_MOSTLY, ended=_MOSTLY)
+        def make_part(self, tokens, named, ended):
+            left = _LENGTH - len(self.truth)
+            tokens = min(tokens, left)
+            if tokens == 0:
+                return
+            version = self.active[self.engine]
+            told = version if guard else self.ordered
+            last = tokens == left
+            finish = "length" if last else None
+            part = Part("x" * tokens, tokens, told if named else None, finish)
+            attempt = str(self.attempt)
+            if not self.builder.take(attempt, part):
+                return
+            if last and not ended:
+                # The connection broke between the last part and the end marker.
+                self.resume_elsewhere(1 - self.engine)
+                return
+            self.truth += [version] * tokens
+            self.builder.end(attempt)
+
+        @invariant()
+        def label_is_true(self):
+            answer = self.builder.whole()
+            if answer is None or not answer.labelled:
+                return
+            told = [r.version for r in answer.runs for _ in range(r.first, r.last + 1)]
+            assert told == self.truth, f"label {told}, truth {self.truth}"
+
+    return Labels
+
+
+PROOF = Proof(
+    "labels name the versions that made each token",
+    "swap in mid-sample, resume, crash with old weights, late order, order not obeyed",
+    _machine,
+)
