--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,8 @@
 VENV := .venv
 BIN := $(VENV)/bin
 DEPLOYMENT ?= skupna-pot
+# Each test worker runs a small deployment of up to 16 processes.
+WORKERS ?= 4
 PACKAGES := saddledoor saddledoord saddledoorctl saddledoor-standins
 
 .PHONY: demo test lint format prove bench
@@ -20,7 +22,7 @@
 	@$(BIN)/python -m saddledoor_standins demo deployments/$(DEPLOYMENT).yaml
 
 test: $(VENV)/.made
-	@$(BIN)/python -m pytest
+	@$(BIN)/python -m pytest -n $(WORKERS)
 
 prove: $(VENV)/.made
 	@$(BIN)/python -m saddledoor_standins prove
--- a/packages/saddledoord/src/saddledoord/_backends.py
+++ b/packages/saddledoord/src/saddledoord/_backends.py
@@ -44,6 +44,24 @@
         super().__init__(reason)
 
 
+class _HandedOverError(aiohttp.ClientError):
+    """
+    A connection was closed after the request was sent.
+    """
+
+
+async def _send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    # The library repeats idempotent methods after just these two errors.
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise _HandedOverError(repr(error)) from error
+
+
 @dataclass(frozen=True)
 class CallAnswer:
     """
@@ -71,8 +89,8 @@
     """
     HTTP clients towards back ends.
 
-    Unrepeatable calls use connections of their own, never reused ones: the client
-    library repeats some methods by itself when a reused connection was closed.
+    Unrepeatable calls use connections of their own, and a client that never sends
+    twice: by itself the library repeats some methods when a connection was closed.
     """
 
     def __init__(
@@ -94,7 +112,10 @@
                 connector=pooled, timeout=timeout, read_bufsize=_MAX_EVENT
             ),
             aiohttp.ClientSession(
-                connector=single, timeout=timeout, auto_decompress=False
+                connector=single,
+                timeout=timeout,
+                auto_decompress=False,
+                middlewares=(_send_once,),
             ),
         )
 
