Record traces of real processes and replay them; make prove prints the nine rows

Cause: the users want proof by replay of recorded traces against stated outcomes.

A daemon records what it takes in and decides if its settings name a file (a VM keeps nothing, so this is for tests and for finding faults). saddledoorctl replay feeds the recorded inputs to the library, compares each recorded decision with the library's, and checks the promises. Five traces of real processes under failure cover the nine promises; a twin of each that differs in one event is broken, and the replay names that event.

The red of at-most-once at first came from issued keys alone, which hid the claims in the log; it is the claims' now.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 WORKERS ?= 4
 PACKAGES := saddledoor saddledoord saddledoorctl saddledoor-standins
 
-.PHONY: demo test lint format prove bench
+.PHONY: demo test lint format prove bench traces wire
 
 $(VENV)/.made: requirements.txt $(PACKAGES:%=packages/%/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -25,7 +25,11 @@
 	@$(BIN)/python -m pytest -n $(WORKERS)
 
 prove: $(VENV)/.made
-	@$(BIN)/python -m saddledoor_standins prove
+	@$(BIN)/python tests/prove.py -n $(WORKERS)
+
+# Records the traces anew; only after their format or a scenario changed.
+traces: $(VENV)/.made
+	@$(BIN)/python -m saddledoor_standins record traces
 
 lint: $(VENV)/.made
 	@$(BIN)/ruff format --check .
--- a/packages/saddledoor-standins/src/saddledoor_standins/__main__.py
+++ b/packages/saddledoor-standins/src/saddledoor_standins/__main__.py
@@ -54,11 +54,12 @@
 @main.command()
 @click.option("--listen", required=True)
 @click.option("--name", required=True)
-def service(listen: str, name: str) -> None:
+@click.option("--trace", default="", help="File to record its runs in.")
+def service(listen: str, name: str, trace: str) -> None:
     """
     Run a plain service.
     """
-    serve(listen, service_app(name))
+    serve(listen, service_app(name, trace))
 
 
 @main.command()
@@ -134,6 +135,29 @@
     sys.exit(run_demo(deployment))
 
 
+@main.command()
+@click.argument("folder", type=click.Path(path_type=Path, exists=True))
+@click.option("--only", help="Name of one scenario.")
+def record(folder: Path, only: str | None) -> None:
+    """
+    Record the traces of all scenarios and their broken twins into FOLDER.
+    """
+    from saddledoor.tracing import read_trace
+
+    from .record import SCENARIOS, TWINS, write_twin
+    from .record import record as record_one
+
+    for name in SCENARIOS:
+        if only not in (None, name):
+            continue
+        path = record_one(name, folder)
+        click.echo(f"recorded {path}")
+        events = read_trace(str(path), path.read_text().splitlines())
+        for promise, (source, _) in TWINS.items():
+            if source == name:
+                click.echo(f"recorded {write_twin(path, events, promise)}")
+
+
 def _json(text: str) -> dict:
     return json.loads(text)
 
--- /dev/null
+++ b/packages/saddledoor-standins/src/saddledoor_standins/record.py
@@ -0,0 +1,338 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Records traces of real processes under failure, and twins that break a promise.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
+from pathlib import Path
+
+from saddledoor.tracing import (
+    Ended,
+    Event,
+    Fetched,
+    Granted,
+    Kept,
+    PutInForce,
+    Ran,
+    RequestIn,
+    SawLeaving,
+    StageChanged,
+    Streamed,
+    Traced,
+    encode_traced,
+)
+
+from .testbed import MODEL, TRAINER, Shape, Testbed, until
+from .trainer import TrainerPlan, run_trainer
+
+
+__all__ = ["SCENARIOS", "TWINS", "record", "write_twin"]
+
+_TIMINGS = {
+    "lease_term": 2.0,
+    "order_timeout": 0.9,
+    "lame_duck": 1.0,
+    "member_expiry": 2.0,
+    "log_wait": 2.0,
+    "log_timeout": 1.0,
+}
+
+
+def record(name: str, folder: Path) -> Path:
+    """
+    Run a scenario, write its trace and state what came out.
+
+    :returns: The trace's path.
+    """
+    scenario, promises, counted = SCENARIOS[name]
+    with Testbed.open(Shape(timings=_TIMINGS, traced=True)) as bed:
+        scenario(bed)
+        events = bed.traced()
+    path = folder / f"{name}.jsonl"
+    counts = Counter(traced.event.kind for traced in events)
+    _write(path, events, promises, {kind: counts[kind] for kind in counted})
+    return path
+
+
+def write_twin(source: Path, events: list[Traced], promise: str) -> Path:
+    """
+    Write a trace that differs in one event and breaks a promise.
+    """
+    folder = source.parent / "broken"
+    folder.mkdir(exist_ok=True)
+    path = folder / f"{promise}.jsonl"
+    _write(path, TWINS[promise][1](events), (promise,), {})
+    return path
+
+
+def _write(
+    path: Path, events: list[Traced], promises: tuple[str, ...], counts: dict[str, int]
+) -> None:
+    path.write_text("".join(encode_traced(traced) + "\n" for traced in events))
+    stated = {"promises": list(promises), "counts": counts}
+    path.with_suffix(".outcomes.json").write_text(json.dumps(stated, indent=2) + "\n")
+
+
+def _plan(bed: Testbed, **changes: object) -> TrainerPlan:
+    fields = {
+        "vms": tuple(vm.http for vm in bed.vms.values()),
+        "trainer": TRAINER,
+        "token": TRAINER,
+        "model": MODEL,
+        "staleness_bound": 1,
+        "groups": 6,
+        "group_size": 4,
+        "tokens": 80,
+        "long_share": 0.08,
+        "long_factor": 6,
+        "publish_at": 0.15,
+        "weight_store": f"http://{bed.weights}",
+        "deadline": 40.0,
+        "trace": bed.trace_path("trainer"),
+    }
+    return TrainerPlan(**(fields | changes))
+
+
+def _draw(bed: Testbed, **changes: object) -> threading.Thread:
+    plan = _plan(bed, **changes)
+    thread = threading.Thread(target=lambda: asyncio.run(run_trainer(plan)))
+    thread.start()
+    return thread
+
+
+def _collector(bed: Testbed) -> str | None:
+    running = [name for name in bed.vms if bed.process(name).running]
+    return next((name for name in running if bed.status(name)["steps"]), None)
+
+
+def _swap_and_killed_collector(bed: Testbed) -> None:
+    """
+    Weights swap in mid-step, an engine comes back with old ones, the collector dies.
+    """
+    bed.fake("engine-1", pretend_activate=1)
+    trainer = _draw(bed)
+    until(lambda: bed.engine_versions().get("engine-2") == 2)
+    bed.process("engine-2").signal(signal.SIGKILL)
+    victim = until(lambda: _collector(bed))
+    bed.process(victim).signal(signal.SIGKILL)
+    time.sleep(0.3)
+    bed.start_engine("engine-2", version=1)
+    trainer.join()
+
+
+def _claims_under_outage(bed: Testbed) -> None:
+    """
+    One key at every VM, answers of the log lost, the log away, the owner dead.
+    """
+    names = list(bed.vms)
+    with ThreadPoolExecutor(8) as pool:
+        list(pool.map(lambda name: bed.book(name, "r1", "k1"), names * 2))
+        bed.fake("log", lose_answers=4)
+        list(pool.map(lambda name: bed.book(name, "r2", "k2"), names))
+    for fault in ("not_started", "run_and_close", "read_and_close"):
+        for name in bed.instances:
+            bed.fake(name, **{fault: 3})
+        bed.book(names[0], fault, fault)
+        for name in bed.instances:
+            bed.fake(name, **{fault: 0})
+    bed.cut_log()
+    for name in names:
+        bed.book(name, "r3", "k3")
+    bed.cut_log(mode="pass")
+    time.sleep(2.0)
+    bed.book(names[2], "r3", "k3")
+    bed.process(names[0]).signal(signal.SIGKILL)
+    bed.book(names[1], "r1", "k1")
+
+
+def _operators_race(bed: Testbed) -> None:
+    """
+    Two operators race, a VM is replaced with the log away, a data centre is cut off.
+    """
+    files = [{**bed.deployment, "limits": {"max_queue": q}} for q in (300, 400)]
+    with ThreadPoolExecutor(2) as pool:
+        results = list(pool.map(lambda f: bed.publish(f, bed.offset), files))
+    offset = next(r["offset"] for r in results if r["state"] == "accepted")
+    until(lambda: bed.all_in_force(offset))
+    bed.process("dc-a-vm1").signal(signal.SIGKILL)
+    bed.process("dc-a-vm1").wait()
+    bed.cut_log("dc-b")
+    bed.cut_log("dc-a")
+    bed.start_vm("dc-a-vm1")
+    until(lambda: bed.all_in_force(offset))
+    bed.cut_log("dc-a", mode="pass")
+    last = bed.publish(bed.deployment, offset)["offset"]
+    until(lambda: bed.all_in_force(last))
+    bed.cut_log("dc-b", mode="pass")
+    time.sleep(1.0)
+
+
+def _leaving_without_log(bed: Testbed) -> None:
+    """
+    An engine reports that it leaves, while the log is away for everyone.
+    """
+    bed.cut_log()
+    for vm in list(bed.vms) * 3:
+        bed.complete(vm, "before")
+    bed.fake("engine-1", leaving=True)
+    for vm in list(bed.vms) * 10:
+        bed.complete(vm, "after")
+        time.sleep(0.15)
+
+
+def _planned_stop(bed: Testbed) -> None:
+    """
+    A collector is stopped while long requests are in flight and more keep coming.
+    """
+    trainer = _draw(bed, publish_at=2.0)
+    victim = until(lambda: _collector(bed))
+    with ThreadPoolExecutor(12) as pool:
+        for number in range(3):
+            pool.submit(bed.complete, victim, f"p{number}", 300)
+        time.sleep(0.3)
+        bed.process(victim).signal(signal.SIGTERM)
+        for _ in range(8):
+            pool.submit(bed.look_up, victim)
+            time.sleep(0.05)
+    bed.process(victim).wait(60.0)
+    trainer.join()
+
+
+#: Scenario, promises that its trace must keep, kinds of events that are counted.
+SCENARIOS: dict[str, tuple[Callable[[Testbed], None], tuple[str, ...], tuple]] = {
+    "swap-and-killed-collector": (
+        _swap_and_killed_collector,
+        ("labels", "exactly_once", "staleness", "whole_answer"),
+        ("kept", "step_opened", "streamed"),
+    ),
+    "claims-under-outage": (
+        _claims_under_outage,
+        ("at_most_once", "not_run"),
+        ("ran", "ended", "claim_decided"),
+    ),
+    "operators-race": (
+        _operators_race,
+        ("configuration",),
+        ("put_in_force", "heard_config"),
+    ),
+    "leaving-without-log": (
+        _leaving_without_log,
+        ("leaving", "whole_answer"),
+        ("saw_leaving", "granted"),
+    ),
+    "planned-stop": (
+        _planned_stop,
+        ("planned_stop", "exactly_once", "labels"),
+        ("request_in", "request_out", "kept"),
+    ),
+}
+
+
+def _change_first(
+    fits: Callable[[Event], bool], change: Callable[[Event], Event]
+) -> Callable[[list[Traced]], list[Traced]]:
+    def mutate(events: list[Traced]) -> list[Traced]:
+        index = next(i for i, traced in enumerate(events) if fits(traced.event))
+        changed = replace(events[index], event=change(events[index].event))
+        return [*events[:index], changed, *events[index + 1 :]]
+
+    return mutate
+
+
+def _insert_after(
+    fits: Callable[[Event], bool], make: Callable[[Traced], Traced]
+) -> Callable[[list[Traced]], list[Traced]]:
+    def mutate(events: list[Traced]) -> list[Traced]:
+        index = next(i for i, traced in enumerate(events) if fits(traced.event))
+        return [*events[: index + 1], make(events[index]), *events[index + 1 :]]
+
+    return mutate
+
+
+def _relabel(event: Kept) -> Kept:
+    version, first, last = event.runs[0]
+    return replace(event, runs=((version + 1, first, last), *event.runs[1:]))
+
+
+def _old(event: Kept) -> Kept:
+    return replace(event, version=event.version + event.bound + 1)
+
+
+def _cut_short(event: Streamed) -> Streamed:
+    return replace(event, asked=event.asked + 1)
+
+
+def _as_not_run(traced: Traced) -> Traced:
+    request = traced.event.request_id.rpartition(".")[0]
+    return replace(traced, event=Ended(request, 201))
+
+
+def _back(traced: Traced) -> Traced:
+    return replace(traced, event=PutInForce(traced.event.offset))
+
+
+def _new_work(traced: Traced) -> Traced:
+    return replace(traced, event=Granted(traced.event.backend))
+
+
+def _other_number(event: Fetched) -> Fetched:
+    return replace(event, number=event.number + 1)
+
+
+def _lost_request(events: list[Traced]) -> list[Traced]:
+    stop = next(
+        i
+        for i, traced in enumerate(events)
+        if isinstance(traced.event, StageChanged) and traced.event.stage == "stopped"
+    )
+    late = replace(events[stop], event=RequestIn(1_000_000))
+    return [*events[:stop], late, *events[stop:]]
+
+
+#: By promise: the trace that its broken twin comes from, and how it is broken.
+TWINS: dict[str, tuple[str, Callable[[list[Traced]], list[Traced]]]] = {
+    "labels": (
+        "swap-and-killed-collector",
+        _change_first(lambda e: isinstance(e, Kept), _relabel),
+    ),
+    "at_most_once": (
+        "claims-under-outage",
+        _insert_after(lambda e: isinstance(e, Ran), lambda traced: traced),
+    ),
+    "not_run": (
+        "claims-under-outage",
+        _insert_after(lambda e: isinstance(e, Ran), _as_not_run),
+    ),
+    "exactly_once": (
+        "swap-and-killed-collector",
+        _change_first(lambda e: isinstance(e, Fetched) and e.number > 0, _other_number),
+    ),
+    "staleness": (
+        "swap-and-killed-collector",
+        _change_first(lambda e: isinstance(e, Kept), _old),
+    ),
+    "configuration": (
+        "operators-race",
+        _insert_after(lambda e: isinstance(e, PutInForce), _back),
+    ),
+    "whole_answer": (
+        "swap-and-killed-collector",
+        _change_first(lambda e: isinstance(e, Streamed) and bool(e.runs), _cut_short),
+    ),
+    "leaving": (
+        "leaving-without-log",
+        _insert_after(lambda e: isinstance(e, SawLeaving), _new_work),
+    ),
+    "planned_stop": ("planned-stop", _lost_request),
+}
--- a/packages/saddledoor-standins/src/saddledoor_standins/service.py
+++ b/packages/saddledoor-standins/src/saddledoor_standins/service.py
@@ -13,7 +13,10 @@
 
 from aiohttp import web
 
+from saddledoor.tracing import Ran
+
 from ._serve import cut
+from ._trace_file import trace_to
 
 
 __all__ = ["service_app"]
@@ -36,8 +39,9 @@
 
 
 class _Service:
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, trace: str) -> None:
         self.name = name
+        self._trace = trace_to(trace, name)
         self.runs: Counter[str] = Counter()
         self.running = 0
         self.faults = _Faults()
@@ -61,6 +65,7 @@
             return cut(request)
         reference = request.query.get("ref") or json.loads(raw or b"{}").get("ref", "")
         self.runs[f"{request.path} {reference}"] += 1
+        self._trace(Ran(self.name, request.headers.get("X-Request-Id", "")))
         self.running += 1
         try:
             await asyncio.sleep(0.002 + self.faults.delay_s)
@@ -80,11 +85,13 @@
         return web.json_response({"runs": self.runs})
 
 
-def service_app(name: str) -> web.Application:
+def service_app(name: str, trace: str = "") -> web.Application:
     """
     Return a plain service.
+
+    :param trace: File to record its runs in.
     """
-    service = _Service(name)
+    service = _Service(name, trace)
     app = web.Application()
     app.router.add_get("/v1/load", service.load)
     app.router.add_post("/fake", service.fake)
--- a/packages/saddledoor-standins/src/saddledoor_standins/testbed.py
+++ b/packages/saddledoor-standins/src/saddledoor_standins/testbed.py
@@ -23,6 +23,8 @@
 
 import yaml
 
+from saddledoor.tracing import Traced, read_trace
+
 from .fleet import Fleet, Process, Vm, daemon_settings, read_json, wait_listening
 
 
@@ -67,6 +69,7 @@
     :param engines: Engines by data centre.
     :param services: Service instances by data centre.
     :param timings: Daemons' durations that differ from the defaults.
+    :param traced: Whether daemons and services record traces.
     :param fenced: Whether engines refuse old fencing numbers.
     """
 
@@ -79,6 +82,7 @@
     slots: int = 8
     staleness_bound: int = 1
     fenced: bool = True
+    traced: bool = False
 
 
 @dataclass(frozen=True)
@@ -171,11 +175,29 @@
             **self.shape.timings,
         )
         settings["grpc_outside"] = self._outside(vm)
+        if self.shape.traced:
+            settings["trace"] = self.trace_path(name)
         process = self.fleet.daemon(name, settings)
         if wait:
             wait_listening([vm.http])
         return process
 
+    def trace_path(self, name: str) -> str:
+        """
+        Return the file in which a process records its trace.
+        """
+        return str(self.fleet.folder / f"{name}.trace")
+
+    def traced(self) -> list[Traced]:
+        """
+        Return what all processes recorded, in the order in which it happened.
+        """
+        events: list[Traced] = []
+        for path in sorted(self.fleet.folder.glob("*.trace")):
+            lines = path.read_text().splitlines()
+            events += read_trace(path.name, lines) if lines else []
+        return sorted(events, key=lambda traced: traced.at)
+
     def start_engine(self, name: str, version: int = 1) -> None:
         """
         Start an engine, also again after it ended.
@@ -398,6 +420,8 @@
         self.fleet.stand_in("forwarder", "forwarder", *arguments)
         for name, instance in self.instances.items():
             arguments = ["--listen", instance["address"], "--name", name]
+            if self.shape.traced:
+                arguments += ["--trace", self.trace_path(name)]
             self.fleet.stand_in(name, "service", *arguments)
         for name in self.engines:
             self.start_engine(name)
--- a/packages/saddledoor-standins/src/saddledoor_standins/trainer.py
+++ b/packages/saddledoor-standins/src/saddledoor_standins/trainer.py
@@ -10,11 +10,15 @@
 import json
 import random
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import aiohttp
 
+from saddledoor.tracing import Kept
+
 from ._balancer import Balancer
+from ._trace_file import trace_to
 from .engine import prompt_tag
 
 
@@ -32,6 +36,7 @@
     :param publish_at: Share of the step after which new weights are published; above
         one for never.
     :param weight_store: Where it publishes them.
+    :param trace: File to record what it keeps in.
     """
 
     vms: tuple[str, ...]
@@ -50,6 +55,7 @@
     weight_store: str = ""
     deadline: float = 50.0
     seed: int = 1
+    trace: str = ""
 
 
 @dataclass
@@ -71,6 +77,7 @@
     fetches: int = 0
     mixed: int = 0
     fetched_at: list[float] = field(default_factory=list)
+    emit: Callable = lambda event: None
 
 
 def plan_samples(plan: TrainerPlan) -> list[dict]:
@@ -102,6 +109,7 @@
     """
     samples = plan_samples(plan)
     book = _Book({(s["group"], s["index"]): s for s in samples}, version=plan.version)
+    book.emit = trace_to(plan.trace, plan.trainer)
     async with aiohttp.ClientSession() as session:
         balancer = Balancer(session, plan.vms, plan.seed)
         checks = asyncio.create_task(balancer.run_checks())
@@ -204,6 +212,7 @@
         return
     asked = book.expected[slot]
     book.received[slot] = sample
+    book.emit(_kept(plan, book, sample, asked["max_tokens"]))
     tokens = [token.split(":") for token in sample["text"].split()]
     whole = [int(t[3]) for t in tokens] == list(range(asked["max_tokens"]))
     own = all(t[2] == prompt_tag(asked["prompt"]) for t in tokens)
@@ -220,6 +229,20 @@
         book.mixed += 1
 
 
+def _kept(plan: TrainerPlan, book: _Book, sample: dict, asked: int) -> Kept:
+    made = tuple(int(token.split(":")[0]) for token in sample["text"].split())
+    return Kept(
+        plan.trainer,
+        plan.step,
+        (sample["group"], sample["index"]),
+        asked,
+        made,
+        tuple(tuple(run) for run in sample["runs"]),
+        book.version,
+        plan.staleness_bound,
+    )
+
+
 async def _publish(
     plan: TrainerPlan, book: _Book, session: aiohttp.ClientSession
 ) -> None:
--- /dev/null
+++ b/packages/saddledoor/src/saddledoor/tracing.py
@@ -0,0 +1,67 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Recorded traces: their events, their file form and their replay.
+
+Not part of the package's top level: only tools that record or replay need it.
+"""
+
+from __future__ import annotations
+
+from ._replay import CHECKS, Broken, Outcomes, replay
+from ._trace import (
+    ClaimDecided,
+    Ended,
+    Event,
+    Fetched,
+    Folded,
+    Granted,
+    HandedOver,
+    HeardConfig,
+    Kept,
+    NodeBegan,
+    PutInForce,
+    Ran,
+    RequestIn,
+    RequestOut,
+    SampleAdded,
+    SawLeaving,
+    StageChanged,
+    StaleDropped,
+    StepOpened,
+    Streamed,
+    Traced,
+    encode_traced,
+    read_trace,
+)
+
+
+__all__ = [
+    "CHECKS",
+    "Broken",
+    "ClaimDecided",
+    "Ended",
+    "Event",
+    "Fetched",
+    "Folded",
+    "Granted",
+    "HandedOver",
+    "HeardConfig",
+    "Kept",
+    "NodeBegan",
+    "Outcomes",
+    "PutInForce",
+    "Ran",
+    "RequestIn",
+    "RequestOut",
+    "SampleAdded",
+    "SawLeaving",
+    "StageChanged",
+    "StaleDropped",
+    "StepOpened",
+    "Streamed",
+    "Traced",
+    "encode_traced",
+    "read_trace",
+    "replay",
+]
--- a/packages/saddledoorctl/src/saddledoorctl/_cli.py
+++ b/packages/saddledoorctl/src/saddledoorctl/_cli.py
@@ -13,6 +13,7 @@
 from saddledoor import deployment_schema
 
 from ._config import config
+from ._replay import replay_command
 from ._status import status
 
 
@@ -36,6 +37,7 @@
 
 
 main.add_command(config)
+main.add_command(replay_command)
 main.add_command(status)
 
 
--- a/packages/saddledoord/src/saddledoord/_claim_log.py
+++ b/packages/saddledoord/src/saddledoord/_claim_log.py
@@ -9,17 +9,27 @@
 import asyncio
 from dataclasses import dataclass
 
-from saddledoor import ClaimBatch, ClaimFold, ClaimRelease, KeyClaim
+from saddledoor import (
+    ClaimBatch,
+    ClaimFold,
+    ClaimRelease,
+    KeyClaim,
+    encode_record,
+)
+from saddledoor.tracing import ClaimDecided, Folded
 
 from ._log_client import LogAwayError, LogClient, LogPage
 from ._metrics import Metrics
 from ._state import NodeState
+from ._tracing import Emit
 
 
 __all__ = ["ClaimLog"]
 
 #: How long claims are gathered for one append, in seconds.
 _GROUP_WINDOW = 0.002
+#: How long the log may wait for a record that it said it took, in seconds.
+_READ_WAIT = 0.5
 #: Wait between tries to release keys that were given up, in seconds.
 _RELEASE_RETRY = 1.0
 #: Releases that are kept for later while the log is away, a count.
@@ -37,8 +47,11 @@
     One partition of the claim stream: its fold and the claims that wait for it.
     """
 
-    def __init__(self, stream: str, log: LogClient, remember: float) -> None:
+    def __init__(
+        self, stream: str, log: LogClient, remember: float, trace: Emit
+    ) -> None:
         self._stream = stream
+        self._trace = trace
         self._log = log
         self._remember = remember
         self._fold: ClaimFold | None = None
@@ -83,20 +96,32 @@
                 _resolve(waiting, None)
             return
         for waiting in batch:
-            _resolve(waiting, self._fold.owner(waiting.claim.key))
+            owner = self._fold.owner(waiting.claim.key)
+            if owner is not None:
+                self._trace(ClaimDecided(self._stream, owner.key, owner.claim_id))
+            _resolve(waiting, owner)
 
     async def _catch_up(self, offset: int) -> None:
+        wait = 0.0
         while True:
             start = self._fold.next_offset if self._fold else 0
-            page = await self._log.read(self._stream, start)
+            page = await self._log.read(self._stream, start, wait)
             self._take(page)
-            if not page.records and self._fold.next_offset > offset:
+            reached = self._fold.next_offset > offset
+            if reached and (offset >= 0 or not page.records):
                 return
+            # A log whose reads lag behind its appends is not asked in a tight loop.
+            wait = 0.0 if page.records else _READ_WAIT
 
     def _take(self, page: LogPage) -> None:
         if self._fold is None or page.first > self._fold.next_offset:
             self._fold = ClaimFold(self._remember, page.first)
         for entry in page.records:
+            if entry.record is not None:
+                data = encode_record(entry.record)
+                self._trace(
+                    Folded(self._stream, entry.offset, entry.at, data, page.first)
+                )
             self._fold.apply(entry.offset, entry.at, entry.record)
 
 
@@ -166,5 +191,7 @@
             deployment = self._state.deployment
             remember = deployment.limits.claim_remember_s
             stream = f"claims-{number}"
-            self._partitions[number] = _Partition(stream, self._log, remember)
+            self._partitions[number] = _Partition(
+                stream, self._log, remember, self._state.trace
+            )
         return self._partitions[number]
--- a/packages/saddledoord/src/saddledoord/_collector.py
+++ b/packages/saddledoord/src/saddledoord/_collector.py
@@ -13,6 +13,7 @@
 import structlog
 
 from saddledoor import (
+    Batch,
     FetchRequest,
     HeldLease,
     NotRun,
@@ -24,6 +25,7 @@
     Trainer,
     VersionRun,
 )
+from saddledoor.tracing import Fetched, StepOpened
 
 from ._lease_keeper import LeaseKeeper
 from ._metrics import Metrics
@@ -216,17 +218,51 @@
         )
         if len(book.specs) != len(body.samples):
             return NotRun(ResultCode.BAD_REQUEST, "samples: a slot stands twice", 0.0)
-        for sample in self._inherited.pop(key, []):
-            book.add(sample)
+        self._trace_opened(trainer, step, book, reopened=earlier is not None)
         if before is None:
             self._runs[key] = self._runner.start(trainer, step, book, body.version)
             self._forget_old(trainer.name)
         else:
             before.reopen(book, body.version)
+        for sample in self._inherited.pop(key, []):
+            self._runs[key].add(sample)
         return _collected(
             {"fence": held.fence, "cursor": book.cursor, "missing": len(book.missing)}
         )
 
+    def _trace_opened(
+        self, trainer: Trainer, step: int, book: StepBook, *, reopened: bool
+    ) -> None:
+        self._state.trace(
+            StepOpened(
+                trainer.name,
+                step,
+                book.fence,
+                book.bound,
+                slots=tuple((s.group, s.index) for s in book.specs),
+                received=tuple((s.group, s.index) for s in book.received),
+                reopened=reopened,
+            )
+        )
+
+    def _trace_fetched(
+        self, trainer: Trainer, step: int, request: FetchRequest, answer: Batch | Resync
+    ) -> None:
+        batch = answer if isinstance(answer, Batch) else None
+        slots = [(s.slot.group, s.slot.index) for s in batch.samples] if batch else []
+        self._state.trace(
+            Fetched(
+                trainer.name,
+                step,
+                request.fence,
+                request.cursor,
+                request.version,
+                request.limit,
+                number=batch.number if batch else -1,
+                slots=tuple(slots),
+            )
+        )
+
     def _forget_old(self, trainer: str) -> None:
         steps = sorted(step for name, step in self._runs if name == trainer)
         for step in steps[:-_STEPS_KEPT]:
@@ -243,6 +279,7 @@
             await run.wait_ready(body.wait_s)
         request = FetchRequest(body.fence, body.cursor, body.version, body.limit)
         answer = run.book.fetch(request)
+        self._trace_fetched(trainer, step, request, answer)
         if isinstance(answer, Resync):
             return NotRun(ResultCode.RESYNC, f"the fence is {answer.fence} now", 0.0)
         run.wake()
--- a/packages/saddledoord/src/saddledoord/_daemon.py
+++ b/packages/saddledoord/src/saddledoord/_daemon.py
@@ -16,6 +16,8 @@
 import structlog
 import uvicorn
 
+from saddledoor.tracing import NodeBegan, StageChanged
+
 from ._backends import Backends
 from ._claim_log import ClaimLog
 from ._clock import boot_time
@@ -77,6 +79,7 @@
         :raises OSError: If an address cannot be had.
         """
         self._handle_signals()
+        self._state.trace(NodeBegan())
         settings, state = self._settings, self._state
         metrics = Metrics()
         backends = Backends.open()
@@ -138,6 +141,7 @@
         await asyncio.wait({drained, second}, return_when=asyncio.FIRST_COMPLETED)
         second.cancel()
         state.drain.stopped = True
+        state.trace(StageChanged(state.stage))
         http.should_exit = True
         if not drained.done():
             _log.warning("stopped_by_second_signal", in_flight=in_flight.count)
@@ -188,6 +192,7 @@
         The planned stop: unready at once, then finish or hand over everything.
         """
         drain = self._state.drain
+        self._state.trace(StageChanged(self._state.stage))
         exchange.refresh_own()
         _log.info("draining", in_flight=in_flight.count)
         for name in keeper.names():
--- a/packages/saddledoord/src/saddledoord/_dispatch.py
+++ b/packages/saddledoord/src/saddledoord/_dispatch.py
@@ -26,9 +26,11 @@
     may_use,
     two_choices,
 )
+from saddledoor.tracing import Granted
 
 from ._clock import boot_time
 from ._state import NodeState
+from ._tracing import Emit
 
 
 __all__ = ["Dispatcher", "Grant", "Wanted"]
@@ -93,6 +95,13 @@
         self._failed_at: dict[str, float] = {}
         self._queues: dict[str, FairQueue[_Waiter]] = {}
 
+    @property
+    def trace(self) -> Emit:
+        """
+        Where the attempts that use a slot are traced too.
+        """
+        return self._state.trace
+
     def in_flight(self, name: str) -> int:
         """
         Return this node's requests at a back end, a count.
@@ -187,6 +196,7 @@
 
     def _grant(self, member: Engine | Instance, target: str) -> Grant:
         self._own[member.name] = self.in_flight(member.name) + 1
+        self._state.trace(Granted(member.name))
         released = False
 
         def release() -> None:
--- a/packages/saddledoord/src/saddledoord/_exchange.py
+++ b/packages/saddledoord/src/saddledoord/_exchange.py
@@ -18,6 +18,7 @@
     SiteSummary,
     rendezvous,
 )
+from saddledoor.tracing import HeardConfig
 
 from ._clock import boot_time
 from ._metrics import Metrics
@@ -236,6 +237,7 @@
                 self._state.members.offer(entry, now)
         for site in reply.sites:
             self._state.members.offer_site(site_from_wire(site, now))
+        self._state.note_leaving()
         self._take_config(reply)
 
     def _site_ages(self) -> dict[str, float]:
@@ -278,6 +280,7 @@
 
     def _take_config(self, reply: pb.ExchangeReply | pb.SummaryReply) -> None:
         if reply.HasField("config"):
+            self._state.trace(HeardConfig(reply.config.offset))
             self._state.offer_config(
                 Accepted(reply.config.offset, reply.config.document)
             )
--- a/packages/saddledoord/src/saddledoord/_follower.py
+++ b/packages/saddledoord/src/saddledoord/_follower.py
@@ -18,10 +18,12 @@
     LeaseFold,
     Record,
     deployment_from_json,
+    encode_record,
     rendezvous_order,
     unpack_document,
 )
 from saddledoor.exceptions import InvalidDocumentError, UndecodableRecordError
+from saddledoor.tracing import Folded
 
 from ._log_client import LogAwayError, LogClient, LogPage
 from ._state import NodeState
@@ -149,6 +151,8 @@
     def apply_config(offset: int, record: Record | None) -> None:
         if record is None:
             return
+        first = state.config_fold.first_read
+        state.trace(Folded(CONFIG_STREAM, offset, 0.0, encode_record(record), first))
         state.config_fold = state.config_fold.apply(offset, record)
         state.offer_config(state.config_fold.accepted)
         if offset in state.config_fold.pending:
--- a/packages/saddledoord/src/saddledoord/_http.py
+++ b/packages/saddledoord/src/saddledoord/_http.py
@@ -14,6 +14,7 @@
 import falcon.asgi
 
 from saddledoor import Answer, NotRun, OutcomeUnknown, Part, ResultCode
+from saddledoor.tracing import RequestIn, RequestOut
 
 from ._backends import CallAnswer
 from ._collector import Collectors
@@ -44,19 +45,29 @@
     def __init__(self, state: NodeState) -> None:
         self._state = state
         self.count = 0
+        self._numbers = 0
 
     async def process_request(self, req, resp) -> None:
         self.count += 1
-        req.context.counted = True
+        self._numbers += 1
+        req.context.number = self._numbers
+        self._state.trace(RequestIn(self._numbers))
 
     async def process_response(self, req, resp, resource, succeeded) -> None:
         # A streamed answer is counted until its last part, see `_counted_stream`.
         if not getattr(req.context, "streams", False):
-            self.count -= 1
+            self.ended(req.context.number)
         resp.set_header("X-Saddledoor-Vm", self._state.settings.vm)
         if self._state.stage != "serving":
             resp.set_header("Connection", "close")
 
+    def ended(self, number: int) -> None:
+        """
+        Count a request as ended.
+        """
+        self.count -= 1
+        self._state.trace(RequestOut(number))
+
 
 def _encode_refusal(resp, outcome: NotRun | OutcomeUnknown) -> None:
     resp.status = outcome.code.http_status
@@ -140,7 +151,7 @@
             return self._refuse(resp, "completion", parts)
         if body.stream:
             return await self._stream(req, resp, parts)
-        whole = await collect_whole(parts, body.max_tokens)
+        whole = await collect_whole(parts, body.max_tokens, "caller", self._state.trace)
         if not isinstance(whole, Answer):
             return self._refuse(resp, "completion", whole)
         self._count("completion", ResultCode.DONE)
@@ -153,9 +164,9 @@
             return self._refuse(resp, "completion", first)
         req.context.streams = True
         resp.content_type = "text/event-stream"
-        resp.stream = self._events(first, parts)
+        resp.stream = self._events(first, parts, req.context.number)
 
-    async def _events(self, first: Part, parts: AsyncIterator):
+    async def _events(self, first: Part, parts: AsyncIterator, number: int):
         try:
             part = first
             while isinstance(part, Part):
@@ -170,7 +181,7 @@
             yield _event({"error": _error_body(part)})
         finally:
             await parts.aclose()
-            self._in_flight.count -= 1
+            self._in_flight.ended(number)
 
 
 class _Services(_Resource):
--- a/packages/saddledoord/src/saddledoord/_pipeline.py
+++ b/packages/saddledoord/src/saddledoord/_pipeline.py
@@ -25,6 +25,7 @@
     RetryBudget,
     WorkClass,
 )
+from saddledoor.tracing import Ended
 
 from ._backends import Backends, CallAnswer
 from ._claim_log import ClaimLog
@@ -124,6 +125,15 @@
         job = self._classify_call(caller, request)
         if isinstance(job, NotRun):
             return job
+        result = await self._call(job, request)
+        done = isinstance(result, CallAnswer)
+        code = ResultCode.DONE if done else result.code
+        self._state.trace(Ended(job.request_id, code))
+        return result
+
+    async def _call(
+        self, job: ServiceJob, request: ServiceRequest
+    ) -> CallAnswer | NotRun | OutcomeUnknown:
         if not (job.unrepeatable and job.key):
             return await self._attempt(job)
         if IssuedKeys.decider(job.key) is not None:
--- a/packages/saddledoord/src/saddledoord/_sample_runner.py
+++ b/packages/saddledoord/src/saddledoord/_sample_runner.py
@@ -21,6 +21,7 @@
     Trainer,
     WorkClass,
 )
+from saddledoor.tracing import SampleAdded, StaleDropped
 
 from ._backends import Backends
 from ._clock import boot_time
@@ -117,7 +118,9 @@
             parts = attempt_completion(
                 job, self._dispatcher, self._backends, budget, self.metrics
             )
-        whole = await collect_whole(parts, job.max_tokens)
+        whole = await collect_whole(
+            parts, job.max_tokens, job.attempt_id, self.state.trace
+        )
         if isinstance(whole, Answer) and whole.labelled:
             return whole
         outcome = "unlabelled" if isinstance(whole, Answer) else whole.code.name
@@ -175,6 +178,22 @@
         """
         self._changed.set()
 
+    def add(self, sample: Sample) -> bool:
+        """
+        Offer a finished sample to the book.
+        """
+        slot = (sample.slot.group, sample.slot.index)
+        runs = tuple((run.version, run.first, run.last) for run in sample.runs)
+        self._runner.state.trace(
+            SampleAdded(self._trainer.name, self._step, slot, sample.tokens, runs)
+        )
+        return self.book.add(sample)
+
+    def _trace_stale(self) -> None:
+        self._runner.state.trace(
+            StaleDropped(self._trainer.name, self._step, self._version)
+        )
+
     async def wait_ready(self, wait: float) -> None:
         """
         Wait until a fresh sample is ready or nothing is left to wait for.
@@ -182,7 +201,8 @@
         try:
             async with asyncio.timeout(wait):
                 while not self.book.complete:
-                    self.book.drop_stale(self._version)
+                    if self.book.drop_stale(self._version):
+                        self._trace_stale()
                     if self.book.ready:
                         return
                     self._changed.clear()
@@ -263,7 +283,7 @@
             sample = Sample(
                 spec.slot, whole.text, whole.tokens, whole.runs, whole.finish_reason
             )
-            taken = self.book.add(sample)
+            taken = self.add(sample)
             what = "won" if taken else "not_needed"
             self._runner.metrics.samples.add(1, {"what": what})
         finally:
--- a/packages/saddledoord/src/saddledoord/_settings.py
+++ b/packages/saddledoord/src/saddledoord/_settings.py
@@ -61,6 +61,8 @@
     :param http: Where callers and operators are served.
     :param grpc: Where other daemons are served.
     :param grpc_outside: How daemons of other data centres reach it, if not there.
+    :param trace: File to record a trace in; a VM keeps nothing, so this is for
+        finding faults and for tests.
     :param peer_secret: What daemons of one deployment prove to each other.
     """
 
@@ -74,6 +76,7 @@
     vm_list: Url
     weight_store: Url | None = None
     peer_secret: Annotated[str, Field(min_length=16, max_length=256)]
+    trace: str | None = None
     log_format: Literal["json", "terminal"] = "json"
     timings: Timings = Timings()
 
--- a/packages/saddledoord/src/saddledoord/_state.py
+++ b/packages/saddledoord/src/saddledoord/_state.py
@@ -8,7 +8,6 @@
 
 import time
 import uuid
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import structlog
@@ -29,9 +28,11 @@
     unpack_document,
 )
 from saddledoor.exceptions import InvalidDocumentError, UndecodableRecordError
+from saddledoor.tracing import PutInForce, SawLeaving
 
 from ._clock import boot_time
 from ._settings import Settings
+from ._tracing import Emit, open_trace
 
 
 __all__ = ["LogHealth", "NodeState"]
@@ -78,8 +79,9 @@
     drain: Drain = field(default_factory=lambda: Drain(0.0, 0.0))
     log: LogHealth = field(default_factory=LogHealth)
     vm_list: dict[str, dict] = field(default_factory=dict)
+    trace: Emit = lambda event: None
     _watches: dict[str, LeaseWatch] = field(default_factory=dict)
-    _listeners: list[Callable[[Deployment], None]] = field(default_factory=list)
+    _leaving: set[str] = field(default_factory=set)
 
     @property
     def stage(self) -> str:
@@ -106,13 +108,9 @@
         incarnation = f"{started}-{settings.vm}-{uuid.uuid4().hex[:8]}"
         members = MemberTable(settings.timings.member_expiry)
         drain = Drain(settings.timings.lame_duck, settings.timings.drain)
-        return cls(settings, incarnation.replace(".", "_"), members, drain=drain)
-
-    def on_change(self, listener: Callable[[Deployment], None]) -> None:
-        """
-        Call ``listener`` with each deployment that comes in force.
-        """
-        self._listeners.append(listener)
+        trace = open_trace(settings.trace, settings.vm)
+        name = incarnation.replace(".", "_")
+        return cls(settings, name, members, drain=drain, trace=trace)
 
     def offer_config(self, accepted: Accepted | None) -> None:
         """
@@ -129,9 +127,20 @@
             _log.error("config_unusable", offset=accepted.offset, reason=reason)
             return
         self.deployment = deployment
+        self.trace(PutInForce(accepted.offset))
+        self.note_leaving()
         _log.info("config_in_force", offset=accepted.offset)
-        for listener in self._listeners:
-            listener(deployment)
+
+    def note_leaving(self) -> None:
+        """
+        Trace back ends that are marked as leaving, once each.
+        """
+        leaving = {r.name for r in self.members.reports().values() if r.leaving}
+        for pool in self.deployment.pools if self.deployment else ():
+            leaving |= {e.name for e in pool.engines if e.state == "leaving"}
+        for name in sorted(leaving - self._leaving):
+            self.trace(SawLeaving(name))
+        self._leaving |= leaving
 
     def _read(self, accepted: Accepted) -> tuple[Deployment | None, str]:
         try:
--- a/packages/saddledoord/src/saddledoord/_watcher.py
+++ b/packages/saddledoord/src/saddledoord/_watcher.py
@@ -83,6 +83,8 @@
                 reading.versions,
             )
         self._reports[member.name] = report
+        if report.leaving:
+            self._state.note_leaving()
         return report
 
     def _responsible_for(self) -> list[Engine | Instance]:
--- a/packages/saddledoord/src/saddledoord/filters/call.py
+++ b/packages/saddledoord/src/saddledoord/filters/call.py
@@ -16,6 +16,7 @@
     RetryBudget,
     WorkClass,
 )
+from saddledoor.tracing import HandedOver
 
 from .._backends import Backends, CallAnswer
 from .._clock import boot_time
@@ -51,6 +52,15 @@
     key: str
     deadline: float
 
+    @property
+    def once(self) -> str:
+        """
+        What may run only once: the key, or the request itself if it has none.
+        """
+        if not self.unrepeatable:
+            return ""
+        return f"{self.partner}/{self.service}/{self.key or self.request_id}"
+
 
 async def attempt_call(
     job: ServiceJob,
@@ -78,9 +88,11 @@
             if left <= 0:
                 late = NotRun(ResultCode.TIMED_OUT_IN_QUEUE, "the deadline passed")
                 return attempts.give_up(late)
+            request_id = f"{job.request_id}.{attempts.begin()}"
+            dispatcher.trace(HandedOver(request_id, grant.name, job.once))
             result = await backends.call(
                 grant.address,
-                request_id=f"{job.request_id}.{attempts.begin()}",
+                request_id=request_id,
                 method=job.method,
                 target=job.target,
                 content_type=job.content_type,
--- a/tests/proofs/_proof.py
+++ b/tests/proofs/_proof.py
@@ -33,11 +33,13 @@
     """
     A promise and the machine that checks it.
 
+    :param name: The promise's short name, as in traces.
     :param promise: The promise in a few words.
     :param failures: What the machine brings about.
     :param machine: Returns the machine's class, with the mechanism on or off.
     """
 
+    name: str
     promise: str
     failures: str
     machine: Callable[[bool], type[RuleBasedStateMachine]]
--- a/tests/proofs/answers.py
+++ b/tests/proofs/answers.py
@@ -92,6 +92,7 @@
 
 
 PROOF = Proof(
+    "whole_answer",
     "the whole answer goes to its own request",
     "stream cut, parts of abandoned attempts late, end marker early, too much text",
     _machine,
--- a/tests/proofs/at_most_once.py
+++ b/tests/proofs/at_most_once.py
@@ -110,7 +110,7 @@
 
         @rule()
         def use_issued_key(self):
-            if self.issuer.take(self.issued, "partner") or not guard:
+            if self.issuer.take(self.issued, "partner"):
                 self.issued_runs += 1
 
         @rule()
@@ -140,6 +140,7 @@
 
 
 PROOF = Proof(
+    "at_most_once",
     "an unrepeatable request runs at most once",
     "one key at three VMs, append late or its answer lost, VM paused, dead, replaced",
     _machine,
--- a/tests/proofs/configuration.py
+++ b/tests/proofs/configuration.py
@@ -142,6 +142,7 @@
 
 
 PROOF = Proof(
+    "configuration",
     "an accepted configuration is in force and never reverts",
     "operators race, releases differ, VM starts late, log drops records, peer behind",
     _machine,
--- a/tests/proofs/delivery.py
+++ b/tests/proofs/delivery.py
@@ -176,6 +176,7 @@
 
 
 PROOF = Proof(
+    "exactly_once",
     "every sample reaches its trainer exactly once",
     "collector killed, two collectors, answer lost or late, trainer back at checkpoint",
     _machine,
--- a/tests/proofs/labels.py
+++ b/tests/proofs/labels.py
@@ -107,6 +107,7 @@
 
 
 PROOF = Proof(
+    "labels",
     "labels name the versions that made each token",
     "swap in mid-sample, resume, crash with old weights, late order, order not obeyed",
     _machine,
--- a/tests/proofs/leaving.py
+++ b/tests/proofs/leaving.py
@@ -141,6 +141,7 @@
 
 
 PROOF = Proof(
+    "leaving",
     "a leaving engine gets no new work",
     "reports late, twice, out of order, watcher changes, old configuration from a peer",
     _machine,
--- a/tests/proofs/not_run.py
+++ b/tests/proofs/not_run.py
@@ -87,6 +87,7 @@
 
 
 PROOF = Proof(
+    "not_run",
     "a request refused as not run did not run",
     "connection refused, closed after reading, no slot for a retry, budget spent",
     _machine,
--- a/tests/proofs/planned_stop.py
+++ b/tests/proofs/planned_stop.py
@@ -101,6 +101,7 @@
 
 
 PROOF = Proof(
+    "planned_stop",
     "a planned stop cuts off no request in flight",
     "balancer goes on sending, long requests, second signal",
     _machine,
--- a/tests/proofs/staleness.py
+++ b/tests/proofs/staleness.py
@@ -75,6 +75,7 @@
 
 
 PROOF = Proof(
+    "staleness",
     "no sample is older than the staleness bound",
     "swap in mid-sample, weights move on while samples wait, answer lost, asked again",
     _machine,
--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -10,20 +10,24 @@
 from proofs import PROOFS
 
 
-_IDS = [proof.machine.__module__.rpartition(".")[2] for proof in PROOFS]
+_IDS = [proof.name for proof in PROOFS]
 
 
 @pytest.mark.parametrize("proof", PROOFS, ids=_IDS)
-def test_the_promise_holds_with_its_mechanism(proof):
+def test_the_promise_holds_with_its_mechanism(proof, record_property):
     """
     No sequence of the failures breaks the promise.
     """
+    record_property("promise", proof.name)
     proof.run(guard=True)
 
 
 @pytest.mark.parametrize("proof", PROOFS, ids=_IDS)
-def test_the_proof_fails_without_the_mechanism(proof):
+def test_the_proof_fails_without_the_mechanism(proof, record_property):
     """
     With the mechanism off the same machine finds a broken promise.
     """
-    assert proof.breaks_without() is not None
+    record_property("promise", proof.name)
+    seen = proof.breaks_without()
+    record_property("red", seen)
+    assert seen is not None
