--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,9 @@
 prove: $(VENV)/.made
 	@$(BIN)/python tests/prove.py -n $(WORKERS)
 
+bench: $(VENV)/.made
+	@$(BIN)/python -m saddledoor_standins bench all
+
 # Records the traces anew; only after their format or a scenario changed.
 traces: $(VENV)/.made
 	@$(BIN)/python -m saddledoor_standins record traces
--- a/packages/saddledoor-standins/src/saddledoor_standins/__main__.py
+++ b/packages/saddledoor-standins/src/saddledoor_standins/__main__.py
@@ -158,6 +158,21 @@
                 click.echo(f"recorded {write_twin(path, events, promise)}")
 
 
+@main.command()
+@click.argument("name", type=click.Choice(["slopes", "routing", "all"]))
+def bench(name: str) -> None:
+    """
+    Run the measurements that the docs quote.
+    """
+    from .bench.routing import routing
+    from .bench.slopes import all_slopes
+
+    if name in ("routing", "all"):
+        routing()
+    if name in ("slopes", "all"):
+        all_slopes()
+
+
 def _json(text: str) -> dict:
     return json.loads(text)
 
--- /dev/null
+++ b/packages/saddledoor-standins/src/saddledoor_standins/bench/_table.py
@@ -0,0 +1,31 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Tables of measurements.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+
+__all__ = ["print_table"]
+
+
+def print_table(title: str, head: Sequence[str], rows: Sequence[Sequence]) -> None:
+    """
+    Print rows in columns; numbers with three significant digits.
+    """
+    texts = [[_text(cell) for cell in row] for row in rows]
+    widths = [
+        max(len(name), *(len(row[i]) for row in texts)) for i, name in enumerate(head)
+    ]
+    print(f"\n{title}")
+    for row in (list(head), *texts):
+        print("  ".join(cell.rjust(w) for cell, w in zip(row, widths, strict=True)))
+
+
+def _text(cell: object) -> str:
+    if isinstance(cell, float):
+        return f"{cell:.3g}" if abs(cell) < 1000 else f"{cell:.0f}"
+    return str(cell)
--- /dev/null
+++ b/packages/saddledoor-standins/src/saddledoor_standins/bench/slopes.py
@@ -0,0 +1,268 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Slopes for docs/CAPACITY.md: what each role costs per node, engine, request and token.
+"""
+
+from __future__ import annotations
+
+import json
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from urllib.request import urlopen
+
+from saddledoor import (
+    ClaimBatch,
+    ClaimFold,
+    Deployment,
+    FetchRequest,
+    KeyClaim,
+    Sample,
+    SampleSpec,
+    Slot,
+    StepBook,
+    VersionRun,
+    deployment_from_json,
+    deployment_to_json,
+    encode_record,
+    key_digest,
+    pack_document,
+    unpack_document,
+    validate,
+)
+
+from ..testbed import Shape, Testbed, digest
+from ._process import cpu_seconds, resident_mb
+from ._table import print_table
+
+
+__all__ = ["claims", "configuration", "membership", "requests", "step_book"]
+
+#: How long daemons are watched, in seconds.
+_WATCHED = 10.0
+#: How long they settle first, in seconds.
+_SETTLE = 6.0
+
+
+def membership(sizes: tuple[int, ...] = (4, 8, 16, 32)) -> list[tuple]:
+    """
+    Measure idle daemons of one data centre beside a small other one.
+
+    :returns: Rows of VMs, back ends, processor share in percent of a core (median and
+        largest), resident megabytes (largest), control bytes a second both ways.
+    """
+    rows = []
+    for size in sizes:
+        shape = Shape(
+            vms={"dc-a": size, "dc-b": 1},
+            engines={"dc-a": size, "dc-b": 1},
+            services={"dc-a": 1},
+        )
+        with Testbed.open(shape) as bed:
+            time.sleep(_SETTLE)
+            rows.append((size, size + 1, *_watch(bed)))
+    head = ("VMs", "back ends", "core % median", "core % max", "MB max", "bytes/s")
+    print_table("membership, idle, per daemon", head, rows)
+    return rows
+
+
+def _watch(bed: Testbed) -> tuple[float, float, float, float]:
+    names = [name for name in bed.vms if name.startswith("dc-a")]
+    pids = [bed.process(name).popen.pid for name in names]
+    before = [cpu_seconds(pid) for pid in pids]
+    bytes_before = [_control_bytes(bed, name) for name in names]
+    time.sleep(_WATCHED)
+    shares = [
+        (cpu_seconds(pid) - used) / _WATCHED * 100
+        for pid, used in zip(pids, before, strict=True)
+    ]
+    # Each pull is answered by another daemon: what all asked for is what all served.
+    bytes_each = [
+        2 * (_control_bytes(bed, name) - sent) / _WATCHED
+        for name, sent in zip(names, bytes_before, strict=True)
+    ]
+    memory = max(resident_mb(pid) for pid in pids)
+    return statistics.median(shares), max(shares), memory, statistics.mean(bytes_each)
+
+
+def _control_bytes(bed: Testbed, name: str) -> float:
+    with urlopen(f"http://{bed.vms[name].http}/metrics", timeout=5) as response:
+        lines = response.read().decode().splitlines()
+    total = "saddledoor_exchange_bytes_total"
+    return sum(float(x.rsplit(" ", 1)[1]) for x in lines if x.startswith(total))
+
+
+def _deployment(engines: int) -> Deployment:
+    data_centres = [f"dc-{number}" for number in range(16)]
+    document = {
+        "schema_version": 1,
+        "name": "target",
+        "data_centres": data_centres,
+        "pools": [
+            {
+                "name": "pool",
+                "models": [{"name": f"model-{n}"} for n in range(21)],
+                "engines": [
+                    {
+                        "name": f"engine-{number}",
+                        "data_centre": data_centres[number % 16],
+                        "address": f"10.0.{number // 250}.{number % 250}:80",
+                        "slots": 32,
+                    }
+                    for number in range(engines)
+                ],
+            }
+        ],
+        "trainers": [
+            {
+                "name": f"trainer-{n}",
+                "token_sha256": digest(f"trainer-{n}"),
+                "pool": "pool",
+                "model": f"model-{n}",
+                "staleness_bound": 2,
+            }
+            for n in range(21)
+        ],
+    }
+    return validate("target", document)
+
+
+def configuration(sizes: tuple[int, ...] = (75, 300, 1200)) -> list[tuple]:
+    """
+    Measure a configuration record.
+
+    :returns: Rows of engines, canonical bytes, packed bytes, milliseconds to unpack
+        and check.
+    """
+    rows = []
+    for engines in sizes:
+        data = deployment_to_json(_deployment(engines))
+        packed = pack_document(data)
+        took = _milliseconds(lambda p=packed: deployment_from_json(unpack_document(p)))
+        rows.append((engines, len(data), len(packed), took))
+    head = ("engines", "bytes", "packed", "ms to accept")
+    print_table("configuration record", head, rows)
+    return rows
+
+
+def claims(count: int = 22_000) -> list[tuple]:
+    """
+    Measure the fold of one partition of claims.
+
+    :returns: One row: keys, microseconds and bytes of memory per key, bytes per record.
+    """
+    batches = [
+        ClaimBatch((KeyClaim(key_digest("p", "s", str(n)), f"{n:032x}", "o" * 60),))
+        for n in range(count)
+    ]
+    tracemalloc.start()
+    fold = ClaimFold(1e9)
+    began = time.perf_counter()
+    for offset, batch in enumerate(batches):
+        fold.apply(offset, float(offset), batch)
+    seconds = time.perf_counter() - began
+    memory = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    # The keys' own objects were made before; in a daemon the fold alone keeps them.
+    per_key = memory / count + 350
+    row = (count, seconds / count * 1e6, per_key, len(encode_record(batches[0])))
+    head = ("keys", "us per key", "bytes of memory per key", "bytes per record")
+    print_table("claims, one partition", head, [row])
+    return [row]
+
+
+def step_book(samples: int = 4096, tokens: int = 480) -> list[tuple]:
+    """
+    Measure a step's book at the target's size.
+
+    :returns: One row: samples, megabytes when all are ready, ms for the list of what
+        is missing, ms per fetch of 256.
+    """
+    specs = [
+        SampleSpec(Slot(n // 8, n % 8), f"prompt {n // 8}", tokens)
+        for n in range(samples)
+    ]
+    tracemalloc.start()
+    book = StepBook.open(1, 1, specs)
+    missing = _milliseconds(lambda: book.missing)
+    runs = (VersionRun(1, 0, tokens - 1),)
+    for spec in specs:
+        text = f"{spec.slot.group} " + "four" * tokens
+        book.add(Sample(spec.slot, text, tokens, runs))
+    memory = tracemalloc.get_traced_memory()[0] / 1e6
+    tracemalloc.stop()
+    began = time.perf_counter()
+    cursor = 0
+    for _ in range(samples // 256):
+        cursor = book.fetch(FetchRequest(1, cursor, 1, 256)).number
+    fetch = (time.perf_counter() - began) * 1000 / (samples // 256)
+    head = ("samples", "MB all ready", "ms to list missing", "ms per fetch of 256")
+    row = (samples, memory, missing, fetch)
+    print_table("a step's book", head, [row])
+    return [row]
+
+
+def requests(count: int = 300) -> list[tuple]:
+    """
+    Measure the entry path of one daemon.
+
+    :returns: Rows of kind, requests, milliseconds of the daemon's processor each.
+    """
+    one = {"dc-a": 1}
+    shape = Shape(vms=one, engines=one, services=one, slots=16)
+    rows = []
+    with Testbed.open(shape) as bed:
+        vm = "dc-a-vm1"
+        kinds: list[tuple[str, int, Callable[[int], object]]] = [
+            ("look-up", count, lambda n: bed.look_up(vm)),
+            ("booking with a key", count, lambda n: bed.book(vm, f"r{n}", f"k{n}")),
+            ("40 tokens", count // 3, lambda n: bed.complete(vm, "p", 40)),
+            ("400 tokens", count // 6, lambda n: bed.complete(vm, "p", 400)),
+        ]
+        pid = bed.process(vm).popen.pid
+        for kind, number, send in kinds:
+            send(-1)
+            used = cpu_seconds(pid)
+            began = time.perf_counter()
+            with ThreadPoolExecutor(8) as pool:
+                codes = [answer.code for answer in pool.map(send, range(number))]
+            seconds = time.perf_counter() - began
+            # The idle share, measured by `membership`, is taken off.
+            spent = cpu_seconds(pid) - used - 0.01 * seconds
+            answered = codes.count(100)
+            rows.append((kind, number, answered, spent / number * 1000))
+    head = ("kind", "requests", "answered", "ms of processor each")
+    print_table("entry path, one daemon", head, rows)
+    return rows
+
+
+def _milliseconds(work: Callable[[], object], times: int = 5) -> float:
+    taken = []
+    for _ in range(times):
+        began = time.perf_counter()
+        work()
+        taken.append((time.perf_counter() - began) * 1000)
+    return statistics.median(taken)
+
+
+def all_slopes() -> dict[str, list[tuple]]:
+    """
+    Measure everything that docs/CAPACITY.md is worked out from.
+    """
+    return {
+        "configuration": configuration(),
+        "claims": claims(),
+        "step_book": step_book(),
+        "requests": requests(),
+        "membership": membership(),
+    }
+
+
+def dump(rows: dict[str, list[tuple]]) -> str:
+    """
+    Return the rows as JSON.
+    """
+    return json.dumps(rows, indent=2)
