Add the burn report, the docs and the least-outstanding choice of engine

Membership: entries carry a start time in place of a long name, are renumbered at once only for what others must hear, and loads travel four times per expiry; back ends are read once a second.

Burn report: every process writes running totals to a small stream; a later record covers a lost one, and a process that ends without a last record is told as a hole. After the demo the report has rows for guests and trainers from its dump of the log.

--- a/packages/saddledoor-standins/src/saddledoor_standins/__main__.py
+++ b/packages/saddledoor-standins/src/saddledoor_standins/__main__.py
@@ -159,16 +159,18 @@
 
 
 @main.command()
-@click.argument("name", type=click.Choice(["slopes", "routing", "all"]))
+@click.argument("name", type=click.Choice(["slopes", "membership", "routing", "all"]))
 def bench(name: str) -> None:
     """
     Run the measurements that the docs quote.
     """
     from .bench.routing import routing
-    from .bench.slopes import all_slopes
+    from .bench.slopes import all_slopes, membership
 
     if name in ("routing", "all"):
         routing()
+    if name == "membership":
+        membership()
     if name in ("slopes", "all"):
         all_slopes()
 
--- a/packages/saddledoor-standins/src/saddledoor_standins/bench/_process.py
+++ b/packages/saddledoor-standins/src/saddledoor_standins/bench/_process.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import os
 from pathlib import Path
 
 
@@ -15,10 +14,15 @@
 
 def cpu_seconds(pid: int) -> float:
     """
-    Return the processor time that a process has used, in seconds.
+    Return the processor time that a process's threads have used, in seconds.
+
+    From the scheduler's own account: the usual one counts ticks of 10 ms, too coarse
+    for a process that is idle but for short wake-ups.
     """
-    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+    total = 0
+    for thread in Path(f"/proc/{pid}/task").iterdir():
+        total += int((thread / "schedstat").read_text().split()[0])
+    return total / 1e9
 
 
 def resident_mb(pid: int) -> float:
--- a/packages/saddledoor-standins/src/saddledoor_standins/bench/routing.py
+++ b/packages/saddledoor-standins/src/saddledoor_standins/bench/routing.py
@@ -19,6 +19,7 @@
 from saddledoor import (
     Candidate,
     Choose,
+    least_outstanding,
     least_reported,
     round_robin,
     two_choices,
@@ -42,7 +43,8 @@
     "random": lambda chance: uniform(chance.random),
     "round robin": lambda chance: round_robin(),
     "least reported": lambda chance: least_reported(),
-    "two choices": lambda chance: two_choices(chance.random),
+    "two choices": lambda chance: two_choices(chance.random, _WORK),
+    "least outstanding": lambda chance: least_outstanding(chance.random),
 }
 
 
--- a/packages/saddledoor-standins/src/saddledoor_standins/bench/slopes.py
+++ b/packages/saddledoor-standins/src/saddledoor_standins/bench/slopes.py
@@ -25,6 +25,7 @@
     Slot,
     StepBook,
     VersionRun,
+    decode_record,
     deployment_from_json,
     deployment_to_json,
     encode_record,
@@ -47,7 +48,11 @@
 _SETTLE = 6.0
 
 
-def membership(sizes: tuple[int, ...] = (4, 8, 16, 32)) -> list[tuple]:
+#: VMs and engines of the data centre that is measured.
+_SIZES = ((4, 4), (8, 8), (16, 16), (32, 32), (16, 64))
+
+
+def membership(sizes: tuple[tuple[int, int], ...] = _SIZES) -> list[tuple]:
     """
     Measure idle daemons of one data centre beside a small other one.
 
@@ -55,15 +60,15 @@
         largest), resident megabytes (largest), control bytes a second both ways.
     """
     rows = []
-    for size in sizes:
+    for size, engines in sizes:
         shape = Shape(
             vms={"dc-a": size, "dc-b": 1},
-            engines={"dc-a": size, "dc-b": 1},
+            engines={"dc-a": engines, "dc-b": 1},
             services={"dc-a": 1},
         )
         with Testbed.open(shape) as bed:
             time.sleep(_SETTLE)
-            rows.append((size, size + 1, *_watch(bed)))
+            rows.append((size, engines + 1, *_watch(bed)))
     head = ("VMs", "back ends", "core % median", "core % max", "MB max", "bytes/s")
     print_table("membership, idle, per daemon", head, rows)
     return rows
@@ -154,21 +159,25 @@
 
     :returns: One row: keys, microseconds and bytes of memory per key, bytes per record.
     """
-    batches = [
-        ClaimBatch((KeyClaim(key_digest("p", "s", str(n)), f"{n:032x}", "o" * 60),))
+    # As the daemon does it: from the log's text, which is dropped again.
+    texts = [
+        encode_record(
+            ClaimBatch((KeyClaim(key_digest("p", "s", str(n)), f"{n:032x}", "o" * 60),))
+        )
         for n in range(count)
     ]
     tracemalloc.start()
     fold = ClaimFold(1e9)
-    began = time.perf_counter()
-    for offset, batch in enumerate(batches):
-        fold.apply(offset, float(offset), batch)
-    seconds = time.perf_counter() - began
+    for offset, text in enumerate(texts):
+        fold.apply(offset, float(offset), decode_record(text))
     memory = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
-    # The keys' own objects were made before; in a daemon the fold alone keeps them.
-    per_key = memory / count + 350
-    row = (count, seconds / count * 1e6, per_key, len(encode_record(batches[0])))
+    again = ClaimFold(1e9)
+    began = time.perf_counter()
+    for offset, text in enumerate(texts):
+        again.apply(offset, float(offset), decode_record(text))
+    seconds = time.perf_counter() - began
+    row = (count, seconds / count * 1e6, memory / count, len(texts[0]))
     head = ("keys", "us per key", "bytes of memory per key", "bytes per record")
     print_table("claims, one partition", head, [row])
     return [row]
--- a/packages/saddledoor-standins/src/saddledoor_standins/demo.py
+++ b/packages/saddledoor-standins/src/saddledoor_standins/demo.py
@@ -28,6 +28,10 @@
 _FIRST_VERSION = 1
 #: How long the killed engine stays away, in seconds.
 _ENGINE_AWAY = 3.0
+#: Where the log's streams for the burn report are kept.
+_DUMP = Path("build/demo-log.json")
+#: How long daemons may take to write their last totals, in seconds.
+_BURN_SETTLES = 2.5
 #: A configuration must be in force everywhere within this time, in seconds.
 _CONFIG_LIMIT = 10.0
 #: New weights must be on all engines within this time, in seconds.
@@ -143,6 +147,7 @@
     _say(f"{stopped.name} ended with status {status}")
     watch.done.set()
     watcher.join(10.0)
+    _dump_log(site)
     runs = _runs_by_reference(site)
     return _judge(
         watch, trainer_results, guest_result, runs, stopped, stopped_at, status
@@ -203,6 +208,7 @@
             log_service=platform["log"],
             vm_list=platform["vm_list"],
             weight_store=platform["weights"],
+            burn=2.0,
         )
         fleet.daemon(vm.name, settings)
     wait_listening([vm.http for vm in site.vms])
@@ -375,6 +381,18 @@
         return {}
 
 
+def _dump_log(site: _Site) -> None:
+    """
+    Keep what the burn report is worked out from: the log ends with the demo.
+    """
+    time.sleep(_BURN_SETTLES)
+    url = f"http://{site.platform['log']}/v1/streams"
+    pages = {name: read_json(f"{url}/{name}?from=0") for name in ("config", "burn")}
+    _DUMP.parent.mkdir(exist_ok=True)
+    _DUMP.write_text(json.dumps(pages))
+    _say(f"for the burn report: saddledoorctl report burn --dump {_DUMP}")
+
+
 def _runs_by_reference(site: _Site) -> dict[str, int]:
     """
     Return how often each reference ran on the unrepeatable routes, over all instances.
--- a/packages/saddledoor/src/saddledoor/__init__.py
+++ b/packages/saddledoor/src/saddledoor/__init__.py
@@ -12,6 +12,7 @@
 from ._answers import Answer, AnswerBuilder, Part
 from ._attempts import Attempts
 from ._availability import DEAD_REPORT_AGE, PENALTY, Need, may_use
+from ._burn import BurnMeter, BurnRow, Hole, Observation, burn_rows, find_holes
 from ._claims import ClaimFold, IssuedKeys, key_digest, partition_of
 from ._codes import Family, NotRun, OutcomeUnknown, ResultCode, describe
 from ._config_fold import NO_BASE, Accepted, ConfigFold, InForce, PublishResult
@@ -30,6 +31,7 @@
     Instance,
     Limits,
     Model,
+    Objective,
     Partner,
     Pool,
     Route,
@@ -54,6 +56,7 @@
 )
 from ._queueing import FairQueue, WorkClass
 from ._records import (
+    BurnTotals,
     ClaimBatch,
     ClaimRelease,
     ConfigProposal,
@@ -74,6 +77,7 @@
 from ._routing import (
     Candidate,
     Choose,
+    least_outstanding,
     least_reported,
     rendezvous,
     rendezvous_order,
@@ -85,6 +89,14 @@
 
 
 __all__ = [
+    "BurnMeter",
+    "BurnRow",
+    "BurnTotals",
+    "Hole",
+    "Objective",
+    "Observation",
+    "burn_rows",
+    "find_holes",
     "Answer",
     "AnswerBuilder",
     "Attempts",
@@ -162,6 +174,7 @@
     "is_fresh",
     "is_wholly_labelled",
     "key_digest",
+    "least_outstanding",
     "least_reported",
     "next_orders",
     "pack_document",
--- a/packages/saddledoor/src/saddledoor/_deployment.py
+++ b/packages/saddledoor/src/saddledoor/_deployment.py
@@ -24,6 +24,7 @@
     "Instance",
     "Limits",
     "Model",
+    "Objective",
     "Partner",
     "Pool",
     "Route",
@@ -160,11 +161,38 @@
     preference: Literal["idle", "staleness"] = "idle"
 
 
+@_checked
+class Objective:
+    """
+    A service level that the burn report watches.
+
+    :param kind: What is counted: ``latency`` (seconds to a whole answer), ``refusals``
+        (1 for a request refused or failed), ``idle`` (seconds that a trainer's fetch
+        waited), ``freshness`` (versions that a sample lay behind).
+    :param threshold: An event is good up to this value.
+    :param target: Share of events that should be good.
+    :param subject: A partner, ``trainer:NAME`` or ``pool:NAME``; empty for all.
+    """
+
+    name: Name
+    kind: Literal["latency", "refusals", "idle", "freshness"]
+    threshold: Annotated[float, Field(ge=0, strict=False)]
+    target: Annotated[float, Field(gt=0, lt=1)]
+    subject: Annotated[str, Field(max_length=80)] = ""
+
+    def covers(self, subject: str) -> bool:
+        """
+        Tell whether events of a subject count.
+        """
+        return self.subject in ("", subject)
+
+
 @_checked
 class Limits:
     """
     Bounds that hold for the whole deployment.
 
+    :param choice: Policy that picks among back ends with room.
     :param claim_remember_s: How long a caller's key is remembered, in seconds; the
         log must keep its records longer.
     """
@@ -175,6 +203,9 @@
     max_queue: Count = 256
     retry_ratio: Annotated[float, Field(ge=0, le=1, strict=False)] = 0.2
     retry_burst: Annotated[float, Field(ge=0, strict=False)] = 10.0
+    choice: Literal["least_outstanding", "two_choices", "round_robin", "uniform"] = (
+        "least_outstanding"
+    )
     claim_partitions: Annotated[int, Field(ge=1, le=256)] = 4
     claim_remember_s: Seconds = 3600.0
 
@@ -192,6 +223,7 @@
     services: tuple[Service, ...] = ()
     partners: tuple[Partner, ...] = ()
     trainers: tuple[Trainer, ...] = ()
+    objectives: tuple[Objective, ...] = ()
     limits: Limits = Limits()
 
     def __post_init__(self) -> None:
@@ -309,6 +341,7 @@
     yield from _duplicates("services", (s.name for s in deployment.services))
     yield from _duplicates("partners", (p.name for p in deployment.partners))
     yield from _duplicates("trainers", (t.name for t in deployment.trainers))
+    yield from _duplicates("objectives", (o.name for o in deployment.objectives))
     yield from _check_members(deployment)
     yield from _check_trainers(deployment)
     yield from _check_tokens(deployment)
--- a/packages/saddledoor/src/saddledoor/_members.py
+++ b/packages/saddledoor/src/saddledoor/_members.py
@@ -3,7 +3,7 @@
 """
 What a node knows of the VMs and back ends of the deployment: state passed on by peers.
 
-Each VM numbers its own entry; a higher (incarnation, number) replaces a lower one, so
+Each VM numbers its own entry; a higher (start, number) replaces a lower one, so
 entries may arrive late, twice and by any way round. Inside a data centre entries are
 pulled from random peers (anti-entropy); between data centres only a summary travels.
 """
@@ -41,14 +41,14 @@
     """
     One VM's entry.
 
-    :param incarnation: Unique name of its process; sorts by start time.
-    :param seq: Number of the entry; grows with each change.
+    :param started: When its process began, in milliseconds since 1970.
+    :param seq: Number of the entry; grows with each change that others should hear.
     :param state: ``serving``, ``draining`` or ``stopped``.
     :param grpc_outside: Peer address for VMs of other data centres.
     """
 
     vm: str
-    incarnation: str
+    started: int
     seq: int
     data_centre: str
     http: str
@@ -60,11 +60,22 @@
     grpc_outside: str = ""
 
     @property
-    def rank(self) -> tuple[str, int]:
+    def urgent(self) -> tuple[object, ...]:
+        """
+        What others must hear of at once when it changes; loads are not urgent.
+        """
+        reports = tuple(
+            (r.name, r.alive, r.leaving, tuple(sorted(r.versions.items())))
+            for r in self.reports
+        )
+        return (self.state, self.config_offset, self.leases, reports)
+
+    @property
+    def rank(self) -> tuple[int, int]:
         """
         What decides which of two entries of a VM is newer.
         """
-        return (self.incarnation, self.seq)
+        return (self.started, self.seq)
 
 
 @dataclass(frozen=True)
@@ -134,17 +145,17 @@
         if known is None or known.at <= summary.at:
             self._sites[summary.data_centre] = summary
 
-    def ranks(self) -> dict[str, tuple[str, int]]:
+    def ranks(self) -> dict[str, tuple[int, int]]:
         """
         Return the digest that a peer compares with its own entries.
         """
         return {vm: entry.rank for vm, entry in self._entries.items()}
 
-    def newer_than(self, ranks: dict[str, tuple[str, int]]) -> list[MemberEntry]:
+    def newer_than(self, ranks: dict[str, tuple[int, int]]) -> list[MemberEntry]:
         """
         Return the entries that a peer with this digest lacks.
         """
-        nothing = ("", -1)
+        nothing = (-1, -1)
         return [e for vm, e in self._entries.items() if e.rank > ranks.get(vm, nothing)]
 
     def live(self, now: float) -> list[MemberEntry]:
@@ -169,13 +180,6 @@
     def entry(self, vm: str) -> MemberEntry | None:
         return self._entries.get(vm)
 
-    def by_incarnation(self, incarnation: str) -> MemberEntry | None:
-        """
-        Return the entry of one very process, or none.
-        """
-        matching = (e for e in self._entries.values() if e.incarnation == incarnation)
-        return next(matching, None)
-
     def reports(self) -> dict[str, BackendReport]:
         """
         Return the newest report of each back end.
--- a/packages/saddledoor/src/saddledoor/_records.py
+++ b/packages/saddledoor/src/saddledoor/_records.py
@@ -17,6 +17,7 @@
 
 
 __all__ = [
+    "BurnTotals",
     "ClaimBatch",
     "ClaimRelease",
     "ConfigProposal",
@@ -167,8 +168,27 @@
     kind: Literal["claim_release"] = "claim_release"
 
 
+@dataclass(frozen=True)
+class BurnTotals:
+    """
+    What one process has counted since it began, for the burn report.
+
+    :param every: How often it writes such a record, in seconds.
+    :param totals: Good and all events by ``objective|subject``.
+    :param final: Whether the process ends now, with nothing left to count.
+    """
+
+    incarnation: str
+    data_centre: str
+    every: float
+    totals: dict[str, tuple[int, int]]
+    final: bool = False
+    kind: Literal["burn_totals"] = "burn_totals"
+
+
 Record = (
-    ConfigProposal
+    BurnTotals
+    | ConfigProposal
     | ConfigVerdict
     | ConfigSnapshot
     | LeaseClaim
--- a/packages/saddledoor/src/saddledoor/_routing.py
+++ b/packages/saddledoor/src/saddledoor/_routing.py
@@ -14,6 +14,7 @@
 __all__ = [
     "Candidate",
     "Choose",
+    "least_outstanding",
     "least_reported",
     "rendezvous",
     "rendezvous_order",
@@ -82,9 +83,29 @@
     return choose
 
 
+def least_outstanding(random: Callable[[], float]) -> Choose:
+    """
+    Return a policy that takes the candidate with the least of this node's own work.
+
+    What the node itself has in flight is exact and never lags, so nodes do not herd;
+    ties, which are many while little is in flight, are broken at random.
+    Source: the least-outstanding-requests policy of load balancers; why it stands
+    here is in docs/design/choice-of-engine.md.
+
+    :param random: Returns numbers in [0, 1).
+    """
+
+    def choose(candidates: Sequence[Candidate]) -> Candidate:
+        least = min(candidate.own / candidate.slots for candidate in candidates)
+        ties = [c for c in candidates if c.own / c.slots <= least]
+        return ties[int(random() * len(ties))]
+
+    return choose
+
+
 def two_choices(random: Callable[[], float], half_life: float = 1.0) -> Choose:
     """
-    Return a policy that compares two random candidates.
+    Return a policy that compares two random candidates; a baseline.
 
     A candidate's load is this node's own work there plus the reported load,
     discounted by the report's age.
--- a/packages/saddledoorctl/src/saddledoorctl/_cli.py
+++ b/packages/saddledoorctl/src/saddledoorctl/_cli.py
@@ -14,6 +14,7 @@
 
 from ._config import config
 from ._replay import replay_command
+from ._report import report
 from ._status import status
 
 
@@ -38,6 +39,7 @@
 
 main.add_command(config)
 main.add_command(replay_command)
+main.add_command(report)
 main.add_command(status)
 
 
--- a/packages/saddledoorctl/src/saddledoorctl/_platform.py
+++ b/packages/saddledoorctl/src/saddledoorctl/_platform.py
@@ -16,9 +16,8 @@
 from saddledoor.exceptions import UndecodableRecordError
 
 
-__all__ = ["ConfigStream", "PlatformAwayError", "fetch_json"]
+__all__ = ["ConfigStream", "LogStream", "PlatformAwayError", "fetch_any", "fetch_json"]
 
-_STREAM = "config"
 #: Longest wait for one answer, in seconds.
 _TIMEOUT = 5.0
 
@@ -42,21 +41,20 @@
     record: Record
 
 
-class ConfigStream:
+class LogStream:
     """
-    Reads and appends the configuration stream.
+    Reads and appends one stream of the log.
     """
 
-    def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
+    def __init__(self, session: aiohttp.ClientSession, url: str, name: str) -> None:
         self._session = session
-        self._url = f"{url}/v1/streams/{_STREAM}"
+        self._url = f"{url}/v1/streams/{name}"
         self._next = 0
-        self.fold: ConfigFold | None = None
         self.entries: list[Entry] = []
 
     async def catch_up(self, wait: float = 0.0) -> None:
         """
-        Read and fold everything that the log has now.
+        Read everything that the log has now.
 
         :param wait: How long the log may wait for a record to come, in seconds.
         :raises PlatformAwayError: If the log gave no answer.
@@ -67,14 +65,19 @@
             page = await fetch_json(
                 self._session, "GET", self._url, params=params, timeout=limit
             )
-            if self.fold is None:
-                self.fold = ConfigFold.starting_at(page["first"])
-            for item in page["records"]:
-                self._take(item)
-            self._next = max(self._next, page["next"])
+            self.load(page)
             if not page["records"] or wait:
                 return
 
+    def load(self, page: dict) -> None:
+        """
+        Take a page as the log gives it, from the log or from a file.
+        """
+        self._begin(page["first"])
+        for item in page["records"]:
+            self._take(item)
+        self._next = max(self._next, page["next"])
+
     async def append(self, record: Record) -> None:
         """
         Append a record; on an error it may stand in the log all the same.
@@ -85,13 +88,39 @@
         body = {"records": [encode_record(record)]}
         await fetch_json(self._session, "POST", self._url, json=body, timeout=limit)
 
-    def _take(self, item: dict) -> None:
+    def _begin(self, first: int) -> None:
+        """
+        Learn the oldest offset that the log has.
+        """
+
+    def _take(self, item: dict) -> Entry | None:
         try:
             record = decode_record(item["data"])
         except UndecodableRecordError:
-            return
-        self.fold = self.fold.apply(item["offset"], record)
-        self.entries.append(Entry(item["offset"], item["at"], record))
+            return None
+        entry = Entry(item["offset"], item["at"], record)
+        self.entries.append(entry)
+        return entry
+
+
+class ConfigStream(LogStream):
+    """
+    The configuration stream and its fold.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
+        super().__init__(session, url, "config")
+        self.fold: ConfigFold | None = None
+
+    def _begin(self, first: int) -> None:
+        if self.fold is None:
+            self.fold = ConfigFold.starting_at(first)
+
+    def _take(self, item: dict) -> Entry | None:
+        entry = super()._take(item)
+        if entry is not None:
+            self.fold = self.fold.apply(entry.offset, entry.record)
+        return entry
 
 
 async def fetch_json(
--- a/packages/saddledoord/src/saddledoord/_collector.py
+++ b/packages/saddledoord/src/saddledoord/_collector.py
@@ -27,6 +27,8 @@
 )
 from saddledoor.tracing import Fetched, StepOpened
 
+from ._burn_feed import BurnFeed
+from ._clock import boot_time
 from ._lease_keeper import LeaseKeeper
 from ._metrics import Metrics
 from ._peer_client import PeerAwayError, PeerClient
@@ -77,7 +79,9 @@
         peers: PeerClient,
         runner: SampleRunner,
         metrics: Metrics,
+        burn: BurnFeed,
     ) -> None:
+        self._burn = burn
         self._state = state
         self._keeper = keeper
         self._peers = peers
@@ -275,6 +279,7 @@
         if run is None:
             return NotRun(ResultCode.RESYNC, "the step is not known here", 0.0)
         run.note_version(body.version)
+        began = boot_time()
         if body.fence == run.book.fence:
             await run.wait_ready(body.wait_s)
         request = FetchRequest(body.fence, body.cursor, body.version, body.limit)
@@ -283,6 +288,10 @@
         if isinstance(answer, Resync):
             return NotRun(ResultCode.RESYNC, f"the fence is {answer.fence} now", 0.0)
         run.wake()
+        self._burn.fetch(trainer.name, boot_time() - began)
+        for sample in answer.samples:
+            oldest = min(r.version for r in sample.runs)
+            self._burn.sample(trainer.name, body.version - oldest)
         self._metrics.samples.add(len(answer.samples), {"what": "handed_out"})
         return _collected(
             {
--- a/packages/saddledoord/src/saddledoord/_daemon.py
+++ b/packages/saddledoord/src/saddledoord/_daemon.py
@@ -19,6 +19,7 @@
 from saddledoor.tracing import NodeBegan, StageChanged
 
 from ._backends import Backends
+from ._burn_feed import BurnFeed
 from ._claim_log import ClaimLog
 from ._clock import boot_time
 from ._collector import Collectors, collector_lease
@@ -110,11 +111,12 @@
         claims = ClaimLog(log, state, metrics)
         ledger = KeyLedger()
         runner = SampleRunner(state, dispatcher, backends, peers, metrics)
-        collectors = Collectors(state, keeper, peers, runner, metrics)
+        burn = BurnFeed(state, log)
+        collectors = Collectors(state, keeper, peers, runner, metrics, burn)
         pipeline = Pipeline(state, dispatcher, backends, peers, claims, ledger, metrics)
         control = Control(state, keeper, backends, log, metrics)
         status = status_reader(state, collectors, dispatcher)
-        app, in_flight = build_app(state, pipeline, collectors, metrics, status)
+        app, in_flight = build_app(state, pipeline, collectors, metrics, burn, status)
         service = PeerService(
             state,
             exchange,
@@ -142,6 +144,7 @@
             watcher.run(),
             dispatcher.review(),
             claims.run_releases(),
+            burn.run(),
             exchange.run_vm_list(backends.session),
             exchange.run_pulls(),
             exchange.run_summaries(),
@@ -158,6 +161,7 @@
         state.drain.stopped = True
         state.trace(StageChanged(state.stage))
         http.end()
+        await burn.write(final=True)
         if not drained.done():
             _log.warning("stopped_by_second_signal", in_flight=in_flight.count)
             drained.cancel()
--- a/packages/saddledoord/src/saddledoord/_dispatch.py
+++ b/packages/saddledoord/src/saddledoord/_dispatch.py
@@ -23,8 +23,11 @@
     NotRun,
     ResultCode,
     WorkClass,
+    least_outstanding,
     may_use,
+    round_robin,
     two_choices,
+    uniform,
 )
 from saddledoor.tracing import Granted
 
@@ -84,13 +87,16 @@
 class Dispatcher:
     """
     Hands out slots of all pools and services.
-
-    :param choose: The policy that picks among back ends with room.
     """
 
-    def __init__(self, state: NodeState, choose: Choose | None = None) -> None:
+    def __init__(self, state: NodeState) -> None:
         self._state = state
-        self._choose = choose or two_choices(random.random)
+        self._policies: dict[str, Choose] = {
+            "least_outstanding": least_outstanding(random.random),
+            "two_choices": two_choices(random.random),
+            "round_robin": round_robin(),
+            "uniform": uniform(random.random),
+        }
         self._own: dict[str, int] = {}
         self._failed_at: dict[str, float] = {}
         self._queues: dict[str, FairQueue[_Waiter]] = {}
@@ -196,7 +202,8 @@
         ]
         if not candidates:
             return None
-        chosen = self._choose([candidate for _, candidate in candidates])
+        choose = self._policies[self._state.deployment.limits.choice]
+        chosen = choose([candidate for _, candidate in candidates])
         member = next(m for m, c in candidates if c is chosen)
         return self._grant(member, wanted.target)
 
--- a/packages/saddledoord/src/saddledoord/_exchange.py
+++ b/packages/saddledoord/src/saddledoord/_exchange.py
@@ -9,6 +9,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from dataclasses import replace
 
 import aiohttp
 
@@ -41,6 +42,8 @@
 _TIMEOUT = 1.0
 #: Peers of this data centre that a summary names, a count.
 _SUMMARY_PEERS = 4
+#: Numbers that an entry gets before it would expire, a count.
+_RENEWALS = 4
 #: A summary is passed on only if it is younger by so much, in seconds.
 _FRESHER = 0.5
 #: Entries of VMs that are gone are dropped after so long, in seconds.
@@ -66,6 +69,9 @@
         self._watcher = watcher
         self._metrics = metrics
         self._seq = 0
+        self._renewed_at = boot_time()
+        expiry = state.settings.timings.member_expiry
+        self._renew_every = expiry / _RENEWALS
 
     async def run_vm_list(self, session: aiohttp.ClientSession) -> None:
         """
@@ -119,13 +125,22 @@
 
     def refresh_own(self) -> None:
         """
-        Number and keep this VM's own entry.
+        Renew this VM's own entry, and its number if others should hear of it.
         """
+        entry = self._own_entry()
+        known = self._state.members.entry(entry.vm)
+        now = boot_time()
+        changed = known is None or known.urgent != entry.urgent
+        if changed or now - self._renewed_at >= self._renew_every:
+            self._renewed_at = now
+            self._seq += 1
+            self._state.members.offer(replace(entry, seq=self._seq), now)
+
+    def _own_entry(self) -> MemberEntry:
         settings = self._state.settings
-        self._seq += 1
-        entry = MemberEntry(
+        return MemberEntry(
             vm=settings.vm,
-            incarnation=self._state.incarnation,
+            started=self._state.started,
             seq=self._seq,
             data_centre=settings.data_centre,
             http=settings.http,
@@ -136,13 +151,12 @@
             leases=self._held_leases(),
             grpc_outside=settings.grpc_from_afar,
         )
-        self._state.members.offer(entry, boot_time())
 
     def answer(self, request: pb.ExchangeRequest) -> pb.ExchangeReply:
         """
         Answer a peer's pull with what it lacks.
         """
-        ranks = {r.vm: (r.incarnation, r.seq) for r in request.ranks}
+        ranks = {r.vm: (r.started, r.seq) for r in request.ranks}
         now = boot_time()
         members = self._state.members
         entries = [entry_to_wire(entry, now) for entry in members.newer_than(ranks)]
@@ -220,7 +234,7 @@
 
     async def _pull(self, address: str) -> None:
         ranks = [
-            pb.Rank(vm=vm, incarnation=rank[0], seq=rank[1])
+            pb.Rank(vm=vm, started=rank[0], seq=rank[1])
             for vm, rank in self._state.members.ranks().items()
         ]
         request = pb.ExchangeRequest(
--- a/packages/saddledoord/src/saddledoord/_http.py
+++ b/packages/saddledoord/src/saddledoord/_http.py
@@ -17,6 +17,8 @@
 from saddledoor.tracing import RequestIn, RequestOut
 
 from ._backends import CallAnswer
+from ._burn_feed import BurnFeed
+from ._clock import boot_time
 from ._collector import Collectors
 from ._metrics import Metrics
 from ._pipeline import Pipeline, ServiceRequest
@@ -51,6 +53,7 @@
         self.count += 1
         self._numbers += 1
         req.context.number = self._numbers
+        req.context.began = boot_time()
         self._state.trace(RequestIn(self._numbers))
 
     async def process_response(self, req, resp, resource, succeeded) -> None:
@@ -114,11 +117,13 @@
         pipeline: Pipeline,
         metrics: Metrics,
         in_flight: InFlight,
+        burn: BurnFeed,
     ) -> None:
         self._state = state
         self._pipeline = pipeline
         self._metrics = metrics
         self._in_flight = in_flight
+        self._burn = burn
 
     def _max_body(self) -> int:
         deployment = self._state.deployment
@@ -127,8 +132,18 @@
     def _identify(self, req) -> Caller | NotRun:
         return self._pipeline.identify(req.get_header("Authorization"))
 
+    def _measure(self, req, resp, caller: Caller, model: str = "") -> None:
+        """
+        Count an ended request for the burn report.
+        """
+        pool = self._state.pool_of_model(model) if model else None
+        seconds = boot_time() - req.context.began
+        code = getattr(resp.context, "code", ResultCode.DONE)
+        self._burn.request(caller.name, pool.name if pool else "", code, seconds)
+
     def _refuse(self, resp, kind: str, outcome: NotRun | OutcomeUnknown) -> None:
         self._count(kind, outcome.code)
+        resp.context.code = outcome.code
         _encode_refusal(resp, outcome)
 
     def _count(self, kind: str, code: ResultCode) -> None:
@@ -152,10 +167,12 @@
         if body.stream:
             return await self._stream(req, resp, parts)
         whole = await collect_whole(parts, body.max_tokens, "caller", self._state.trace)
-        if not isinstance(whole, Answer):
-            return self._refuse(resp, "completion", whole)
-        self._count("completion", ResultCode.DONE)
-        resp.media = _completion_media(whole, body.model)
+        if isinstance(whole, Answer):
+            self._count("completion", ResultCode.DONE)
+            resp.media = _completion_media(whole, body.model)
+        else:
+            self._refuse(resp, "completion", whole)
+        return self._measure(req, resp, caller, body.model)
 
     async def _stream(self, req, resp, parts: AsyncIterator) -> None:
         # The first part decides the status: what never ran is refused plainly.
@@ -203,8 +220,13 @@
             key=req.get_header("Idempotency-Key") or "",
         )
         result = await self._pipeline.call(caller, request)
-        if not isinstance(result, CallAnswer):
-            return self._refuse(resp, "call", result)
+        if isinstance(result, CallAnswer):
+            self._encode(resp, result)
+        else:
+            self._refuse(resp, "call", result)
+        self._measure(req, resp, caller)
+
+    def _encode(self, resp, result: CallAnswer) -> None:
         self._count("call", ResultCode.DONE)
         resp.status = result.status
         resp.content_type = result.content_type
@@ -288,6 +310,7 @@
     pipeline: Pipeline,
     collectors: Collectors,
     metrics: Metrics,
+    burn: BurnFeed,
     status: Callable[[], dict],
 ) -> tuple[falcon.asgi.App, InFlight]:
     """
@@ -295,7 +318,7 @@
     """
     in_flight = InFlight(state)
     app = falcon.asgi.App(middleware=[in_flight])
-    shared = (state, pipeline, metrics, in_flight)
+    shared = (state, pipeline, metrics, in_flight, burn)
     steps = _Steps(*shared, collectors=collectors)
     operators = _Operators(state, metrics, status)
     app.add_route("/v1/completions", _Completions(*shared))
--- a/packages/saddledoord/src/saddledoord/_settings.py
+++ b/packages/saddledoord/src/saddledoord/_settings.py
@@ -36,6 +36,11 @@
     :param lease_term: Term of every lease; longer than ``order_timeout`` and a
         renewal together.
     :param order_timeout: Longest time an order to an engine may take.
+    :param exchange: Pause between pulls from a peer of the own data centre.
+    :param summary: Pause between pulls from other data centres.
+    :param watch: Pause between readings of a back end.
+    :param member_expiry: A VM that is not heard of for so long is dead.
+    :param burn: Pause between this VM's records for the burn report.
     :param lame_duck: How long a stopping VM goes on taking what is still sent to it.
     :param drain: Longest wait for requests in flight after that.
     """
@@ -44,9 +49,10 @@
     order_timeout: Seconds = 2.0
     exchange: Seconds = 0.5
     summary: Seconds = 1.0
-    watch: Seconds = 0.5
-    member_expiry: Seconds = 5.0
+    watch: Seconds = 1.0
+    member_expiry: Seconds = 8.0
     vm_list: Seconds = 2.0
+    burn: Seconds = 60.0
     log_timeout: Seconds = 2.0
     log_wait: Seconds = 10.0
     lame_duck: Seconds = 2.0
--- a/packages/saddledoord/src/saddledoord/_state.py
+++ b/packages/saddledoord/src/saddledoord/_state.py
@@ -66,11 +66,13 @@
     """
     The daemon's memory; folds are replaced, never changed in place.
 
-    :param incarnation: Unique name of this process; sorts by start time.
+    :param incarnation: Unique name of this process.
+    :param started: When it began, in milliseconds since 1970.
     """
 
     settings: Settings
     incarnation: str
+    started: int
     members: MemberTable
     config_fold: ConfigFold | None = None
     lease_fold: LeaseFold = field(default_factory=LeaseFold)
@@ -103,14 +105,13 @@
 
     @classmethod
     def from_settings(cls, settings: Settings) -> NodeState:
-        # Start time first, so that a VM's next process ranks above its last.
-        started = f"{int(time.time() * 1000):013d}"
+        started = int(time.time() * 1000)
         incarnation = f"{started}-{settings.vm}-{uuid.uuid4().hex[:8]}"
         members = MemberTable(settings.timings.member_expiry)
         drain = Drain(settings.timings.lame_duck, settings.timings.drain)
         trace = open_trace(settings.trace, settings.vm)
         name = incarnation.replace(".", "_")
-        return cls(settings, name, members, drain=drain, trace=trace)
+        return cls(settings, name, started, members, drain=drain, trace=trace)
 
     def offer_config(self, accepted: Accepted | None) -> None:
         """
--- a/packages/saddledoord/src/saddledoord/_wire_types.py
+++ b/packages/saddledoord/src/saddledoord/_wire_types.py
@@ -155,7 +155,7 @@
         for r in entry.reports
     ]
     return pb.Entry(
-        rank=pb.Rank(vm=entry.vm, incarnation=entry.incarnation, seq=entry.seq),
+        rank=pb.Rank(vm=entry.vm, started=entry.started, seq=entry.seq),
         data_centre=entry.data_centre,
         http=entry.http,
         grpc=entry.grpc,
@@ -179,7 +179,7 @@
     )
     return MemberEntry(
         vm=entry.rank.vm,
-        incarnation=entry.rank.incarnation,
+        started=entry.rank.started,
         seq=entry.rank.seq,
         data_centre=entry.data_centre,
         http=entry.http,
--- a/tests/proofs/leaving.py
+++ b/tests/proofs/leaving.py
@@ -36,7 +36,7 @@
 def _entry(node: int, seq: int, report: BackendReport) -> MemberEntry:
     return MemberEntry(
         vm=f"vm-{node}",
-        incarnation="1",
+        started=1,
         seq=seq,
         data_centre="dc-a",
         http="",
