--- a/packages/saddledoor-standins/src/saddledoor_standins/__main__.py
+++ b/packages/saddledoor-standins/src/saddledoor_standins/__main__.py
@@ -23,6 +23,10 @@
 from .trainer import TrainerPlan, run_trainer
 
 
+#: Measurements that can be run alone.
+_BENCHES = ["slopes", "membership", "routing", "admission", "all"]
+
+
 @click.group()
 def main() -> None:
     """
@@ -159,16 +163,20 @@
 
 
 @main.command()
-@click.argument("name", type=click.Choice(["slopes", "membership", "routing", "all"]))
+@click.argument("name", type=click.Choice(_BENCHES))
 def bench(name: str) -> None:
     """
     Run the measurements that the docs quote.
     """
+    from .bench.admission import fairness, overload
     from .bench.routing import routing
     from .bench.slopes import all_slopes, membership
 
     if name in ("routing", "all"):
         routing()
+    if name in ("admission", "all"):
+        overload()
+        fairness()
     if name == "membership":
         membership()
     if name in ("slopes", "all"):
--- /dev/null
+++ b/packages/saddledoor-standins/src/saddledoor_standins/bench/admission.py
@@ -0,0 +1,205 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Admission and fairness: the daemon's queue against plain first come, first served.
+
+Both queues stand in front of the same slots in this process, with the same arrivals.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import deque
+from dataclasses import dataclass, field
+
+from saddledoor import FairQueue, WorkClass
+
+from ._table import print_table
+
+
+__all__ = ["fairness", "overload"]
+
+_SLOTS = 16
+#: Mean work of a request, in seconds and in tokens.
+_WORK = 0.04
+_TOKENS = 20.0
+#: How long requests arrive, in seconds.
+_SECONDS = 4.0
+#: When a guest gives up, in seconds.
+_DEADLINE = 0.5
+_PARTNERS = ("a", "b", "c", "d")
+
+
+@dataclass
+class _Waiter:
+    partner: str
+    deadline: float
+    granted: asyncio.Future = field(repr=False)
+
+
+class _Fifo:
+    """
+    The baseline: one line without bound, served in order, whoever still waits.
+    """
+
+    def __init__(self) -> None:
+        self._line: deque[_Waiter] = deque()
+
+    def push(self, waiter: _Waiter, work: WorkClass, cost: float) -> bool:
+        self._line.append(waiter)
+        return True
+
+    def pop(self) -> _Waiter | None:
+        return self._line.popleft() if self._line else None
+
+
+class _Fair:
+    """
+    The daemon's queue: fair by cost, bounded, and passing over who gave up.
+    """
+
+    def __init__(self, capacity: int) -> None:
+        self._queue: FairQueue[_Waiter] = FairQueue(capacity)
+
+    def push(self, waiter: _Waiter, work: WorkClass, cost: float) -> bool:
+        return self._queue.push(work, waiter.partner, cost, 1.0, waiter)
+
+    def pop(self) -> _Waiter | None:
+        while (waiter := self._queue.pop()) is not None:
+            if not waiter.granted.done():
+                return waiter
+        return None
+
+
+@dataclass
+class _Seen:
+    asked: int = 0
+    good: int = 0
+    refused_after: list[float] = field(default_factory=list)
+    waited: list[float] = field(default_factory=list)
+
+
+class _Gate:
+    """
+    Slots with a queue in front.
+    """
+
+    def __init__(self, queue: _Fifo | _Fair) -> None:
+        self._queue = queue
+        self._free = _SLOTS
+
+    async def serve(
+        self, partner: str, work: WorkClass, seconds: float, seen: _Seen
+    ) -> None:
+        """
+        Pass one request through; it gives up at its deadline.
+        """
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        seen.asked += 1
+        waiter = _Waiter(partner, began + _DEADLINE, loop.create_future())
+        cost = seconds / _WORK * _TOKENS
+        if not self._queue.push(waiter, work, cost):
+            seen.refused_after.append(loop.time() - began)
+            return
+        self._grant()
+        try:
+            # A baseline without deadlines works on what nobody waits for any more.
+            await asyncio.wait_for(asyncio.shield(waiter.granted), _DEADLINE)
+        except TimeoutError:
+            seen.refused_after.append(loop.time() - began)
+            if isinstance(self._queue, _Fair):
+                waiter.granted.cancel()
+                return
+            await waiter.granted
+        await asyncio.sleep(seconds)
+        self._free += 1
+        self._grant()
+        took = loop.time() - began
+        seen.waited.append(took)
+        seen.good += took <= _DEADLINE
+
+    def _grant(self) -> None:
+        while self._free > 0:
+            waiter = self._queue.pop()
+            if waiter is None:
+                return
+            if waiter.granted.done():
+                continue
+            self._free -= 1
+            waiter.granted.set_result(None)
+
+
+async def _run(
+    queue: _Fifo | _Fair, rates: dict[str, float], work: WorkClass, seed: int
+) -> dict[str, _Seen]:
+    gate = _Gate(queue)
+    seen = {partner: _Seen() for partner in rates}
+    loop = asyncio.get_running_loop()
+    tasks: list[asyncio.Task] = []
+
+    async def send(partner: str, rate: float) -> None:
+        chance = random.Random(f"{seed}/{partner}")
+        at = loop.time()
+        end = at + _SECONDS
+        while at < end:
+            at += chance.expovariate(rate)
+            await asyncio.sleep(max(0.0, at - loop.time()))
+            seconds = chance.expovariate(1 / _WORK)
+            one = gate.serve(partner, work, seconds, seen[partner])
+            tasks.append(asyncio.create_task(one))
+
+    await asyncio.gather(*(send(p, rate) for p, rate in rates.items()))
+    _, late = await asyncio.wait(tasks, timeout=2.0)
+    for task in late:
+        task.cancel()
+    return seen
+
+
+def overload(seed: int = 1) -> list[tuple]:
+    """
+    Measure goodput within the deadline at 1, 2 and 5 times what can be served.
+
+    :returns: Rows of factor, queue, share of capacity that was useful, and the 99th
+        percentile of the time to a refusal in ms.
+    """
+    capacity = _SLOTS / _WORK
+    rows = []
+    for factor in (1.0, 2.0, 5.0):
+        rates = {p: capacity * factor / len(_PARTNERS) for p in _PARTNERS}
+        for name, queue in (("first come", _Fifo()), ("fair, bounded", _Fair(64))):
+            seen = asyncio.run(_run(queue, rates, WorkClass.INTERACTIVE, seed))
+            good = sum(s.good for s in seen.values()) / (capacity * _SECONDS)
+            refused = sorted(t for s in seen.values() for t in s.refused_after)
+            slowest = refused[int(len(refused) * 0.99)] * 1000 if refused else 0.0
+            rows.append((factor, name, good, slowest))
+    head = ("load", "queue", "goodput / capacity", "refusal p99 ms")
+    print_table("overload: answered within 0.5 s", head, rows)
+    return rows
+
+
+def fairness(seeds: tuple[int, ...] = (1, 2, 3)) -> list[tuple]:
+    """
+    Measure what a partner that floods at ten times its share costs the others.
+
+    :returns: Rows of seed, queue, the others' answered share before and during, and
+        the share that they lost.
+    """
+    capacity = _SLOTS / _WORK
+    share = 0.8 * capacity / len(_PARTNERS)
+    calm = dict.fromkeys(_PARTNERS, share)
+    flood = calm | {"a": 10 * share}
+    rows = []
+    for seed in seeds:
+        for name, make in (("first come", _Fifo), ("fair, bounded", lambda: _Fair(64))):
+            shares = []
+            for rates in (calm, flood):
+                seen = asyncio.run(_run(make(), rates, WorkClass.INTERACTIVE, seed))
+                others = [s for p, s in seen.items() if p != "a"]
+                asked = sum(s.asked for s in others)
+                shares.append(sum(s.good for s in others) / asked)
+            rows.append((seed, name, *shares, 1 - shares[1] / shares[0]))
+    head = ("seed", "queue", "others before", "others during", "lost")
+    print_table("one partner floods at ten times its share", head, rows)
+    return rows
--- a/packages/saddledoord/src/saddledoord/_exchange.py
+++ b/packages/saddledoord/src/saddledoord/_exchange.py
@@ -46,6 +46,8 @@
 _RENEWALS = 4
 #: A summary is passed on only if it is younger by so much, in seconds.
 _FRESHER = 0.5
+#: Wait before the list of VMs is read again because nobody answered, in seconds.
+_LIST_RETRY = 2.0
 #: Entries of VMs that are gone are dropped after so long, in seconds.
 _FORGET_AFTER = 60.0
 
@@ -69,6 +71,8 @@
         self._watcher = watcher
         self._metrics = metrics
         self._seq = 0
+        self._pushed_seq = 0
+        self._lonely = asyncio.Event()
         self._renewed_at = boot_time()
         expiry = state.settings.timings.member_expiry
         self._renew_every = expiry / _RENEWALS
@@ -90,7 +94,16 @@
             except (aiohttp.ClientError, TimeoutError, ValueError, KeyError, TypeError):
                 # The last list stays: a lost platform must not empty the fleet.
                 pass
-            await asyncio.sleep(settings.timings.vm_list)
+            await self._until_list_is_due()
+
+    async def _until_list_is_due(self) -> None:
+        self._lonely.clear()
+        try:
+            async with asyncio.timeout(self._state.settings.timings.vm_list):
+                await self._lonely.wait()
+                await asyncio.sleep(_LIST_RETRY)
+        except TimeoutError:
+            pass
 
     async def run_pulls(self) -> None:
         """
@@ -99,8 +112,8 @@
         while True:
             self.refresh_own()
             address = self._random_peer()
-            if address is not None:
-                await self._pull(address)
+            if address is None or not await self._pull(address):
+                self._lonely.set()
             now = boot_time()
             self._state.members.forget_dead(now, _FORGET_AFTER)
             await asyncio.sleep(self._state.settings.timings.exchange)
@@ -159,6 +172,8 @@
         ranks = {r.vm: (r.started, r.seq) for r in request.ranks}
         now = boot_time()
         members = self._state.members
+        if request.HasField("own"):
+            self._hear(entry_from_wire(request.own, now), now)
         entries = [entry_to_wire(entry, now) for entry in members.newer_than(ranks)]
         sites = [
             site_to_wire(site, now)
@@ -232,34 +247,54 @@
         known.pop(settings.vm, None)
         return random.choice(sorted(known.values())) if known else None
 
-    async def _pull(self, address: str) -> None:
-        ranks = [
-            pb.Rank(vm=vm, started=rank[0], seq=rank[1])
-            for vm, rank in self._state.members.ranks().items()
-        ]
-        request = pb.ExchangeRequest(
-            vm=self._state.settings.vm,
-            ranks=ranks,
-            config_offset=self._state.in_force.offset,
-            site_ages=self._site_ages(),
-        )
+    async def _pull(self, address: str) -> bool:
+        """
+        Pull from a peer; false if it gave no answer.
+        """
+        request = self._pull_request()
         try:
             reply = await self._peers.exchange(address, request, _TIMEOUT)
         except PeerAwayError:
             self._metrics.exchanges.add(1, {"outcome": "away"})
-            return
+            return False
+        self._pushed_seq = self._seq
         self._metrics.exchanges.add(1, {"outcome": "answered"})
         self._count_bytes(request, reply)
+        self._take_reply(reply)
+        return True
+
+    def _pull_request(self) -> pb.ExchangeRequest:
+        state = self._state
+        ranks = [
+            pb.Rank(vm=vm, started=rank[0], seq=rank[1])
+            for vm, rank in state.members.ranks().items()
+        ]
+        own = state.members.entry(state.settings.vm)
+        renumbered = own is not None and self._seq != self._pushed_seq
+        return pb.ExchangeRequest(
+            vm=state.settings.vm,
+            ranks=ranks,
+            config_offset=state.in_force.offset,
+            site_ages=self._site_ages(),
+            own=entry_to_wire(own, boot_time()) if renumbered else None,
+        )
+
+    def _take_reply(self, reply: pb.ExchangeReply) -> None:
         now = boot_time()
         for wire in reply.entries:
-            entry = entry_from_wire(wire, now)
-            if entry.vm != self._state.settings.vm:
-                self._state.members.offer(entry, now)
+            self._hear(entry_from_wire(wire, now), now)
         for site in reply.sites:
             self._state.members.offer_site(site_from_wire(site, now))
         self._state.note_leaving()
         self._take_config(reply)
 
+    def _hear(self, entry: MemberEntry, now: float) -> None:
+        # Nobody else knows better of this VM, and other data centres' VMs do not
+        # belong in this table.
+        own = self._state.settings
+        if entry.vm != own.vm and entry.data_centre == own.data_centre:
+            self._state.members.offer(entry, now)
+
     def _site_ages(self) -> dict[str, float]:
         now = boot_time()
         return {s.data_centre: now - s.at for s in self._state.members.sites(now)}
@@ -267,6 +302,7 @@
     async def _pull_summary(self, site: str) -> None:
         address = self._peer_of_site(site)
         if address is None:
+            self._lonely.set()
             return
         request = pb.SummaryRequest(
             vm=self._state.settings.vm, config_offset=self._state.in_force.offset
@@ -275,6 +311,7 @@
             reply = await self._peers.summary(address, request, _TIMEOUT)
         except PeerAwayError:
             self._metrics.exchanges.add(1, {"outcome": "site_away"})
+            self._lonely.set()
             return
         self._metrics.exchanges.add(1, {"outcome": "site_answered"})
         self._count_bytes(request, reply)
--- a/packages/saddledoord/src/saddledoord/_follower.py
+++ b/packages/saddledoord/src/saddledoord/_follower.py
@@ -51,6 +51,7 @@
     :param begin: Called with the oldest offset the log has before the first record,
         and again if the log has dropped records that were not read yet.
     :param apply: Called with each record and its offset.
+    :param pause: Least time between long polls, in seconds.
     """
 
     @property
@@ -67,7 +68,9 @@
         stream: str,
         begin: Callable[[int], None],
         apply: Callable[[int, Record | None], None],
+        pause: float = 0.0,
     ) -> None:
+        self._pause = pause
         self._log = log
         self._state = state
         self._stream = stream
@@ -85,6 +88,7 @@
             try:
                 await self.poll(self.wait if self._next >= 0 else 0.0)
                 self._state.log.note(answered=True)
+                await asyncio.sleep(self._pause)
             except LogAwayError:
                 self._state.log.note(answered=False)
                 await asyncio.sleep(_RETRY_WAIT)
@@ -169,7 +173,14 @@
 
     return (
         StreamFollower(log, state, CONFIG_STREAM, begin_config, apply_config),
-        StreamFollower(log, state, CONTROL_STREAM, begin_leases, apply_leases),
+        StreamFollower(
+            log,
+            state,
+            CONTROL_STREAM,
+            begin_leases,
+            apply_leases,
+            state.settings.timings.control_pause,
+        ),
     )
 
 
--- a/packages/saddledoord/src/saddledoord/_settings.py
+++ b/packages/saddledoord/src/saddledoord/_settings.py
@@ -40,6 +40,10 @@
     :param summary: Pause between pulls from other data centres.
     :param watch: Pause between readings of a back end.
     :param member_expiry: A VM that is not heard of for so long is dead.
+    :param vm_list: Pause between readings of the platform's list of VMs, once others
+        are known; it names every VM, so reading it often would cost more than the rest.
+    :param control_pause: Least time between readings of the lease stream: many holders
+        renew there, and a reading each would cost more than what they say.
     :param burn: Pause between this VM's records for the burn report.
     :param lame_duck: How long a stopping VM goes on taking what is still sent to it.
     :param drain: Longest wait for requests in flight after that.
@@ -48,10 +52,11 @@
     lease_term: Seconds = 6.0
     order_timeout: Seconds = 2.0
     exchange: Seconds = 0.5
-    summary: Seconds = 1.0
+    summary: Seconds = 2.0
     watch: Seconds = 1.0
     member_expiry: Seconds = 8.0
-    vm_list: Seconds = 2.0
+    vm_list: Seconds = 60.0
+    control_pause: Seconds = 1.0
     burn: Seconds = 60.0
     log_timeout: Seconds = 2.0
     log_wait: Seconds = 10.0
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,55 @@
+# SPDX-License-Identifier: MIT
+
+"""
+What the docs state and the code decides is the same.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from saddledoor import Family, NotRun, OutcomeUnknown, ResultCode, describe
+from saddledoor.tracing import CHECKS
+
+
+_ROOT = Path(__file__).parent.parent
+
+
+def test_the_table_of_codes_is_the_codes_own():
+    """
+    docs/CALLERS.md has exactly one row per code, as the code describes it.
+    """
+    text = (_ROOT / "docs" / "CALLERS.md").read_text()
+    told = [line for line in text.splitlines() if line[:3].strip("| ").isdigit()]
+    expected = [
+        f"| {int(code)} | {code.name.lower()} | {code.family.value} | {status} "
+        f"| {meaning} | {todo} |"
+        for code, status, meaning, todo in describe()
+    ]
+    assert [line for line in text.splitlines() if line in expected] == expected
+    assert len(told) <= len(expected)
+
+
+def test_every_promise_has_its_row():
+    """
+    docs/PROMISES.md names each machine that there is.
+    """
+    text = (_ROOT / "docs" / "PROMISES.md").read_text()
+    machines = {p.stem for p in (_ROOT / "tests" / "proofs").glob("[a-z]*.py")}
+    assert [name for name in sorted(machines) if f"`{name}`" not in text] == []
+    assert len(machines) == len(CHECKS)
+
+
+@pytest.mark.parametrize("code", ResultCode)
+def test_the_families_do_not_mix(code):
+    """
+    "Not run" cannot carry a code that means otherwise, nor the other way round.
+    """
+    if code.family is not Family.NOT_RUN:
+        with pytest.raises(ValueError):
+            NotRun(code, "")
+    if code.family is not Family.UNKNOWN:
+        with pytest.raises(ValueError):
+            OutcomeUnknown(code, "")
