Let a flood give way in a full queue: the others lose nothing now

Cause: the queue's bound was shared and a flood filled it, so that the others were refused at its door.

A full class now displaces the request that would be served last.

--- a/packages/saddledoor-standins/src/saddledoor_standins/bench/admission.py
+++ b/packages/saddledoor-standins/src/saddledoor_standins/bench/admission.py
@@ -63,7 +63,10 @@
         self._queue: FairQueue[_Waiter] = FairQueue(capacity)
 
     def push(self, waiter: _Waiter, work: WorkClass, cost: float) -> bool:
-        return self._queue.push(work, waiter.partner, cost, 1.0, waiter)
+        pushed = self._queue.push(work, waiter.partner, cost, 1.0, waiter)
+        if pushed.displaced is not None and not pushed.displaced.granted.done():
+            pushed.displaced.granted.set_exception(_DisplacedError())
+        return pushed.queued
 
     def pop(self) -> _Waiter | None:
         while (waiter := self._queue.pop()) is not None:
@@ -72,6 +75,12 @@
         return None
 
 
+class _DisplacedError(Exception):
+    """
+    Another partner's request took the place of this one.
+    """
+
+
 @dataclass
 class _Seen:
     asked: int = 0
@@ -107,6 +116,9 @@
         try:
             # A baseline without deadlines works on what nobody waits for any more.
             await asyncio.wait_for(asyncio.shield(waiter.granted), _DEADLINE)
+        except _DisplacedError:
+            seen.refused_after.append(loop.time() - began)
+            return
         except TimeoutError:
             seen.refused_after.append(loop.time() - began)
             if isinstance(self._queue, _Fair):
--- a/packages/saddledoor/src/saddledoor/__init__.py
+++ b/packages/saddledoor/src/saddledoor/__init__.py
@@ -54,7 +54,7 @@
     PoolSummary,
     SiteSummary,
 )
-from ._queueing import FairQueue, WorkClass
+from ._queueing import FairQueue, Pushed, WorkClass
 from ._records import (
     BurnTotals,
     ClaimBatch,
@@ -150,6 +150,7 @@
     "Pool",
     "PoolSummary",
     "PublishResult",
+    "Pushed",
     "Record",
     "Resync",
     "ResultCode",
--- a/packages/saddledoor/src/saddledoor/_queueing.py
+++ b/packages/saddledoor/src/saddledoor/_queueing.py
@@ -12,7 +12,7 @@
 from typing import Generic, TypeVar
 
 
-__all__ = ["FairQueue", "Ticket", "WorkClass"]
+__all__ = ["FairQueue", "Pushed", "Ticket", "WorkClass"]
 
 _T = TypeVar("_T")
 
@@ -34,19 +34,35 @@
     """
     A place in the queue.
 
-    :param finish: Virtual finish time; smaller goes first.
+    :param start: Virtual start time; smaller goes first. The request's own cost does
+        not count, so that long ones are not put back.
     """
 
-    finish: float
+    start: float
     order: int
+    partner: str = field(compare=False)
     item: _T = field(compare=False)
 
 
+@dataclass(frozen=True)
+class Pushed(Generic[_T]):
+    """
+    What became of a request at the queue's door.
+
+    :param queued: Whether it waits now; if not, it has to be refused.
+    :param displaced: A request that lost its place to it, and has to be refused.
+    """
+
+    queued: bool
+    displaced: _T | None = None
+
+
 class FairQueue(Generic[_T]):
     """
     Start-time fair queueing by cost, within two classes of work.
 
-    A partner that floods only lengthens its own line: each request's virtual start
+    A partner that floods only lengthens its own line, and gives way first when the
+    queue is full: each request's virtual start
     is the later of the queue's virtual time and the partner's last finish.
     Source: Goyal, Vin and Cheng, "Start-time fair queuing".
 
@@ -72,29 +88,46 @@
 
     def push(
         self, work: WorkClass, partner: str, cost: float, weight: float, item: _T
-    ) -> bool:
+    ) -> Pushed[_T]:
         """
         Queue a request.
 
+        In a full class, the request that would be served last gives way: otherwise a
+        partner that floods would fill the queue, and the others be refused at its
+        door.
+
         :param cost: Expected work, in tokens.
         :param weight: The partner's share relative to others.
-        :returns: False if the class is full; nothing was queued then.
         """
-        if len(self._lines[work]) >= self._capacity:
-            return False
+        line = self._lines[work]
         start = max(self._virtual[work], self._finish.get((work, partner), 0.0))
-        finish = start + cost / weight
-        self._finish[(work, partner)] = finish
         self._count += 1
-        heapq.heappush(self._lines[work], Ticket(finish, self._count, item))
-        return True
+        ticket = Ticket(start, self._count, partner, item)
+        displaced = None
+        if len(line) >= self._capacity:
+            last = max(line)
+            if last <= ticket:
+                return Pushed(queued=False)
+            displaced = self._remove(work, last)
+        self._finish[(work, partner)] = start + cost / weight
+        heapq.heappush(line, ticket)
+        return Pushed(True, displaced)
+
+    def _remove(self, work: WorkClass, ticket: Ticket[_T]) -> _T:
+        line = self._lines[work]
+        line.remove(ticket)
+        heapq.heapify(line)
+        # It was its partner's last: the partner has not had that work.
+        self._finish[(work, ticket.partner)] = ticket.start
+        return ticket.item
 
     def push_front(self, work: WorkClass, item: _T) -> None:
         """
         Put back a request that was taken but could not be served; it goes next.
         """
         self._count += 1
-        heapq.heappush(self._lines[work], Ticket(float("-inf"), self._count, item))
+        ticket = Ticket(float("-inf"), self._count, "", item)
+        heapq.heappush(self._lines[work], ticket)
 
     def pop(self, skip: frozenset[WorkClass] = frozenset()) -> _T | None:
         """
@@ -106,7 +139,7 @@
         if work is None:
             return None
         ticket = heapq.heappop(self._lines[work])
-        self._virtual[work] = max(self._virtual[work], ticket.finish)
+        self._virtual[work] = max(self._virtual[work], ticket.start)
         if not self._lines[work]:
             self._forget_idle(work)
         return ticket.item
--- a/packages/saddledoord/src/saddledoord/_dispatch.py
+++ b/packages/saddledoord/src/saddledoord/_dispatch.py
@@ -140,10 +140,13 @@
             if grant is not None:
                 return grant
         waiter = _Waiter(wanted, asyncio.get_running_loop().create_future())
-        if not queue.push(
+        pushed = queue.push(
             wanted.work, wanted.partner, wanted.cost, wanted.weight, waiter
-        ):
-            return NotRun(ResultCode.OVERLOADED, "the queue is full", 1.0)
+        )
+        if pushed.displaced is not None and not pushed.displaced.future.done():
+            pushed.displaced.future.set_result(_overloaded())
+        if not pushed.queued:
+            return _overloaded()
         self._someone_waits.set()
         return await self._wait(waiter)
 
@@ -169,7 +172,9 @@
         except asyncio.CancelledError:
             # The caller left in the very step in which it got the slot.
             if waiter.future.done() and not waiter.future.cancelled():
-                waiter.future.result().release()
+                outcome = waiter.future.result()
+                if isinstance(outcome, Grant):
+                    outcome.release()
             raise
 
     def _queue(self, target: str) -> FairQueue[_Waiter]:
@@ -287,3 +292,7 @@
             return True
         others = max(0.0, candidate.reported - candidate.own) * 0.5**candidate.age
         return candidate.own + others < candidate.slots
+
+
+def _overloaded() -> NotRun:
+    return NotRun(ResultCode.OVERLOADED, "the queue is full", 1.0)
