Make a trainer's preference and the order of samples real, and measured

Cause: the preference stood in the deployment file and did nothing.

With 'staleness' a sample goes only to an engine at the version that the trainer named; with 'idle' to any within the bound.

The lengths delivered are checked against those asked for.

--- a/packages/saddledoor-standins/src/saddledoor_standins/__main__.py
+++ b/packages/saddledoor-standins/src/saddledoor_standins/__main__.py
@@ -24,7 +24,7 @@
 
 
 #: Measurements that can be run alone.
-_BENCHES = ["slopes", "membership", "routing", "admission", "all"]
+_BENCHES = ["slopes", "membership", "routing", "admission", "steps", "all"]
 
 
 @click.group()
@@ -171,12 +171,16 @@
     from .bench.admission import fairness, overload
     from .bench.routing import routing
     from .bench.slopes import all_slopes, membership
+    from .bench.steps import order, preference
 
     if name in ("routing", "all"):
         routing()
     if name in ("admission", "all"):
         overload()
         fairness()
+    if name in ("steps", "all"):
+        order()
+        preference()
     if name == "membership":
         membership()
     if name in ("slopes", "all"):
--- /dev/null
+++ b/packages/saddledoor-standins/src/saddledoor_standins/bench/steps.py
@@ -0,0 +1,100 @@
+# SPDX-License-Identifier: MIT
+
+"""
+The training step: order of samples, and idle time against staleness.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+
+from saddledoor import SampleSpec, Slot, StepOrder, in_order, longest_first
+
+from ..testbed import MODEL, TRAINER, Shape, Testbed
+from ..trainer import TrainerPlan, run_trainer
+from ._table import print_table
+
+
+__all__ = ["order", "preference"]
+
+_SLOTS = 24
+_TOKEN_S = 0.0005
+
+
+def _specs(seed: int) -> list[SampleSpec]:
+    chance = random.Random(seed)
+    specs = []
+    for number in range(160):
+        tokens = 60 + chance.randrange(60)
+        tokens *= 12 if chance.random() < 0.04 else 1
+        specs.append(SampleSpec(Slot(number // 8, number % 8), "p", tokens))
+    return specs
+
+
+async def _step(specs: list[SampleSpec], arrange: StepOrder) -> tuple[float, int]:
+    slots = asyncio.Semaphore(_SLOTS)
+    made = 0
+
+    async def one(spec: SampleSpec) -> None:
+        nonlocal made
+        async with slots:
+            await asyncio.sleep(spec.max_tokens * _TOKEN_S)
+            made += spec.max_tokens
+
+    began = time.perf_counter()
+    # Tasks queue for slots in the order in which they are made.
+    await asyncio.gather(*(one(spec) for spec in arrange(specs)))
+    return time.perf_counter() - began, made
+
+
+def order(seeds: tuple[int, ...] = (1, 2, 3, 4, 5)) -> list[tuple]:
+    """
+    Measure how long a step with a long tail takes, by the order of its samples.
+
+    :returns: Rows of seed, seconds in order, seconds longest first, their ratio.
+    """
+    rows = []
+    for seed in seeds:
+        specs = _specs(seed)
+        asked = sum(spec.max_tokens for spec in specs)
+        baseline, made = asyncio.run(_step(specs, in_order))
+        candidate, made_too = asyncio.run(_step(specs, longest_first))
+        if (made, made_too) != (asked, asked):
+            raise AssertionError("lengths delivered are not the lengths asked for")
+        rows.append((seed, baseline, candidate, candidate / baseline))
+    head = ("seed", "in order s", "longest first s", "ratio")
+    print_table("a step of 160 samples, 4 % twelve times longer", head, rows)
+    return rows
+
+
+def preference(seeds: tuple[int, ...] = (1, 2, 3)) -> list[tuple]:
+    """
+    Measure both settings of a trainer's preference with real processes.
+
+    Weights are published when a fifth of the step is there, with a bound of one.
+
+    :returns: Rows of seed, preference, seconds of the step, seconds that fetches
+        waited, mean versions behind.
+    """
+    rows = []
+    for wanted in ("idle", "staleness"):
+        for seed in seeds:
+            with Testbed.open(Shape(preference=wanted)) as bed:
+                plan = TrainerPlan(
+                    vms=tuple(vm.http for vm in bed.vms.values()),
+                    trainer=TRAINER,
+                    token=TRAINER,
+                    model=MODEL,
+                    staleness_bound=1,
+                    publish_at=0.2,
+                    weight_store=f"http://{bed.weights}",
+                    seed=seed,
+                )
+                seen = asyncio.run(run_trainer(plan))
+            behind = seen["mean_behind"]
+            rows.append((seed, wanted, seen["seconds"], seen["waited_s"], behind))
+    head = ("seed", "preference", "step s", "waited s", "versions behind")
+    print_table("idle time against staleness, 96 samples", head, rows)
+    return rows
--- a/packages/saddledoor-standins/src/saddledoor_standins/testbed.py
+++ b/packages/saddledoor-standins/src/saddledoor_standins/testbed.py
@@ -82,6 +82,7 @@
     slots: int = 8
     staleness_bound: int = 1
     fenced: bool = True
+    preference: str = "idle"
     traced: bool = False
 
 
@@ -405,6 +406,7 @@
                     "pool": POOL,
                     "model": MODEL,
                     "staleness_bound": self.shape.staleness_bound,
+                    "preference": self.shape.preference,
                 }
             ],
             "limits": {"request_timeout_s": 5.0, **self.shape.limits},
--- a/packages/saddledoor-standins/src/saddledoor_standins/trainer.py
+++ b/packages/saddledoor-standins/src/saddledoor_standins/trainer.py
@@ -76,7 +76,8 @@
     submits: int = 0
     fetches: int = 0
     mixed: int = 0
-    fetched_at: list[float] = field(default_factory=list)
+    behind: list[int] = field(default_factory=list)
+    waited: float = 0.0
     emit: Callable = lambda event: None
 
 
@@ -128,6 +129,8 @@
         "samples_of_mixed_versions": book.mixed,
         "submits": book.submits,
         "fetches": book.fetches,
+        "mean_behind": round(sum(book.behind) / max(1, len(book.behind)), 3),
+        "waited_s": round(book.waited, 2),
         "seconds": round(seconds, 2),
     }
 
@@ -187,9 +190,11 @@
         "limit": 64,
         "wait_s": 2.0,
     }
+    began = time.monotonic()
     reply = await balancer.send(
         "POST", f"{path}/fetch", token=plan.token, body=json.dumps(body).encode()
     )
+    book.waited += time.monotonic() - began
     if reply.status == 409:
         return False
     if reply.status != 200:
@@ -201,7 +206,6 @@
     for sample in data["samples"]:
         _take(plan, book, sample)
     book.cursor = data["number"]
-    book.fetched_at.append(time.monotonic())
     return True
 
 
@@ -223,6 +227,7 @@
     told = [v for v, first, last in sample["runs"] for _ in range(first, last + 1)]
     if made != told:
         book.mislabelled += 1
+    book.behind.append(book.version - min(made, default=book.version))
     if made and min(made) < book.version - plan.staleness_bound:
         book.stale += 1
     if len(set(made)) > 1:
--- a/packages/saddledoor/src/saddledoor/__init__.py
+++ b/packages/saddledoor/src/saddledoor/__init__.py
@@ -85,10 +85,15 @@
     two_choices,
     uniform,
 )
+from ._step_order import StepOrder, in_order, longest_first, oldest_allowed
 from ._swaps import EngineWeights, Order, next_orders
 
 
 __all__ = [
+    "StepOrder",
+    "in_order",
+    "longest_first",
+    "oldest_allowed",
     "BurnMeter",
     "BurnRow",
     "BurnTotals",
--- a/packages/saddledoord/src/saddledoord/_control.py
+++ b/packages/saddledoord/src/saddledoord/_control.py
@@ -39,8 +39,9 @@
 
 #: How often the holder looks for work, in seconds.
 _TICK = 0.5
-#: How often an engine at its target is read again by the holder, in seconds.
-_REREAD = 5.0
+#: How often an engine at its target is read again by the holder, in seconds; sooner if
+#: its watcher reports another version.
+_REREAD = 30.0
 #: Wait per rank before a VM tries to take a control lease, in seconds.
 _RANK_STEP = 0.5
 #: How often the accepted configuration is written to the log again, in seconds.
@@ -178,6 +179,13 @@
             return False
         if known.reading is None:
             return boot_time() - known.at > 1.0
+        report = self._state.members.reports().get(engine.name)
+        if (
+            report
+            and report.at > known.at
+            and report.versions != known.reading.versions
+        ):
+            return True
         for model in pool.models:
             target = self._target(model.name, model.version)
             if target is not None and known.reading.versions.get(model.name) != target:
--- a/packages/saddledoord/src/saddledoord/_sample_runner.py
+++ b/packages/saddledoord/src/saddledoord/_sample_runner.py
@@ -20,6 +20,8 @@
     StepBook,
     Trainer,
     WorkClass,
+    longest_first,
+    oldest_allowed,
 )
 from saddledoor.tracing import SampleAdded, StaleDropped
 
@@ -248,9 +250,7 @@
         if not waiting:
             return
         sites = self._runner.sites(self._trainer.pool)
-        # The longest first: a step ends when its longest sample does.
-        waiting.sort(key=lambda spec: -spec.max_tokens)
-        for spec in waiting:
+        for spec in longest_first(waiting):
             site = self._roomiest(sites)
             if site is None:
                 return
@@ -293,7 +293,10 @@
     def _job(self, spec: SampleSpec) -> CompletionJob:
         slot = spec.slot
         attempt = f"{self._trainer.name}-{self._step}-{slot.group}-{slot.index}"
-        oldest = max(0, self._version - self._trainer.staleness_bound)
+        trainer = self._trainer
+        oldest = oldest_allowed(
+            self._version, trainer.staleness_bound, trainer.preference
+        )
         return CompletionJob(
             attempt_id=f"{attempt}-{uuid.uuid4().hex[:8]}",
             partner=f"trainer:{self._trainer.name}",
