--- /dev/null
+++ b/packages/saddledoor-standins/src/saddledoor_standins/demo_outcome.py
@@ -0,0 +1,220 @@
+# SPDX-License-Identifier: MIT
+
+"""
+What the demo is made of, what it watches, and how it judges what callers saw.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import yaml
+
+from .fleet import Vm, read_json
+
+
+__all__ = [
+    "CONFIG_LIMIT",
+    "FIRST_VERSION",
+    "Site",
+    "Watch",
+    "is_clean",
+    "judge",
+    "runs_by_reference",
+    "status_of",
+    "watch_weights",
+]
+
+#: Weight version of all engines at the start.
+FIRST_VERSION = 1
+#: A configuration must be in force everywhere within this time, in seconds.
+CONFIG_LIMIT = 10.0
+#: New weights must be on all engines within this time, in seconds.
+_WEIGHTS_LIMIT = 8.0
+
+
+@dataclass(frozen=True)
+class Site:
+    """
+    The two files that describe a demo: the deployment and its platform.
+    """
+
+    path: Path
+    deployment: dict
+    platform: dict
+
+    @classmethod
+    def load(cls, path: Path) -> Site:
+        platform_path = path.with_suffix(".platform.yaml")
+        return cls(
+            path,
+            yaml.safe_load(path.read_text()),
+            yaml.safe_load(platform_path.read_text()),
+        )
+
+    @property
+    def vms(self) -> list[Vm]:
+        """
+        The entry VMs, one loopback address each.
+        """
+        network = self.platform["vm_network"]
+        vms = []
+        for data_centre, count in self.platform["vms"].items():
+            for number in range(1, count + 1):
+                ip = f"{network}.{len(vms) + 1}"
+                vms.append(Vm(f"{data_centre}-vm{number}", data_centre, ip))
+        return vms
+
+    @property
+    def engines(self) -> dict[str, dict]:
+        """
+        Engines by name.
+        """
+        pools = self.deployment["pools"]
+        return {engine["name"]: engine for pool in pools for engine in pool["engines"]}
+
+    @property
+    def models(self) -> list[str]:
+        return [m["name"] for pool in self.deployment["pools"] for m in pool["models"]]
+
+
+@dataclass
+class Watch:
+    """
+    Measures how long weights and configurations take to be everywhere.
+    """
+
+    weights: list[float] = field(default_factory=list)
+    configs: list[float] = field(default_factory=list)
+    gone: set[str] = field(default_factory=set)
+    back_at: dict[str, float] = field(default_factory=dict)
+    done: threading.Event = field(default_factory=threading.Event)
+
+
+def status_of(vm: Vm) -> dict | None:
+    try:
+        return read_json(f"http://{vm.http}/v1/status", timeout=2.0)
+    except OSError:
+        return None
+
+
+def watch_weights(site: Site, watch: Watch) -> None:
+    """
+    Note, per engine, how long it took from a publication to the new version.
+    """
+    reached: dict[tuple[str, str, int], float] = {}
+    published: dict[tuple[str, int], float] = {}
+    while not watch.done.is_set():
+        answer = read_json(f"http://{site.platform['weights']}/v1/weights")
+        for model, version in answer["models"].items():
+            published.setdefault((model, version), answer["published_at"][model])
+        for name, engine in site.engines.items():
+            versions = _versions(engine["address"]) if name not in watch.gone else {}
+            for model, version in versions.items():
+                if version > FIRST_VERSION:
+                    reached.setdefault((name, model, version), time.time())
+        watch.weights = _swap_times(site, watch, published, reached)
+        time.sleep(0.05)
+
+
+def _swap_times(
+    site: Site,
+    watch: Watch,
+    published: dict[tuple[str, int], float],
+    reached: dict[tuple[str, str, int], float],
+) -> list[float]:
+    times = []
+    for (model, version), at in published.items():
+        if version == FIRST_VERSION:
+            continue
+        for name in site.engines:
+            start = max(at, watch.back_at.get(name, 0.0))
+            seen = reached.get((name, model, version), time.time())
+            times.append(max(0.0, seen - start))
+    return times
+
+
+def _versions(address: str) -> dict[str, int]:
+    try:
+        return read_json(f"http://{address}/v1/load", timeout=1.0)["versions"]
+    except OSError:
+        return {}
+
+
+def runs_by_reference(site: Site) -> dict[str, int]:
+    """
+    Return how often each reference ran on the unrepeatable routes, over all instances.
+    """
+    runs: dict[str, int] = {}
+    for service in site.deployment["services"]:
+        paths = [r["path"] for r in service["routes"] if r.get("unrepeatable")]
+        if not paths:
+            continue
+        for instance in service["instances"]:
+            ledger = read_json(f"http://{instance['address']}/fake", {})["runs"]
+            for name, count in ledger.items():
+                path, _, reference = name.partition(" ")
+                if path in paths:
+                    runs[reference] = runs.get(reference, 0) + count
+    return runs
+
+
+def judge(
+    watch: Watch,
+    trainers: Sequence[dict],
+    guests: dict,
+    runs: dict[str, int],
+    stopped: Vm,
+    stopped_at: float,
+    status: int,
+) -> dict:
+    def total(name: str) -> int:
+        return sum(result[name] for result in trainers)
+
+    cut = guests["cut_by"].get(stopped.http, [])
+    said_not_run = [ref for ref in guests["not_run_refs"] if ref in runs]
+    return {
+        "requests": guests["requests"],
+        "answered": guests["answered"],
+        "not_run": guests["not_run"],
+        "not_run_but_ran": len(said_not_run),
+        "unknown": guests["unknown"],
+        "wrong_or_partial": guests["wrong_or_partial"] + total("samples_wrong"),
+        "unrepeatable_runs": sum(runs.values()),
+        "unrepeatable_run_twice": sum(1 for count in runs.values() if count > 1),
+        "samples_expected": total("samples_expected"),
+        "samples_delivered": total("samples_delivered"),
+        "samples_duplicated": total("samples_duplicated"),
+        "samples_mislabelled": total("samples_mislabelled"),
+        "samples_stale": total("samples_stale"),
+        "samples_of_mixed_versions": total("samples_of_mixed_versions"),
+        "inflight_cut_by_planned_stop": sum(1 for at in cut if at >= stopped_at),
+        "planned_stop_status": status,
+        "config_in_force_s_max": round(max(watch.configs), 2),
+        "engines_on_new_weights_s_max": round(max(watch.weights, default=0.0), 2),
+        "trainer_seconds_max": max(result["seconds"] for result in trainers),
+    }
+
+
+def is_clean(result: dict) -> bool:
+    harm = (
+        "not_run_but_ran",
+        "unknown",
+        "wrong_or_partial",
+        "unrepeatable_run_twice",
+        "samples_duplicated",
+        "samples_mislabelled",
+        "samples_stale",
+        "inflight_cut_by_planned_stop",
+        "planned_stop_status",
+    )
+    return (
+        all(result[name] == 0 for name in harm)
+        and result["samples_delivered"] == result["samples_expected"]
+        and result["config_in_force_s_max"] <= CONFIG_LIMIT
+        and 0 < result["engines_on_new_weights_s_max"] <= _WEIGHTS_LIMIT
+    )
--- a/packages/saddledoor-standins/src/saddledoor_standins/testbed.py
+++ b/packages/saddledoor-standins/src/saddledoor_standins/testbed.py
@@ -10,13 +10,12 @@
 from __future__ import annotations
 
 import contextlib
-import hashlib
 import json
 import os
 import subprocess
 import sys
 import time
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from http.client import HTTPConnection
 from pathlib import Path
@@ -26,22 +25,19 @@
 from saddledoor.tracing import Traced, read_trace
 
 from .fleet import Fleet, Process, Vm, daemon_settings, read_json, wait_listening
+from .testbed_document import (
+    MODEL,
+    PARTNERS,
+    SERVICE,
+    TRAINER,
+    Shape,
+    digest,
+    make_deployment,
+    make_vms,
+)
 
 
-__all__ = ["Answer", "Testbed", "Shape", "digest", "until"]
-
-MODEL = "model-a"
-POOL = "pool-a"
-SERVICE = "desk"
-TRAINER = "trainer-a"
-PARTNERS = ("partner-a", "partner-b")
-
-
-def digest(token: str) -> str:
-    """
-    Return what a deployment file keeps of a token.
-    """
-    return hashlib.sha256(token.encode()).hexdigest()
+__all__ = ["MODEL", "TRAINER", "Answer", "Shape", "Testbed", "digest", "until"]
 
 
 def until(condition: Callable[[], object], timeout: float = 15.0) -> object:
@@ -60,32 +56,6 @@
         time.sleep(0.03)
 
 
-@dataclass(frozen=True)
-class Shape:
-    """
-    How large a testbed is.
-
-    :param vms: VMs by data centre.
-    :param engines: Engines by data centre.
-    :param services: Service instances by data centre.
-    :param timings: Daemons' durations that differ from the defaults.
-    :param traced: Whether daemons and services record traces.
-    :param fenced: Whether engines refuse old fencing numbers.
-    """
-
-    vms: Mapping[str, int] = field(default_factory=lambda: {"dc-a": 2, "dc-b": 2})
-    engines: Mapping[str, int] = field(default_factory=lambda: {"dc-a": 1, "dc-b": 1})
-    services: Mapping[str, int] = field(default_factory=lambda: {"dc-a": 1, "dc-b": 1})
-    timings: Mapping[str, float] = field(default_factory=dict)
-    limits: Mapping[str, float] = field(default_factory=dict)
-    token_s: float = 0.004
-    slots: int = 8
-    staleness_bound: int = 1
-    fenced: bool = True
-    preference: str = "idle"
-    traced: bool = False
-
-
 @dataclass(frozen=True)
 class Answer:
     """
@@ -129,8 +99,8 @@
         self.weights = f"{network}.5.2:9000"
         self.vm_list = f"{network}.5.3:9000"
         self._control = f"{network}.6.1:9100"
-        self.vms = self._make_vms()
-        self.deployment = self._make_deployment()
+        self.vms = make_vms(self.shape, network)
+        self.deployment = make_deployment(self.shape, network)
         self.offset = -1
 
     @classmethod
@@ -358,60 +328,6 @@
         body = {"model": MODEL, "prompt": prompt, "max_tokens": max_tokens}
         return self.ask(vm, "/v1/completions", body)
 
-    def _make_vms(self) -> dict[str, Vm]:
-        vms = {}
-        for data_centre, count in self.shape.vms.items():
-            for number in range(1, count + 1):
-                name = f"{data_centre}-vm{number}"
-                ip = f"{self._net}.1.{len(vms) + 1}"
-                vms[name] = Vm(name, data_centre, ip)
-        return vms
-
-    def _members(self, counts: Mapping[str, int], prefix: str, third: int) -> list:
-        names = [dc for dc, count in counts.items() for _ in range(count)]
-        return [
-            {
-                "name": f"{prefix}-{number}",
-                "data_centre": data_centre,
-                "address": f"{self._net}.{third}.{number}:8000",
-                "slots": self.shape.slots if prefix == "engine" else 32,
-            }
-            for number, data_centre in enumerate(names, 1)
-        ]
-
-    def _make_deployment(self) -> dict:
-        engines = self._members(self.shape.engines, "engine", 2)
-        for engine in engines:
-            engine["fenced"] = self.shape.fenced
-        return {
-            "schema_version": 1,
-            "name": "testbed",
-            "data_centres": list(self.shape.vms),
-            "pools": [{"name": POOL, "models": [{"name": MODEL}], "engines": engines}],
-            "services": [
-                {
-                    "name": SERVICE,
-                    "routes": [
-                        {"path": "/slots"},
-                        {"path": "/book", "unrepeatable": True},
-                    ],
-                    "instances": self._members(self.shape.services, "desk", 3),
-                }
-            ],
-            "partners": [{"name": p, "token_sha256": digest(p)} for p in PARTNERS],
-            "trainers": [
-                {
-                    "name": TRAINER,
-                    "token_sha256": digest(TRAINER),
-                    "pool": POOL,
-                    "model": MODEL,
-                    "staleness_bound": self.shape.staleness_bound,
-                    "preference": self.shape.preference,
-                }
-            ],
-            "limits": {"request_timeout_s": 5.0, **self.shape.limits},
-        }
-
     def _start_platform(self) -> None:
         self.fleet.stand_in("log", "log", "--listen", self.log)
         self.fleet.stand_in("weights", "weights", "--listen", self.weights)
--- /dev/null
+++ b/packages/saddledoor-standins/src/saddledoor_standins/testbed_document.py
@@ -0,0 +1,129 @@
+# SPDX-License-Identifier: MIT
+
+"""
+The deployment that a testbed runs, built from its shape.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from .fleet import Vm
+
+
+__all__ = [
+    "MODEL",
+    "PARTNERS",
+    "SERVICE",
+    "TRAINER",
+    "Shape",
+    "digest",
+    "make_deployment",
+    "make_vms",
+]
+
+MODEL = "model-a"
+POOL = "pool-a"
+SERVICE = "desk"
+TRAINER = "trainer-a"
+PARTNERS = ("partner-a", "partner-b")
+
+
+def digest(token: str) -> str:
+    """
+    Return what a deployment file keeps of a token.
+    """
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+@dataclass(frozen=True)
+class Shape:
+    """
+    How large a testbed is.
+
+    :param vms: VMs by data centre.
+    :param engines: Engines by data centre.
+    :param services: Service instances by data centre.
+    :param timings: Daemons' durations that differ from the defaults.
+    :param traced: Whether daemons and services record traces.
+    :param fenced: Whether engines refuse old fencing numbers.
+    """
+
+    vms: Mapping[str, int] = field(default_factory=lambda: {"dc-a": 2, "dc-b": 2})
+    engines: Mapping[str, int] = field(default_factory=lambda: {"dc-a": 1, "dc-b": 1})
+    services: Mapping[str, int] = field(default_factory=lambda: {"dc-a": 1, "dc-b": 1})
+    timings: Mapping[str, float] = field(default_factory=dict)
+    limits: Mapping[str, float] = field(default_factory=dict)
+    token_s: float = 0.004
+    slots: int = 8
+    staleness_bound: int = 1
+    fenced: bool = True
+    preference: str = "idle"
+    traced: bool = False
+
+
+def make_vms(shape: Shape, network: str) -> dict[str, Vm]:
+    """
+    Return the VMs, one loopback address each.
+    """
+    vms = {}
+    for data_centre, count in shape.vms.items():
+        for number in range(1, count + 1):
+            name = f"{data_centre}-vm{number}"
+            ip = f"{network}.1.{len(vms) + 1}"
+            vms[name] = Vm(name, data_centre, ip)
+    return vms
+
+
+def _members(
+    shape: Shape, counts: Mapping[str, int], prefix: str, network: str
+) -> list:
+    names = [dc for dc, count in counts.items() for _ in range(count)]
+    return [
+        {
+            "name": f"{prefix}-{number}",
+            "data_centre": data_centre,
+            "address": f"{network}.{number}:8000",
+            "slots": shape.slots if prefix == "engine" else 32,
+        }
+        for number, data_centre in enumerate(names, 1)
+    ]
+
+
+def make_deployment(shape: Shape, network: str) -> dict:
+    """
+    Return the deployment document.
+    """
+    engines = _members(shape, shape.engines, "engine", f"{network}.2")
+    for engine in engines:
+        engine["fenced"] = shape.fenced
+    return {
+        "schema_version": 1,
+        "name": "testbed",
+        "data_centres": list(shape.vms),
+        "pools": [{"name": POOL, "models": [{"name": MODEL}], "engines": engines}],
+        "services": [
+            {
+                "name": SERVICE,
+                "routes": [
+                    {"path": "/slots"},
+                    {"path": "/book", "unrepeatable": True},
+                ],
+                "instances": _members(shape, shape.services, "desk", f"{network}.3"),
+            }
+        ],
+        "partners": [{"name": p, "token_sha256": digest(p)} for p in PARTNERS],
+        "trainers": [
+            {
+                "name": TRAINER,
+                "token_sha256": digest(TRAINER),
+                "pool": POOL,
+                "model": MODEL,
+                "staleness_bound": shape.staleness_bound,
+                "preference": shape.preference,
+            }
+        ],
+        "limits": {"request_timeout_s": 5.0, **shape.limits},
+    }
--- a/packages/saddledoor/src/saddledoor/_deployment.py
+++ b/packages/saddledoor/src/saddledoor/_deployment.py
@@ -7,14 +7,13 @@
 from __future__ import annotations
 
 import hashlib
-import re
-from collections.abc import Iterable
 from typing import Annotated, Literal
 
 from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
 from pydantic.dataclasses import dataclass
 from pydantic_core import PydanticCustomError
 
+from ._deployment_checks import join_problems, split_problems
 from .exceptions import InvalidDocumentError, Problem
 
 
@@ -227,11 +226,9 @@
     limits: Limits = Limits()
 
     def __post_init__(self) -> None:
-        problems = tuple(_cross_check(self))
+        problems = join_problems(self)
         if problems:
-            raise PydanticCustomError(
-                "cross_check", "{text}", {"text": "|".join(problems)}
-            )
+            raise PydanticCustomError("cross_check", "{text}", {"text": problems})
 
     def pool(self, name: str) -> Pool | None:
         return next((p for p in self.pools if p.name == name), None)
@@ -281,7 +278,7 @@
             f"[{part}]" if isinstance(part, int) else f".{part}" for part in item["loc"]
         )
         if item["type"] == "cross_check":
-            problems += [_cross_problem(text) for text in item["msg"].split("|")]
+            problems += split_problems(item["msg"])
             continue
         found = repr(item.get("input"))
         if len(found) > 80:
@@ -321,70 +318,3 @@
 def _is_below(path: str, prefix: str) -> bool:
     trimmed = prefix.rstrip("/")
     return path == trimmed or path.startswith(trimmed + "/")
-
-
-def _cross_problem(text: str) -> Problem:
-    place, found, allowed = re.split("~", text)
-    return Problem(place, found, allowed)
-
-
-def _duplicates(place: str, names: Iterable[str]) -> Iterable[str]:
-    seen: set[str] = set()
-    for index, name in enumerate(names):
-        if name in seen:
-            yield f"{place}[{index}].name~{name!r} a second time~a name used once"
-        seen.add(name)
-
-
-def _cross_check(deployment: Deployment) -> Iterable[str]:
-    yield from _duplicates("pools", (p.name for p in deployment.pools))
-    yield from _duplicates("services", (s.name for s in deployment.services))
-    yield from _duplicates("partners", (p.name for p in deployment.partners))
-    yield from _duplicates("trainers", (t.name for t in deployment.trainers))
-    yield from _duplicates("objectives", (o.name for o in deployment.objectives))
-    yield from _check_members(deployment)
-    yield from _check_trainers(deployment)
-    yield from _check_tokens(deployment)
-
-
-def _check_members(deployment: Deployment) -> Iterable[str]:
-    known = set(deployment.data_centres)
-    seen: set[str] = set()
-    groups = [
-        *((f"pools[{i}].engines", p.engines) for i, p in enumerate(deployment.pools)),
-        *(
-            (f"services[{i}].instances", s.instances)
-            for i, s in enumerate(deployment.services)
-        ),
-    ]
-    for place, members in groups:
-        for index, member in enumerate(members):
-            here = f"{place}[{index}]"
-            if member.name in seen:
-                yield f"{here}.name~{member.name!r} a second time~a name used once"
-            seen.add(member.name)
-            if member.data_centre not in known:
-                yield (
-                    f"{here}.data_centre~{member.data_centre!r}~one of {sorted(known)}"
-                )
-
-
-def _check_trainers(deployment: Deployment) -> Iterable[str]:
-    for index, trainer in enumerate(deployment.trainers):
-        pool = deployment.pool(trainer.pool)
-        place = f"trainers[{index}]"
-        if pool is None:
-            allowed = sorted(p.name for p in deployment.pools)
-            yield f"{place}.pool~{trainer.pool!r}~one of {allowed}"
-        elif trainer.model not in {m.name for m in pool.models}:
-            allowed = sorted(m.name for m in pool.models)
-            yield f"{place}.model~{trainer.model!r}~one of {allowed}"
-
-
-def _check_tokens(deployment: Deployment) -> Iterable[str]:
-    seen: set[str] = set()
-    for kind in ("partners", "trainers"):
-        for index, owner in enumerate(getattr(deployment, kind)):
-            if owner.token_sha256 in seen:
-                yield f"{kind}[{index}].token_sha256~a token used before~one's own"
-            seen.add(owner.token_sha256)
--- a/packages/saddledoor/src/saddledoor/_trace.py
+++ b/packages/saddledoor/src/saddledoor/_trace.py
@@ -7,13 +7,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Annotated, Literal
 
-from pydantic import Field, TypeAdapter, ValidationError
-
-from .exceptions import InvalidDocumentError, Problem
+from pydantic import Field
 
 
 __all__ = [
@@ -38,8 +35,6 @@
     "StepOpened",
     "Streamed",
     "Traced",
-    "encode_traced",
-    "read_trace",
 ]
 
 Run = tuple[int, int, int]
@@ -327,35 +322,3 @@
     at: float
     node: str
     event: Annotated[Event, Field(discriminator="kind")]
-
-
-_ADAPTER = TypeAdapter(Traced)
-
-
-def encode_traced(traced: Traced) -> str:
-    """
-    Return a line of a trace file.
-    """
-    return _ADAPTER.dump_json(traced).decode()
-
-
-def read_trace(name: str, lines: Iterable[str]) -> list[Traced]:
-    """
-    Read a trace.
-
-    :raises InvalidDocumentError: Naming the line that cannot be used.
-    """
-    events = []
-    for number, line in enumerate(lines, 1):
-        if not line.strip():
-            continue
-        try:
-            events.append(_ADAPTER.validate_json(line))
-        except ValidationError as error:
-            first = error.errors(include_url=False)[0]
-            place = f"line {number}"
-            problem = Problem(place, line.strip()[:80], first["msg"])
-            raise InvalidDocumentError(name, (problem,)) from None
-    if not events:
-        raise InvalidDocumentError(name, (Problem("file", "no event", "events"),))
-    return events
--- a/packages/saddledoor/src/saddledoor/tracing.py
+++ b/packages/saddledoor/src/saddledoor/tracing.py
@@ -31,9 +31,8 @@
     StepOpened,
     Streamed,
     Traced,
-    encode_traced,
-    read_trace,
 )
+from ._trace_file import encode_traced, read_trace
 
 
 __all__ = [
--- a/packages/saddledoord/src/saddledoord/_http.py
+++ b/packages/saddledoord/src/saddledoord/_http.py
@@ -6,9 +6,6 @@
 
 from __future__ import annotations
 
-import asyncio
-import json
-import time
 from collections.abc import AsyncIterator, Callable
 
 import falcon.asgi
@@ -20,6 +17,16 @@
 from ._burn_feed import BurnFeed
 from ._clock import boot_time
 from ._collector import Collectors
+from ._http_bodies import (
+    JSON,
+    completion_media,
+    encode_refusal,
+    error_body,
+    event,
+    part_media,
+    read_body,
+)
+from ._http_operators import Operators
 from ._metrics import Metrics
 from ._pipeline import Pipeline, ServiceRequest
 from ._state import NodeState
@@ -33,10 +40,6 @@
 _MAX_STEP_BYTES = 32_000_000
 #: Largest body while no configuration says otherwise, in bytes.
 _DEFAULT_MAX_BODY = 1_000_000
-#: Longest wait for a body's end while no configuration says otherwise, in seconds.
-_DEFAULT_BODY_TIMEOUT = 5.0
-
-_JSON = "application/json"
 
 
 class InFlight:
@@ -72,44 +75,6 @@
         self._state.trace(RequestOut(number))
 
 
-def _encode_refusal(resp, outcome: NotRun | OutcomeUnknown) -> None:
-    resp.status = outcome.code.http_status
-    resp.content_type = _JSON
-    resp.text = json.dumps({"error": _error_body(outcome)})
-    if isinstance(outcome, NotRun) and outcome.retry_after > 0:
-        resp.set_header("Retry-After", f"{outcome.retry_after:.1f}")
-    if outcome.code is ResultCode.BODY_TIMEOUT:
-        resp.set_header("Connection", "close")
-
-
-def _error_body(outcome: NotRun | OutcomeUnknown) -> dict[str, object]:
-    body: dict[str, object] = {
-        "code": int(outcome.code),
-        "name": outcome.code.name.lower(),
-        "family": outcome.code.family.value,
-        "message": outcome.detail,
-    }
-    if isinstance(outcome, NotRun):
-        body["retry_after_s"] = outcome.retry_after
-    return body
-
-
-async def _read_body(req, state: NodeState, largest: int) -> bytes | NotRun:
-    deployment = state.deployment
-    timeout = deployment.limits.body_timeout_s if deployment else _DEFAULT_BODY_TIMEOUT
-    if (req.content_length or 0) > largest:
-        detail = f"{req.content_length} bytes; at most {largest}"
-        return NotRun(ResultCode.TOO_LARGE, detail, 0.0)
-    try:
-        body = await asyncio.wait_for(req.stream.read(largest + 1), timeout)
-    except TimeoutError:
-        detail = f"the body did not end within {timeout} s"
-        return NotRun(ResultCode.BODY_TIMEOUT, detail, 0.0)
-    if len(body) > largest:
-        return NotRun(ResultCode.TOO_LARGE, f"at most {largest} bytes", 0.0)
-    return body
-
-
 class _Resource:
     def __init__(
         self,
@@ -144,7 +109,7 @@
     def _refuse(self, resp, kind: str, outcome: NotRun | OutcomeUnknown) -> None:
         self._count(kind, outcome.code)
         resp.context.code = outcome.code
-        _encode_refusal(resp, outcome)
+        encode_refusal(resp, outcome)
 
     def _count(self, kind: str, code: ResultCode) -> None:
         self._metrics.requests.add(1, {"kind": kind, "code": str(int(code))})
@@ -155,7 +120,7 @@
         caller = self._identify(req)
         if isinstance(caller, NotRun):
             return self._refuse(resp, "completion", caller)
-        raw = await _read_body(req, self._state, self._max_body())
+        raw = await read_body(req, self._state, self._max_body())
         if isinstance(raw, NotRun):
             return self._refuse(resp, "completion", raw)
         body = self._pipeline.decode_completion(raw)
@@ -169,7 +134,7 @@
         whole = await collect_whole(parts, body.max_tokens, "caller", self._state.trace)
         if isinstance(whole, Answer):
             self._count("completion", ResultCode.DONE)
-            resp.media = _completion_media(whole, body.model)
+            resp.media = completion_media(whole, body.model)
         else:
             self._refuse(resp, "completion", whole)
         return self._measure(req, resp, caller, body.model)
@@ -187,7 +152,7 @@
         try:
             part = first
             while isinstance(part, Part):
-                yield _event(_part_media(part))
+                yield event(part_media(part))
                 if part.finish_reason is not None:
                     self._count("completion", ResultCode.DONE)
                     yield b"data: [DONE]\n\n"
@@ -195,7 +160,7 @@
                 part = await anext(parts)
             # No end marker: what was sent is not a whole answer, and says so.
             self._count("completion", part.code)
-            yield _event({"error": _error_body(part)})
+            yield event({"error": error_body(part)})
         finally:
             await parts.aclose()
             self._in_flight.ended(number)
@@ -206,7 +171,7 @@
         caller = self._identify(req)
         if isinstance(caller, NotRun):
             return self._refuse(resp, "call", caller)
-        body = await _read_body(req, self._state, self._max_body())
+        body = await read_body(req, self._state, self._max_body())
         if isinstance(body, NotRun):
             return self._refuse(resp, "call", body)
         query = f"?{req.query_string}" if req.query_string else ""
@@ -266,45 +231,17 @@
         if caller.trainer is None or caller.trainer.name != trainer:
             other = NotRun(ResultCode.FORBIDDEN, "the token is not this trainer's", 0.0)
             return self._refuse(resp, operation, other)
-        body = await _read_body(req, self._state, largest)
+        body = await read_body(req, self._state, largest)
         if isinstance(body, NotRun):
             return self._refuse(resp, operation, body)
         result = await self._collectors.serve(caller.trainer, operation, step, body)
         if isinstance(result, NotRun):
             return self._refuse(resp, operation, result)
         self._count(operation, ResultCode.DONE)
-        resp.content_type = _JSON
+        resp.content_type = JSON
         resp.data = result.payload
 
 
-class _Operators:
-    def __init__(
-        self, state: NodeState, metrics: Metrics, status: Callable[[], dict]
-    ) -> None:
-        self._state = state
-        self._metrics = metrics
-        self._status = status
-
-    async def on_get_health(self, req, resp) -> None:
-        resp.media = {"healthy": True}
-
-    async def on_get_ready(self, req, resp) -> None:
-        reason = None
-        if self._state.stage != "serving":
-            reason = self._state.stage
-        elif self._state.deployment is None:
-            reason = "no_configuration"
-        resp.status = 200 if reason is None else 503
-        resp.media = {"ready": reason is None, "reason": reason}
-
-    async def on_get_metrics(self, req, resp) -> None:
-        resp.content_type = "text/plain; version=0.0.4; charset=utf-8"
-        resp.data = self._metrics.render()
-
-    async def on_get_status(self, req, resp) -> None:
-        resp.media = self._status()
-
-
 def build_app(
     state: NodeState,
     pipeline: Pipeline,
@@ -320,7 +257,7 @@
     app = falcon.asgi.App(middleware=[in_flight])
     shared = (state, pipeline, metrics, in_flight, burn)
     steps = _Steps(*shared, collectors=collectors)
-    operators = _Operators(state, metrics, status)
+    operators = Operators(state, metrics, status)
     app.add_route("/v1/completions", _Completions(*shared))
     app.add_route("/v1/services/{service}/{path:path}", _Services(*shared))
     app.add_route("/v1/keys", _Keys(*shared))
@@ -333,30 +270,3 @@
     app.add_route("/metrics", operators, suffix="metrics")
     app.add_route("/v1/status", operators, suffix="status")
     return app, in_flight
-
-
-def _completion_media(whole: Answer, model: str) -> dict[str, object]:
-    return {
-        "object": "text_completion",
-        "created": int(time.time()),
-        "model": model,
-        "choices": [
-            {"index": 0, "text": whole.text, "finish_reason": whole.finish_reason}
-        ],
-        "usage": {"completion_tokens": whole.tokens},
-        "weight_versions": [[r.version, r.first, r.last] for r in whole.runs],
-    }
-
-
-def _part_media(part: Part) -> dict[str, object]:
-    return {
-        "choices": [
-            {"index": 0, "text": part.text, "finish_reason": part.finish_reason}
-        ],
-        "tokens": part.tokens,
-        "weight_version": part.version,
-    }
-
-
-def _event(data: dict[str, object]) -> bytes:
-    return f"data: {json.dumps(data)}\n\n".encode()
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/_http_bodies.py
@@ -0,0 +1,95 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Bodies of the HTTP face: what is read of callers, and how answers are encoded.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+
+from saddledoor import Answer, NotRun, OutcomeUnknown, Part, ResultCode
+
+from ._state import NodeState
+
+
+__all__ = [
+    "completion_media",
+    "encode_refusal",
+    "error_body",
+    "event",
+    "part_media",
+    "read_body",
+]
+
+#: Longest wait for a body's end while no configuration says otherwise, in seconds.
+_DEFAULT_BODY_TIMEOUT = 5.0
+
+JSON = "application/json"
+
+
+def encode_refusal(resp, outcome: NotRun | OutcomeUnknown) -> None:
+    resp.status = outcome.code.http_status
+    resp.content_type = JSON
+    resp.text = json.dumps({"error": error_body(outcome)})
+    if isinstance(outcome, NotRun) and outcome.retry_after > 0:
+        resp.set_header("Retry-After", f"{outcome.retry_after:.1f}")
+    if outcome.code is ResultCode.BODY_TIMEOUT:
+        resp.set_header("Connection", "close")
+
+
+def error_body(outcome: NotRun | OutcomeUnknown) -> dict[str, object]:
+    body: dict[str, object] = {
+        "code": int(outcome.code),
+        "name": outcome.code.name.lower(),
+        "family": outcome.code.family.value,
+        "message": outcome.detail,
+    }
+    if isinstance(outcome, NotRun):
+        body["retry_after_s"] = outcome.retry_after
+    return body
+
+
+async def read_body(req, state: NodeState, largest: int) -> bytes | NotRun:
+    deployment = state.deployment
+    timeout = deployment.limits.body_timeout_s if deployment else _DEFAULT_BODY_TIMEOUT
+    if (req.content_length or 0) > largest:
+        detail = f"{req.content_length} bytes; at most {largest}"
+        return NotRun(ResultCode.TOO_LARGE, detail, 0.0)
+    try:
+        body = await asyncio.wait_for(req.stream.read(largest + 1), timeout)
+    except TimeoutError:
+        detail = f"the body did not end within {timeout} s"
+        return NotRun(ResultCode.BODY_TIMEOUT, detail, 0.0)
+    if len(body) > largest:
+        return NotRun(ResultCode.TOO_LARGE, f"at most {largest} bytes", 0.0)
+    return body
+
+
+def completion_media(whole: Answer, model: str) -> dict[str, object]:
+    return {
+        "object": "text_completion",
+        "created": int(time.time()),
+        "model": model,
+        "choices": [
+            {"index": 0, "text": whole.text, "finish_reason": whole.finish_reason}
+        ],
+        "usage": {"completion_tokens": whole.tokens},
+        "weight_versions": [[r.version, r.first, r.last] for r in whole.runs],
+    }
+
+
+def part_media(part: Part) -> dict[str, object]:
+    return {
+        "choices": [
+            {"index": 0, "text": part.text, "finish_reason": part.finish_reason}
+        ],
+        "tokens": part.tokens,
+        "weight_version": part.version,
+    }
+
+
+def event(data: dict[str, object]) -> bytes:
+    return f"data: {json.dumps(data)}\n\n".encode()
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,21 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Fixtures that several test modules use.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from beds import QUICK
+from saddledoor_standins.testbed import Shape, Testbed
+
+
+@pytest.fixture
+def bed():
+    """
+    Two data centres with two VMs, an engine and a service instance each.
+    """
+    with Testbed.open(Shape(timings=QUICK)) as bed:
+        yield bed
--- a/tests/prove.py
+++ b/tests/prove.py
@@ -12,11 +12,18 @@
 from pathlib import Path
 
 import pytest
+
 from proofs import PROOFS
 
 
 _HERE = Path(__file__).parent
-_FILES = ("test_proofs.py", "test_traces.py", "test_failures.py")
+_FILES = (
+    "test_proofs.py",
+    "test_traces.py",
+    "test_failures_samples.py",
+    "test_failures_requests.py",
+    "test_failures_operations.py",
+)
 _RED = "test_the_proof_fails_without_the_mechanism"
 _TWIN = "test_a_broken_twin_is_found_out"
 
--- /dev/null
+++ b/tests/test_failures_samples.py
@@ -0,0 +1,148 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Samples under failure of real processes: labels, delivery, staleness.
+
+Each test notes the promise that it serves and, where something is refused, the share
+of repeatable requests that were answered during the failure.
+"""
+
+from __future__ import annotations
+
+import signal
+import time
+
+from beds import (
+    QUICK,
+    BackgroundTrainer,
+    assert_step_is_right,
+    find_collector,
+    make_plan,
+    share_answered,
+)
+from saddledoor_standins.fleet import read_json
+from saddledoor_standins.testbed import MODEL, Shape, Testbed, until
+
+
+def test_labels_stay_true_while_engines_swap_badly(bed, record_property):
+    """
+    Swap in mid-sample, an order not carried out, an engine back with old weights.
+    """
+    record_property("promise", "labels")
+    bed.fake("engine-1", pretend_activate=1)
+    trainer = BackgroundTrainer(make_plan(bed, publish_at=0.25))
+    trainer.start()
+    until(lambda: bed.engine_versions().get("engine-2") == 2)
+    bed.process("engine-2").signal(signal.SIGKILL)
+    time.sleep(0.5)
+    bed.start_engine("engine-2", version=1)
+    result = trainer.finish()
+    assert_step_is_right(result)
+    assert result["samples_of_mixed_versions"] > 0
+    until(lambda: bed.engine_versions() == {"engine-1": 2, "engine-2": 2})
+
+
+def test_a_late_order_to_an_unfenced_engine_makes_no_false_label(record_property):
+    """
+    An engine that ignores fencing numbers goes back; labels and target hold.
+    """
+    record_property("promise", "labels")
+    with Testbed.open(Shape(timings=QUICK, fenced=False)) as bed:
+        bed.publish_weights(2)
+        until(lambda: bed.engine_versions() == {"engine-1": 2, "engine-2": 2})
+        trainer = BackgroundTrainer(make_plan(bed, version=2, publish_at=2.0))
+        trainer.start()
+        address = bed.engines["engine-1"]["address"]
+        for action in ("stage", "activate"):
+            order = {"fence": 0, "action": action, "model": MODEL, "version": 1}
+            read_json(f"http://{address}/v1/orders", order)
+        assert_step_is_right(trainer.finish())
+        until(lambda: bed.engine_versions()["engine-1"] == 2)
+
+
+def test_a_killed_collector_loses_and_doubles_nothing(bed, record_property):
+    """
+    The collector is killed in mid-step; another VM goes on from the trainer's word.
+    """
+    record_property("promise", "exactly_once")
+    trainer = BackgroundTrainer(make_plan(bed))
+    trainer.start()
+    victim = until(lambda: find_collector(bed))
+    time.sleep(0.5)
+    bed.process(victim).signal(signal.SIGKILL)
+    result = trainer.finish()
+    assert_step_is_right(result)
+    assert result["submits"] > 1
+
+
+def test_a_frozen_collector_is_found_out(bed, record_property):
+    """
+    The collector is frozen past its lease, and goes on beside its successor.
+    """
+    record_property("promise", "exactly_once")
+    trainer = BackgroundTrainer(make_plan(bed, tokens=120))
+    trainer.start()
+    victim = until(lambda: find_collector(bed))
+    time.sleep(0.3)
+    bed.process(victim).signal(signal.SIGSTOP)
+    time.sleep(QUICK["lease_term"] * 1.5)
+    bed.process(victim).signal(signal.SIGCONT)
+    result = trainer.finish()
+    assert_step_is_right(result)
+
+
+def test_a_step_goes_on_while_the_log_is_away(bed, record_property):
+    """
+    The collector's lease lapses with the log away; its trainer still gets everything.
+    """
+    record_property("promise", "exactly_once")
+    trainer = BackgroundTrainer(make_plan(bed, tokens=50, publish_at=2.0))
+    trainer.start()
+    until(lambda: find_collector(bed))
+    bed.cut_log()
+    share = share_answered(bed)
+    record_property("repeatable_answered", share)
+    result = trainer.finish()
+    assert_step_is_right(result)
+    assert share == 1.0
+
+
+def test_no_sample_is_stale_when_weights_move_twice_in_a_step(bed, record_property):
+    """
+    Weights move on by two versions while long samples are being made.
+    """
+    record_property("promise", "staleness")
+    plan = make_plan(bed, publish_at=0.2, staleness_bound=1, tokens=100)
+    trainer = BackgroundTrainer(plan)
+    trainer.start()
+    until(lambda: bed.engine_versions().get("engine-1") == 2)
+    bed.publish_weights(3)
+    result = trainer.finish()
+    assert_step_is_right(result)
+
+
+def test_a_frozen_control_holder_gives_no_order_after_its_lease(record_property):
+    """
+    Engines that ignore fencing numbers see no order of the old holder after the new.
+    """
+    record_property("promise", "labels")
+    with Testbed.open(Shape(timings=QUICK, fenced=False)) as bed:
+        holder = until(lambda: _control_holder(bed, "dc-a"))
+        bed.process(holder).signal(signal.SIGSTOP)
+        bed.publish_weights(2)
+        until(lambda: bed.engine_versions() == {"engine-1": 2, "engine-2": 2})
+        bed.publish_weights(3)
+        bed.process(holder).signal(signal.SIGCONT)
+        until(lambda: bed.engine_versions() == {"engine-1": 3, "engine-2": 3})
+        time.sleep(1.0)
+        fences = [order["fence"] for order in bed.fake("engine-1")["orders"]]
+        assert fences == sorted(fences)
+        assert len(set(fences)) >= 1
+
+
+def _control_holder(bed: Testbed, data_centre: str) -> str | None:
+    for name, vm in bed.vms.items():
+        leases = {v["vm"]: v["leases"] for v in bed.status(name)["vms"]}
+        if vm.data_centre == data_centre and leases.get(name):
+            return name
+    return None
--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import pytest
+
 from proofs import PROOFS
 
 
