Read back ends every 2 s: the share of a core was not sure to fit at 64 engines

Cause: with 16 VMs and 65 back ends an idle daemon used 1.15 to 1.97 % of a core (median over the daemons, five runs, 95 processes on 8 cores); the target is 1.3 %.

Cost: an engine's own mark that it leaves is read up to a second later.

--- a/packages/saddledoor-standins/src/saddledoor_standins/record.py
+++ b/packages/saddledoor-standins/src/saddledoor_standins/record.py
@@ -46,6 +46,7 @@
     "member_expiry": 2.0,
     "log_wait": 2.0,
     "log_timeout": 1.0,
+    "watch": 0.5,
 }
 
 
--- a/packages/saddledoord/src/saddledoord/_settings.py
+++ b/packages/saddledoord/src/saddledoord/_settings.py
@@ -53,7 +53,7 @@
     order_timeout: Seconds = 2.0
     exchange: Seconds = 0.5
     summary: Seconds = 2.0
-    watch: Seconds = 1.0
+    watch: Seconds = 2.0
     member_expiry: Seconds = 8.0
     vm_list: Seconds = 60.0
     control_pause: Seconds = 1.0
--- a/tests/beds.py
+++ b/tests/beds.py
@@ -22,6 +22,7 @@
     "member_expiry": 2.0,
     "log_wait": 2.0,
     "log_timeout": 1.0,
+    "watch": 0.5,
 }
 
 
