--- a/packages/saddledoord/src/saddledoord/_daemon.py
+++ b/packages/saddledoord/src/saddledoord/_daemon.py
@@ -18,28 +18,12 @@
 
 from saddledoor.tracing import NodeBegan, StageChanged
 
-from ._backends import Backends
-from ._burn_feed import BurnFeed
-from ._claim_log import ClaimLog
 from ._clock import boot_time
-from ._collector import Collectors, collector_lease
-from ._control import Control
-from ._dispatch import Dispatcher
-from ._exchange import Exchange
-from ._follower import follow_config
-from ._http import InFlight, build_app
-from ._lease_keeper import LeaseKeeper
-from ._log_client import LogClient
-from ._metrics import Metrics
-from ._peer_client import PeerClient
-from ._peer_server import PeerService, start_peer_server
-from ._pipeline import Pipeline
-from ._sample_runner import SampleRunner
+from ._collector import collector_lease
+from ._parts import Parts, build_parts
+from ._peer_server import start_peer_server
 from ._settings import Settings
 from ._state import NodeState
-from ._status import status_reader
-from ._watcher import Watcher
-from .filters.claim import KeyLedger
 
 
 __all__ = ["Daemon"]
@@ -50,6 +34,8 @@
 _KEEP_ALIVE = 30
 #: How often a stopping VM looks whether it may go on, in seconds.
 _DRAIN_STEP = 0.02
+#: How long peers' calls may take when this VM ends, in seconds.
+_PEER_GRACE = 1.0
 #: Largest header block of a caller, in bytes.
 _MAX_HEADERS = 32_768
 
@@ -59,11 +45,14 @@
         super().__init__(config)
         self._ended = asyncio.Event()
 
-    def end(self) -> None:
+    def end(self, *, force: bool) -> None:
         """
         Close the listener and what is open on it.
+
+        :param force: Whether to wait for nobody.
         """
         self.should_exit = True
+        self.force_exit = force
         self._ended.set()
 
     @contextlib.contextmanager
@@ -97,83 +86,49 @@
         """
         self._handle_signals()
         self._state.trace(NodeBegan())
-        settings, state = self._settings, self._state
-        metrics = Metrics()
-        backends = Backends.open()
-        peers = PeerClient(settings.peer_secret)
-        timeout = settings.timings.log_timeout
-        log = LogClient(backends.session, settings.log_service, timeout, metrics)
-        config, control_stream = follow_config(log, state, self._spawn)
-        keeper = LeaseKeeper(log, state, control_stream)
-        dispatcher = Dispatcher(state)
-        watcher = Watcher(state, backends)
-        exchange = Exchange(state, peers, watcher, metrics, keeper.names)
-        claims = ClaimLog(log, state, metrics)
-        ledger = KeyLedger()
-        runner = SampleRunner(state, dispatcher, backends, peers, metrics)
-        burn = BurnFeed(state, log)
-        collectors = Collectors(state, keeper, peers, runner, metrics, burn)
-        pipeline = Pipeline(state, dispatcher, backends, peers, claims, ledger, metrics)
-        control = Control(state, keeper, backends, log, metrics)
-        status = status_reader(state, collectors, dispatcher)
-        app, in_flight = build_app(state, pipeline, collectors, metrics, burn, status)
-        service = PeerService(
-            state,
-            exchange,
-            claims,
-            ledger,
-            collectors,
-            dispatcher,
-            backends,
-            metrics,
-            pipeline.run_issued,
-        )
-        _gauges(metrics, state, in_flight, dispatcher)
+        settings = self._settings
+        parts = build_parts(settings, self._state, self._spawn)
         peer_server = await start_peer_server(
-            service, settings.grpc, settings.peer_secret
+            parts.peer_service, settings.grpc, settings.peer_secret
         )
-        http = _Server(_uvicorn_config(app))
+        http = _Server(_uvicorn_config(parts.app))
         listener = _listen(settings.http)
         serving = asyncio.create_task(http.serve(sockets=[listener]))
         _log.info("started", vm=settings.vm, http=settings.http, grpc=settings.grpc)
-        for loop in (
-            config.run(),
-            control_stream.run(),
-            keeper.run(),
-            control.run(),
-            watcher.run(),
-            dispatcher.review(),
-            claims.run_releases(),
-            burn.run(),
-            exchange.run_vm_list(backends.session),
-            exchange.run_pulls(),
-            exchange.run_summaries(),
-        ):
+        for loop in parts.loops():
             self._spawn(loop)
-
         await self._told.wait()
-        drained = asyncio.create_task(
-            self._drain(in_flight, collectors, keeper, exchange)
-        )
+        in_order = await self._drain_unless_told_again(parts)
+        http.end(force=not in_order)
+        await parts.burn.write(final=True)
+        await serving
+        await peer_server.stop(_PEER_GRACE if in_order else 0)
+        await self._end_loops()
+        await parts.close()
+        _log.info("stopped")
+
+    async def _drain_unless_told_again(self, parts: Parts) -> bool:
+        """
+        Drain; false if a second signal ended the VM before.
+        """
+        drained = asyncio.create_task(self._drain(parts))
         second = asyncio.create_task(self._told_again.wait())
         await asyncio.wait({drained, second}, return_when=asyncio.FIRST_COMPLETED)
         second.cancel()
-        state.drain.stopped = True
-        state.trace(StageChanged(state.stage))
-        http.end()
-        await burn.write(final=True)
-        if not drained.done():
-            _log.warning("stopped_by_second_signal", in_flight=in_flight.count)
+        in_order = drained.done()
+        if not in_order:
             drained.cancel()
-            http.force_exit = True
-        await serving
-        await peer_server.stop(1.0 if drained.done() else 0)
-        for task in list(self._tasks):
+            in_flight = parts.in_flight.count
+            _log.warning("stopped_by_second_signal", in_flight=in_flight)
+        self._state.drain.stopped = True
+        self._state.trace(StageChanged(self._state.stage))
+        return in_order
+
+    async def _end_loops(self) -> None:
+        tasks = list(self._tasks)
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        await peers.close()
-        await backends.close()
-        _log.info("stopped")
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     def _spawn(self, work: Coroutine) -> None:
         task = asyncio.create_task(work)
@@ -200,19 +155,14 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, signalled)
 
-    async def _drain(
-        self,
-        in_flight: InFlight,
-        collectors: Collectors,
-        keeper: LeaseKeeper,
-        exchange: Exchange,
-    ) -> None:
+    async def _drain(self, parts: Parts) -> None:
         """
         The planned stop: unready at once, then finish or hand over everything.
         """
         drain = self._state.drain
         self._state.trace(StageChanged(self._state.stage))
-        exchange.refresh_own()
+        keeper, collectors, in_flight = parts.keeper, parts.collectors, parts.in_flight
+        parts.exchange.refresh_own()
         _log.info("draining", in_flight=in_flight.count)
         for name in keeper.names():
             if not name.startswith(collector_lease("")):
@@ -246,18 +196,6 @@
         return random.choice(serving) if serving else None
 
 
-def _gauges(
-    metrics: Metrics, state: NodeState, in_flight: InFlight, dispatcher: Dispatcher
-) -> None:
-    metrics.gauge(
-        "saddledoor_config_offset",
-        lambda: state.in_force.offset,
-        "Offset of the configuration in force",
-    )
-    metrics.gauge("saddledoor_in_flight", lambda: in_flight.count, "Requests in flight")
-    metrics.gauge("saddledoor_waiting", dispatcher.waiting, "Requests that wait")
-
-
 def _uvicorn_config(app) -> uvicorn.Config:
     return uvicorn.Config(
         app,
--- a/packages/saddledoord/src/saddledoord/_http.py
+++ b/packages/saddledoord/src/saddledoord/_http.py
@@ -11,7 +11,6 @@
 import falcon.asgi
 
 from saddledoor import Answer, NotRun, OutcomeUnknown, Part, ResultCode
-from saddledoor.tracing import RequestIn, RequestOut
 
 from ._backends import CallAnswer
 from ._burn_feed import BurnFeed
@@ -27,6 +26,7 @@
     read_body,
 )
 from ._http_operators import Operators
+from ._in_flight import InFlight
 from ._metrics import Metrics
 from ._pipeline import Pipeline, ServiceRequest
 from ._state import NodeState
@@ -34,7 +34,7 @@
 from .filters.identify import Caller
 
 
-__all__ = ["InFlight", "build_app"]
+__all__ = ["build_app"]
 
 #: Largest body of a submitted step, in bytes.
 _MAX_STEP_BYTES = 32_000_000
@@ -42,37 +42,36 @@
 _DEFAULT_MAX_BODY = 1_000_000
 
 
-class InFlight:
+class _Marks:
     """
-    Counts callers' requests; a planned stop waits for it to reach zero.
+    Notes when a request began, and says on answers who gave them.
     """
 
     def __init__(self, state: NodeState) -> None:
         self._state = state
-        self.count = 0
-        self._numbers = 0
 
     async def process_request(self, req, resp) -> None:
-        self.count += 1
-        self._numbers += 1
-        req.context.number = self._numbers
         req.context.began = boot_time()
-        self._state.trace(RequestIn(self._numbers))
 
     async def process_response(self, req, resp, resource, succeeded) -> None:
-        # A streamed answer is counted until its last part, see `_counted_stream`.
-        if not getattr(req.context, "streams", False):
-            self.ended(req.context.number)
         resp.set_header("X-Saddledoor-Vm", self._state.settings.vm)
         if self._state.stage != "serving":
             resp.set_header("Connection", "close")
 
-    def ended(self, number: int) -> None:
-        """
-        Count a request as ended.
-        """
-        self.count -= 1
-        self._state.trace(RequestOut(number))
+
+def _counted(app: falcon.asgi.App, in_flight: InFlight) -> Callable:
+    """
+    Return an application that counts requests up to the last byte of their answer.
+    """
+
+    async def serve(scope, receive, send) -> None:
+        if scope["type"] != "http":
+            await app(scope, receive, send)
+            return
+        with in_flight.counted():
+            await app(scope, receive, send)
+
+    return serve
 
 
 class _Resource:
@@ -81,13 +80,11 @@
         state: NodeState,
         pipeline: Pipeline,
         metrics: Metrics,
-        in_flight: InFlight,
         burn: BurnFeed,
     ) -> None:
         self._state = state
         self._pipeline = pipeline
         self._metrics = metrics
-        self._in_flight = in_flight
         self._burn = burn
 
     def _max_body(self) -> int:
@@ -144,11 +141,10 @@
         first = await anext(parts)
         if not isinstance(first, Part):
             return self._refuse(resp, "completion", first)
-        req.context.streams = True
         resp.content_type = "text/event-stream"
-        resp.stream = self._events(first, parts, req.context.number)
+        resp.stream = self._events(first, parts)
 
-    async def _events(self, first: Part, parts: AsyncIterator, number: int):
+    async def _events(self, first: Part, parts: AsyncIterator):
         try:
             part = first
             while isinstance(part, Part):
@@ -163,7 +159,6 @@
             yield event({"error": error_body(part)})
         finally:
             await parts.aclose()
-            self._in_flight.ended(number)
 
 
 class _Services(_Resource):
@@ -248,14 +243,14 @@
     collectors: Collectors,
     metrics: Metrics,
     burn: BurnFeed,
+    in_flight: InFlight,
     status: Callable[[], dict],
-) -> tuple[falcon.asgi.App, InFlight]:
+) -> Callable:
     """
-    Return the application and its counter of requests in flight.
+    Return the ASGI application.
     """
-    in_flight = InFlight(state)
-    app = falcon.asgi.App(middleware=[in_flight])
-    shared = (state, pipeline, metrics, in_flight, burn)
+    app = falcon.asgi.App(middleware=[_Marks(state)])
+    shared = (state, pipeline, metrics, burn)
     steps = _Steps(*shared, collectors=collectors)
     operators = Operators(state, metrics, status)
     app.add_route("/v1/completions", _Completions(*shared))
@@ -269,4 +264,4 @@
     app.add_route("/readyz", operators, suffix="ready")
     app.add_route("/metrics", operators, suffix="metrics")
     app.add_route("/v1/status", operators, suffix="status")
-    return app, in_flight
+    return _counted(app, in_flight)
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/_parts.py
@@ -0,0 +1,155 @@
+# SPDX-License-Identifier: MIT
+
+"""
+The parts of a daemon, and how they are put together.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+
+from ._backends import Backends
+from ._budgets import RetryBudgets
+from ._burn_feed import BurnFeed
+from ._claim_log import ClaimLog
+from ._collector import Collectors
+from ._control import Control
+from ._dispatch import Dispatcher
+from ._exchange import Exchange
+from ._follower import StreamFollower, follow_config
+from ._http import build_app
+from ._in_flight import InFlight
+from ._lease_keeper import LeaseKeeper
+from ._log_client import LogClient
+from ._metrics import Metrics
+from ._peer_client import PeerClient
+from ._peer_server import PeerService
+from ._pipeline import Pipeline
+from ._sample_runner import SampleRunner
+from ._settings import Settings
+from ._state import NodeState
+from ._status import status_reader
+from ._watcher import Watcher
+from .filters.claim import KeyLedger
+
+
+__all__ = ["Parts", "build_parts"]
+
+
+@dataclass(frozen=True)
+class Parts:
+    """
+    What the daemon starts, runs and stops.
+    """
+
+    backends: Backends
+    peers: PeerClient
+    followers: tuple[StreamFollower, ...]
+    keeper: LeaseKeeper
+    dispatcher: Dispatcher
+    watcher: Watcher
+    exchange: Exchange
+    claims: ClaimLog
+    burn: BurnFeed
+    collectors: Collectors
+    control: Control
+    in_flight: InFlight
+    app: Callable
+    peer_service: PeerService
+
+    def loops(self) -> list[Coroutine]:
+        """
+        Return what runs until the VM stops.
+        """
+        return [
+            *(follower.run() for follower in self.followers),
+            self.keeper.run(),
+            self.control.run(),
+            self.watcher.run(),
+            self.dispatcher.review(),
+            self.claims.run_releases(),
+            self.burn.run(),
+            self.exchange.run_vm_list(self.backends.session),
+            self.exchange.run_pulls(),
+            self.exchange.run_summaries(),
+        ]
+
+    async def close(self) -> None:
+        """
+        Close connections.
+        """
+        await self.peers.close()
+        await self.backends.close()
+
+
+def build_parts(
+    settings: Settings, state: NodeState, spawn: Callable[[Coroutine], None]
+) -> Parts:
+    """
+    Put the parts together; needs a running loop, starts nothing.
+
+    :param spawn: Runs a coroutine in the background.
+    """
+    metrics = Metrics()
+    backends = Backends.open()
+    peers = PeerClient(settings.peer_secret)
+    in_flight = InFlight(state.trace)
+    budgets = RetryBudgets(state)
+    timeout = settings.timings.log_timeout
+    log = LogClient(backends.session, settings.log_service, timeout, metrics)
+    config_stream, control_stream = follow_config(log, state, spawn)
+    keeper = LeaseKeeper(log, state, control_stream)
+    dispatcher = Dispatcher(state)
+    watcher = Watcher(state, backends)
+    exchange = Exchange(state, peers, watcher, metrics, keeper.names)
+    claims = ClaimLog(log, state, metrics)
+    ledger = KeyLedger()
+    burn = BurnFeed(state, log)
+    runner = SampleRunner(state, dispatcher, backends, peers, budgets, metrics)
+    collectors = Collectors(state, keeper, peers, runner, metrics, burn)
+    pipeline = Pipeline(
+        state, dispatcher, backends, peers, claims, ledger, budgets, metrics
+    )
+    status = status_reader(state, collectors, dispatcher)
+    _gauges(metrics, state, in_flight, dispatcher)
+    return Parts(
+        backends=backends,
+        peers=peers,
+        followers=(config_stream, control_stream),
+        keeper=keeper,
+        dispatcher=dispatcher,
+        watcher=watcher,
+        exchange=exchange,
+        claims=claims,
+        burn=burn,
+        collectors=collectors,
+        control=Control(state, keeper, backends, log, metrics),
+        in_flight=in_flight,
+        app=build_app(state, pipeline, collectors, metrics, burn, in_flight, status),
+        peer_service=PeerService(
+            state,
+            exchange,
+            claims,
+            ledger,
+            collectors,
+            dispatcher,
+            backends,
+            budgets,
+            in_flight,
+            metrics,
+            pipeline.run_issued,
+        ),
+    )
+
+
+def _gauges(
+    metrics: Metrics, state: NodeState, in_flight: InFlight, dispatcher: Dispatcher
+) -> None:
+    metrics.gauge(
+        "saddledoor_config_offset",
+        lambda: state.in_force.offset,
+        "Offset of the configuration in force",
+    )
+    metrics.gauge("saddledoor_in_flight", lambda: in_flight.count, "Requests in flight")
+    metrics.gauge("saddledoor_waiting", dispatcher.waiting, "Requests that wait")
--- a/packages/saddledoord/src/saddledoord/_peer_server.py
+++ b/packages/saddledoord/src/saddledoord/_peer_server.py
@@ -12,18 +12,15 @@
 
 import grpc
 
-from saddledoor import (
-    KeyClaim,
-    NotRun,
-    ResultCode,
-    RetryBudget,
-)
+from saddledoor import KeyClaim, NotRun, ResultCode
 
 from ._backends import Backends
+from ._budgets import RetryBudgets
 from ._claim_log import ClaimLog
 from ._collector import Collected, Collectors
 from ._dispatch import Dispatcher
 from ._exchange import Exchange
+from ._in_flight import InFlight
 from ._metrics import Metrics
 from ._peer_client import MAX_MESSAGE, SECRET_KEY
 from ._state import NodeState
@@ -72,9 +69,13 @@
         collectors: Collectors,
         dispatcher: Dispatcher,
         backends: Backends,
+        budgets: RetryBudgets,
+        in_flight: InFlight,
         metrics: Metrics,
         run_issued: IssuedCall,
     ) -> None:
+        self._budgets = budgets
+        self._in_flight = in_flight
         self._state = state
         self._exchange = exchange
         self._claims = claims
@@ -94,18 +95,21 @@
 
     async def Claim(self, request, context):
         claim = KeyClaim(request.key, request.claim_id, request.owner)
-        owner = await self._claims.claim(request.partition, claim)
+        with self._in_flight.counted():
+            owner = await self._claims.claim(request.partition, claim)
         if owner is None:
             return pb.ClaimReply(decided=False)
         return pb.ClaimReply(decided=True, claim_id=owner.claim_id, owner=owner.owner)
 
     async def Outcome(self, request, context):
         wait = min(request.wait_s, _MAX_OUTCOME_WAIT)
-        result = await self._ledger.outcome(request.claim_id, wait)
+        with self._in_flight.counted():
+            result = await self._ledger.outcome(request.claim_id, wait)
         return pb.CallResult() if result is None else answer_to_wire(result)
 
     async def Call(self, request, context):
-        return answer_to_wire(await self._run_issued(request))
+        with self._in_flight.counted():
+            return answer_to_wire(await self._run_issued(request))
 
     async def Complete(self, request, context):
         deployment = self._state.deployment
@@ -113,16 +117,14 @@
             refusal = NotRun(ResultCode.NO_CONFIGURATION, "no configuration yet")
             yield part_to_wire(refusal)
             return
-        budget = RetryBudget.from_config(deployment.limits)
+        job = work_from_wire(request)
+        budget = self._budgets.of(job.partner)
         parts = attempt_completion(
-            work_from_wire(request),
-            self._dispatcher,
-            self._backends,
-            budget,
-            self._metrics,
+            job, self._dispatcher, self._backends, budget, self._metrics
         )
-        async for part in parts:
-            yield part_to_wire(part)
+        with self._in_flight.counted():
+            async for part in parts:
+                yield part_to_wire(part)
 
     async def Collect(self, request, context):
         result = await self._collectors.serve_here(
--- a/packages/saddledoord/src/saddledoord/_pipeline.py
+++ b/packages/saddledoord/src/saddledoord/_pipeline.py
@@ -22,12 +22,12 @@
     OutcomeUnknown,
     Part,
     ResultCode,
-    RetryBudget,
     WorkClass,
 )
 from saddledoor.tracing import Ended
 
 from ._backends import Backends, CallAnswer
+from ._budgets import RetryBudgets
 from ._claim_log import ClaimLog
 from ._clock import boot_time
 from ._dispatch import Dispatcher
@@ -78,6 +78,7 @@
         peers: PeerClient,
         claims: ClaimLog,
         ledger: KeyLedger,
+        budgets: RetryBudgets,
         metrics: Metrics,
     ) -> None:
         self._state = state
@@ -87,7 +88,7 @@
         self._claims = claims
         self._ledger = ledger
         self._metrics = metrics
-        self._budgets: dict[str, RetryBudget] = {}
+        self._budgets = budgets
         self._issued = IssuedKeys(state.owner.encode().hex())
 
     def identify(self, authorization: str | None) -> Caller | NotRun:
@@ -111,7 +112,7 @@
         job = self._classify_completion(caller, body)
         if isinstance(job, NotRun):
             return job
-        budget = self._budget(caller.name)
+        budget = self._budgets.of(caller.name)
         return attempt_completion(
             job, self._dispatcher, self._backends, budget, self._metrics
         )
@@ -226,7 +227,7 @@
         )
 
     async def _attempt(self, job: ServiceJob) -> CallAnswer | NotRun | OutcomeUnknown:
-        budget = self._budget(job.partner)
+        budget = self._budgets.of(job.partner)
         return await attempt_call(
             job, self._dispatcher, self._backends, budget, self._metrics
         )
@@ -264,12 +265,6 @@
         }
         return address if address in known else None
 
-    def _budget(self, partner: str) -> RetryBudget:
-        if partner not in self._budgets:
-            limits = self._state.deployment.limits
-            self._budgets[partner] = RetryBudget.from_config(limits)
-        return self._budgets[partner]
-
 
 def _job_to_wire(job: ServiceJob) -> pb.ServiceWork:
     return pb.ServiceWork(
--- a/packages/saddledoord/src/saddledoord/_sample_runner.py
+++ b/packages/saddledoord/src/saddledoord/_sample_runner.py
@@ -13,7 +13,6 @@
 
 from saddledoor import (
     Answer,
-    RetryBudget,
     Sample,
     SampleSpec,
     Slot,
@@ -26,6 +25,7 @@
 from saddledoor.tracing import SampleAdded, StaleDropped
 
 from ._backends import Backends
+from ._budgets import RetryBudgets
 from ._clock import boot_time
 from ._dispatch import Dispatcher
 from ._metrics import Metrics
@@ -73,8 +73,10 @@
         dispatcher: Dispatcher,
         backends: Backends,
         peers: PeerClient,
+        budgets: RetryBudgets,
         metrics: Metrics,
     ) -> None:
+        self._budgets = budgets
         self.state = state
         self.metrics = metrics
         self._dispatcher = dispatcher
@@ -107,9 +109,7 @@
                 sites.append(_Site(summary.data_centre, slots, summary.peers))
         return sites
 
-    async def attempt(
-        self, site: _Site, job: CompletionJob, budget: RetryBudget
-    ) -> Answer | None:
+    async def attempt(self, site: _Site, job: CompletionJob) -> Answer | None:
         """
         Run a sample once; none if no whole, labelled answer came.
         """
@@ -117,6 +117,7 @@
             peer = random.choice(site.peers)
             parts = self._peers.complete(peer, job, _SAMPLE_QUEUE)
         else:
+            budget = self._budgets.of(job.partner)
             parts = attempt_completion(
                 job, self._dispatcher, self._backends, budget, self.metrics
             )
@@ -156,8 +157,6 @@
         self._tasks: set[asyncio.Task] = set()
         self._draining = False
         self._changed = asyncio.Event()
-        limits = runner.state.deployment.limits
-        self._budget = RetryBudget.from_config(limits)
         self._task = asyncio.create_task(self._run())
 
     def reopen(self, book: StepBook, version: int) -> None:
@@ -276,7 +275,7 @@
 
     async def _sample(self, spec: SampleSpec, site: _Site) -> None:
         try:
-            whole = await self._runner.attempt(site, self._job(spec), self._budget)
+            whole = await self._runner.attempt(site, self._job(spec))
             if whole is None:
                 await asyncio.sleep(_FAILED_WAIT)
                 return
--- a/packages/saddledoord/src/saddledoord/filters/claim.py
+++ b/packages/saddledoord/src/saddledoord/filters/claim.py
@@ -36,7 +36,7 @@
 Run = Callable[[ServiceJob], Awaitable[Result]]
 
 #: Outcomes of this process's own claims that are kept, a count.
-_LEDGER_SIZE = 20_000
+_LEDGER_SIZE = 5_000
 #: Claims that a call makes while earlier owners give the key back, a count.
 _MAX_CLAIMS = 2
 #: Longest wait for a writer of claims, in seconds.
--- a/tests/test_failures_operations.py
+++ b/tests/test_failures_operations.py
@@ -219,3 +219,20 @@
         bed.process("dc-a-vm1").signal(signal.SIGTERM)
         bed.process("dc-a-vm1").wait(10.0)
         assert time.monotonic() - began < 8.0
+
+
+def test_a_planned_stop_cuts_no_call_that_came_by_a_peer(bed, record_property):
+    """
+    A call under an issued key reaches its decider through another VM, which stops.
+    """
+    record_property("promise", "planned_stop")
+    key = bed.ask("dc-a-vm1", "/v1/keys").data["key"]
+    for name in bed.instances:
+        bed.fake(name, delay_s=4.0)
+    with ThreadPoolExecutor(1) as pool:
+        waiting = pool.submit(bed.book, "dc-b-vm1", "r1", key)
+        until(lambda: sum(bed.runs().values()) == 1)
+        bed.process("dc-a-vm1").signal(signal.SIGTERM)
+        assert waiting.result().code == 100
+    assert bed.process("dc-a-vm1").wait(30.0) == 0
+    assert bed.runs()["r1"] == 1
