--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,7 @@
 	@$(BIN)/python tests/prove.py -n $(WORKERS)
 
 bench: $(VENV)/.made
+	@$(BIN)/pip install --quiet --disable-pip-version-check -r requirements-plots.txt
 	@$(BIN)/python -m saddledoor_standins bench all
 
 # Records the traces anew; only after their format or a scenario changed.
--- a/packages/saddledoor-standins/src/saddledoor_standins/__main__.py
+++ b/packages/saddledoor-standins/src/saddledoor_standins/__main__.py
@@ -24,7 +24,7 @@
 
 
 #: Measurements that can be run alone.
-_BENCHES = ["slopes", "membership", "routing", "admission", "steps", "all"]
+_BENCHES = ["slopes", "membership", "routing", "admission", "steps", "swaps", "all"]
 
 
 @click.group()
@@ -172,6 +172,7 @@
     from .bench.routing import routing
     from .bench.slopes import all_slopes, membership
     from .bench.steps import order, preference
+    from .bench.swaps import swaps
 
     if name in ("routing", "all"):
         routing()
@@ -181,6 +182,8 @@
     if name in ("steps", "all"):
         order()
         preference()
+    if name in ("swaps", "all"):
+        swaps()
     if name == "membership":
         membership()
     if name in ("slopes", "all"):
--- a/packages/saddledoor-standins/src/saddledoor_standins/bench/_table.py
+++ b/packages/saddledoor-standins/src/saddledoor_standins/bench/_table.py
@@ -7,9 +7,13 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from pathlib import Path
 
 
-__all__ = ["print_table"]
+__all__ = ["PLOTS", "print_table"]
+
+#: Where plots are written, below the folder in which the measurement runs.
+PLOTS = Path("docs/bench")
 
 
 def print_table(title: str, head: Sequence[str], rows: Sequence[Sequence]) -> None:
--- a/packages/saddledoor-standins/src/saddledoor_standins/bench/admission.py
+++ b/packages/saddledoor-standins/src/saddledoor_standins/bench/admission.py
@@ -11,11 +11,13 @@
 import asyncio
 import random
 from collections import deque
+from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, field
 
 from saddledoor import FairQueue, WorkClass
 
-from ._table import print_table
+from ._table import PLOTS, print_table
+from .plots import plot_bars
 
 
 __all__ = ["fairness", "overload"]
@@ -29,6 +31,12 @@
 #: When a guest gives up, in seconds.
 _DEADLINE = 0.5
 _PARTNERS = ("a", "b", "c", "d")
+#: Requests that may wait in the daemon's queue, a count.
+_CAPACITY = 64
+#: Names of the baseline and of the daemon's queue.
+_NAMES = ("first come", "fair, bounded")
+#: Runs at the same time; each is mostly asleep.
+_WORKERS = 4
 
 
 @dataclass
@@ -169,6 +177,35 @@
     return seen
 
 
+@dataclass(frozen=True)
+class _Case:
+    """
+    One run of one queue.
+
+    :param rates: Requests a second, by partner.
+    """
+
+    fair: bool
+    rates: tuple[tuple[str, float], ...]
+    seed: int
+
+
+def _run_case(case: _Case) -> dict[str, _Seen]:
+    queue = _Fair(_CAPACITY) if case.fair else _Fifo()
+    rates = dict(case.rates)
+    return asyncio.run(_run(queue, rates, WorkClass.INTERACTIVE, case.seed))
+
+
+def _run_all(cases: list[_Case]) -> dict[_Case, dict[str, _Seen]]:
+    with ProcessPoolExecutor(_WORKERS) as pool:
+        return dict(zip(cases, pool.map(_run_case, cases), strict=True))
+
+
+def _rates(each: float, flooding: float = 1.0) -> tuple[tuple[str, float], ...]:
+    first, *others = _PARTNERS
+    return ((first, each * flooding), *((partner, each) for partner in others))
+
+
 def overload(seed: int = 1) -> list[tuple]:
     """
     Measure goodput within the deadline at 1, 2 and 5 times what can be served.
@@ -177,17 +214,27 @@
         percentile of the time to a refusal in ms.
     """
     capacity = _SLOTS / _WORK
+    cases = [
+        _Case(fair, _rates(capacity * factor / len(_PARTNERS)), seed)
+        for factor in (1.0, 2.0, 5.0)
+        for fair in (False, True)
+    ]
     rows = []
-    for factor in (1.0, 2.0, 5.0):
-        rates = {p: capacity * factor / len(_PARTNERS) for p in _PARTNERS}
-        for name, queue in (("first come", _Fifo()), ("fair, bounded", _Fair(64))):
-            seen = asyncio.run(_run(queue, rates, WorkClass.INTERACTIVE, seed))
-            good = sum(s.good for s in seen.values()) / (capacity * _SECONDS)
-            refused = sorted(t for s in seen.values() for t in s.refused_after)
-            slowest = refused[int(len(refused) * 0.99)] * 1000 if refused else 0.0
-            rows.append((factor, name, good, slowest))
+    for case, seen in _run_all(cases).items():
+        good = sum(s.good for s in seen.values()) / (capacity * _SECONDS)
+        refused = sorted(t for s in seen.values() for t in s.refused_after)
+        slowest = refused[int(len(refused) * 0.99)] * 1000 if refused else 0.0
+        factor = sum(rate for _, rate in case.rates) / capacity
+        rows.append((factor, _NAMES[case.fair], good, slowest))
     head = ("load", "queue", "goodput / capacity", "refusal p99 ms")
     print_table("overload: answered within 0.5 s", head, rows)
+    plot_bars(
+        PLOTS / "overload.svg",
+        "Answered within the deadline, as a share of capacity",
+        "share",
+        [f"{row[0]:.0f}x load" for row in rows[::2]],
+        {name: [r[2] for r in rows if r[1] == name] for name in _NAMES},
+    )
     return rows
 
 
@@ -198,20 +245,27 @@
     :returns: Rows of seed, queue, the others' answered share before and during, and
         the share that they lost.
     """
-    capacity = _SLOTS / _WORK
-    share = 0.8 * capacity / len(_PARTNERS)
-    calm = dict.fromkeys(_PARTNERS, share)
-    flood = calm | {"a": 10 * share}
+    share = 0.8 * _SLOTS / _WORK / len(_PARTNERS)
+    calm, flood = _rates(share), _rates(share, 10.0)
+    cases = [
+        _Case(fair, rates, seed)
+        for seed in seeds
+        for fair in (False, True)
+        for rates in (calm, flood)
+    ]
+    results = _run_all(cases)
     rows = []
     for seed in seeds:
-        for name, make in (("first come", _Fifo), ("fair, bounded", lambda: _Fair(64))):
-            shares = []
-            for rates in (calm, flood):
-                seen = asyncio.run(_run(make(), rates, WorkClass.INTERACTIVE, seed))
-                others = [s for p, s in seen.items() if p != "a"]
-                asked = sum(s.asked for s in others)
-                shares.append(sum(s.good for s in others) / asked)
-            rows.append((seed, name, *shares, 1 - shares[1] / shares[0]))
+        for fair in (False, True):
+            before = _others_answered(results[_Case(fair, calm, seed)])
+            during = _others_answered(results[_Case(fair, flood, seed)])
+            lost = 1 - during / before
+            rows.append((seed, _NAMES[fair], before, during, lost))
     head = ("seed", "queue", "others before", "others during", "lost")
     print_table("one partner floods at ten times its share", head, rows)
     return rows
+
+
+def _others_answered(seen: dict[str, _Seen]) -> float:
+    others = [s for partner, s in seen.items() if partner != _PARTNERS[0]]
+    return sum(s.good for s in others) / sum(s.asked for s in others)
--- a/packages/saddledoor-standins/src/saddledoor_standins/bench/routing.py
+++ b/packages/saddledoor-standins/src/saddledoor_standins/bench/routing.py
@@ -26,7 +26,8 @@
     uniform,
 )
 
-from ._table import print_table
+from ._table import PLOTS, print_table
+from .plots import plot_bars
 
 
 __all__ = ["Case", "run_case", "routing"]
@@ -147,7 +148,7 @@
     return statistics.median(taken), taken[int(len(taken) * 0.99)]
 
 
-def routing(workers: int = 3) -> dict[Case, tuple[float, float]]:
+def routing(workers: int = 4) -> dict[Case, tuple[float, float]]:
     """
     Run every policy under loads, lags and a slow engine; print ratios to random.
     """
@@ -173,10 +174,21 @@
     rows = []
     for load, lag, slow, seed in keys:
         own = [results[Case(p, load, lag, slow, seed)][1] for p in POLICIES]
-        best_baseline = min(own[:-1])
+        best_baseline = min(own[:3])
         engine = "one 4x slower" if slow > 1 else "all alike"
         ratio = own[-1] / best_baseline
         rows.append((load, lag, engine, seed, *(p * 1000 for p in own), ratio))
     head = ("load", "lag s", "engines", "seed", *POLICIES, "ratio")
     title = "choice of engine: 99th percentile, ms; ratio to the best baseline"
     print_table(title, head, rows)
+    shown = [row for row in rows if row[3] == 1]
+    plot_bars(
+        PLOTS / "choice-of-engine.svg",
+        "Choice of engine: 99th percentile",
+        "ms",
+        [
+            f"{row[0]:.0%}\n{row[1]:g} s" + ("\nslow" if "x" in row[2] else "")
+            for row in shown
+        ],
+        {name: [row[4 + i] for row in shown] for i, name in enumerate(POLICIES)},
+    )
--- a/packages/saddledoor-standins/src/saddledoor_standins/bench/steps.py
+++ b/packages/saddledoor-standins/src/saddledoor_standins/bench/steps.py
@@ -14,7 +14,8 @@
 
 from ..testbed import MODEL, TRAINER, Shape, Testbed
 from ..trainer import TrainerPlan, run_trainer
-from ._table import print_table
+from ._table import PLOTS, print_table
+from .plots import plot_bars
 
 
 __all__ = ["order", "preference"]
@@ -66,6 +67,13 @@
         rows.append((seed, baseline, candidate, candidate / baseline))
     head = ("seed", "in order s", "longest first s", "ratio")
     print_table("a step of 160 samples, 4 % twelve times longer", head, rows)
+    plot_bars(
+        PLOTS / "step-order.svg",
+        "Time until a step with a long tail is whole",
+        "seconds",
+        [f"seed {row[0]}" for row in rows],
+        {"in order": [r[1] for r in rows], "longest first": [r[2] for r in rows]},
+    )
     return rows
 
 
--- /dev/null
+++ b/packages/saddledoor-standins/src/saddledoor_standins/bench/swaps.py
@@ -0,0 +1,64 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Weight swaps in waves: time until all engines have the new version, and capacity left.
+"""
+
+from __future__ import annotations
+
+import signal
+import time
+
+from ..testbed import QUICK, Shape, Testbed, until
+from ._table import print_table
+
+
+__all__ = ["swaps"]
+
+_ENGINES = 8
+
+
+def swaps() -> list[tuple]:
+    """
+    Measure a swap of eight engines in one data centre, alone and under failure.
+
+    :returns: Rows of what happened, seconds until all engines have the version, and
+        the least share of engines that were not pausing.
+    """
+    rows = []
+    for name in ("nothing fails", "one engine fails its swap", "the holder is killed"):
+        shape = Shape(
+            vms={"dc-a": 3},
+            engines={"dc-a": _ENGINES},
+            services={"dc-a": 1},
+            timings=QUICK,
+        )
+        with Testbed.open(shape) as bed:
+            holder = until(lambda b=bed: _holder(b))
+            if name.startswith("one engine"):
+                bed.fake("engine-1", fail_activate=1)
+            began = time.monotonic()
+            bed.publish_weights(2)
+            if name.startswith("the holder"):
+                until(lambda b=bed: 2 in b.engine_versions().values())
+                bed.process(holder).signal(signal.SIGKILL)
+            until(lambda b=bed: set(b.engine_versions().values()) == {2}, timeout=30.0)
+            rows.append((name, time.monotonic() - began, _capacity_left(bed)))
+    head = ("failure", "seconds to all engines", "least capacity left")
+    print_table("a swap of 8 engines, at most half at once", head, rows)
+    return rows
+
+
+def _holder(bed: Testbed) -> str | None:
+    for view in bed.status("dc-a-vm1")["vms"]:
+        if "control/dc-a" in view["leases"]:
+            return view["vm"]
+    return None
+
+
+def _capacity_left(bed: Testbed) -> float:
+    pauses = [tuple(p) for name in bed.engines for p in bed.fake(name)["pauses"]]
+    most = max(
+        sum(1 for began, ended in pauses if began <= at < ended) for at, _ in pauses
+    )
+    return 1 - most / _ENGINES
--- a/packages/saddledoor-standins/src/saddledoor_standins/engine.py
+++ b/packages/saddledoor-standins/src/saddledoor_standins/engine.py
@@ -14,6 +14,7 @@
 import heapq
 import itertools
 import json
+import time
 from dataclasses import dataclass, field
 
 import aiohttp
@@ -91,6 +92,7 @@
         self.running = 0
         self.started: dict[str, int] = {}
         self.orders: list[dict] = []
+        self.pauses: list[tuple[float, float]] = []
         self._waiting: list[_Waiting] = []
         self._count = itertools.count()
         self._running_weights = asyncio.Event()
@@ -225,6 +227,7 @@
             self.faults.pretend_activate -= 1
             return web.json_response({"state": "done"})
         self._running_weights.clear()
+        began = time.clock_gettime(time.CLOCK_BOOTTIME)
         try:
             await asyncio.sleep(self.options.activate_s)
             if self.faults.fail_activate > 0:
@@ -234,6 +237,8 @@
             self.versions[model] = version
         finally:
             self._running_weights.set()
+            ended = time.clock_gettime(time.CLOCK_BOOTTIME)
+            self.pauses.append((began, ended))
         return web.json_response({"state": "done"})
 
     async def fake(self, request: web.Request) -> web.Response:
@@ -247,6 +252,7 @@
             {
                 "started": self.started,
                 "orders": self.orders,
+                "pauses": self.pauses,
                 "highest_fence": self.highest_fence,
             }
         )
--- a/packages/saddledoor-standins/src/saddledoor_standins/record.py
+++ b/packages/saddledoor-standins/src/saddledoor_standins/record.py
@@ -33,22 +33,12 @@
     encode_traced,
 )
 
-from .testbed import MODEL, TRAINER, Shape, Testbed, until
+from .testbed import MODEL, QUICK, TRAINER, Shape, Testbed, until
 from .trainer import TrainerPlan, run_trainer
 
 
 __all__ = ["SCENARIOS", "TWINS", "record", "write_twin"]
 
-_TIMINGS = {
-    "lease_term": 2.0,
-    "order_timeout": 0.9,
-    "lame_duck": 1.0,
-    "member_expiry": 2.0,
-    "log_wait": 2.0,
-    "log_timeout": 1.0,
-    "watch": 0.5,
-}
-
 
 def record(name: str, folder: Path) -> Path:
     """
@@ -57,7 +47,7 @@
     :returns: The trace's path.
     """
     scenario, promises, counted = SCENARIOS[name]
-    with Testbed.open(Shape(timings=_TIMINGS, traced=True)) as bed:
+    with Testbed.open(Shape(timings=QUICK, traced=True)) as bed:
         scenario(bed)
         events = bed.traced()
     path = folder / f"{name}.jsonl"
--- a/packages/saddledoor-standins/src/saddledoor_standins/testbed.py
+++ b/packages/saddledoor-standins/src/saddledoor_standins/testbed.py
@@ -28,6 +28,7 @@
 from .testbed_document import (
     MODEL,
     PARTNERS,
+    QUICK,
     SERVICE,
     TRAINER,
     Shape,
@@ -37,7 +38,7 @@
 )
 
 
-__all__ = ["MODEL", "TRAINER", "Answer", "Shape", "Testbed", "digest", "until"]
+__all__ = ["MODEL", "QUICK", "TRAINER", "Answer", "Shape", "Testbed", "digest", "until"]
 
 
 def until(condition: Callable[[], object], timeout: float = 15.0) -> object:
--- a/packages/saddledoor-standins/src/saddledoor_standins/testbed_document.py
+++ b/packages/saddledoor-standins/src/saddledoor_standins/testbed_document.py
@@ -16,6 +16,7 @@
 __all__ = [
     "MODEL",
     "PARTNERS",
+    "QUICK",
     "SERVICE",
     "TRAINER",
     "Shape",
@@ -38,6 +39,18 @@
     return hashlib.sha256(token.encode()).hexdigest()
 
 
+#: Shorter terms, so that tests need not wait long for a takeover.
+QUICK = {
+    "lease_term": 2.0,
+    "order_timeout": 0.9,
+    "lame_duck": 1.0,
+    "member_expiry": 2.0,
+    "log_wait": 2.0,
+    "log_timeout": 1.0,
+    "watch": 0.5,
+}
+
+
 @dataclass(frozen=True)
 class Shape:
     """
--- a/tests/beds.py
+++ b/tests/beds.py
@@ -10,20 +10,18 @@
 import threading
 from concurrent.futures import ThreadPoolExecutor
 
-from saddledoor_standins.testbed import MODEL, TRAINER, Testbed
+from saddledoor_standins.testbed import MODEL, QUICK, TRAINER, Testbed
 from saddledoor_standins.trainer import TrainerPlan, run_trainer
 
 
-#: Shorter terms, so that tests need not wait long for a takeover.
-QUICK = {
-    "lease_term": 2.0,
-    "order_timeout": 0.9,
-    "lame_duck": 1.0,
-    "member_expiry": 2.0,
-    "log_wait": 2.0,
-    "log_timeout": 1.0,
-    "watch": 0.5,
-}
+__all__ = [
+    "QUICK",
+    "BackgroundTrainer",
+    "assert_step_is_right",
+    "find_collector",
+    "make_plan",
+    "share_answered",
+]
 
 
 def make_plan(bed: Testbed, **changes: object) -> TrainerPlan:
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -11,6 +11,7 @@
 import pytest
 import yaml
 
+from saddledoor_standins.bench._process import resident_mb
 from saddledoor_standins.testbed import Shape, Testbed, until
 
 
@@ -139,3 +140,10 @@
     assert seen[("fast", "pool:pool-a")]["rate"] == 0
     assert seen[("refused", "partner-a")]["rate"] == pytest.approx(1.0)
     assert seen[("refused", "partner-a")]["by_data_centre"] == {"dc-a": 1}
+
+
+def test_an_idle_daemon_stays_within_its_memory(bed):
+    """
+    The target gives control 128 MB on a VM.
+    """
+    assert resident_mb(bed.process("dc-a-vm1").popen.pid) < 128
--- a/tests/test_failures_samples.py
+++ b/tests/test_failures_samples.py
@@ -146,3 +146,18 @@
         if vm.data_centre == data_centre and leases.get(name):
             return name
     return None
+
+
+def test_a_swap_survives_its_holder_and_a_failing_engine(bed, record_property):
+    """
+    An engine fails its swap and the lease holder is killed in the middle.
+    """
+    record_property("promise", "labels")
+    bed.fake("engine-1", fail_activate=1)
+    holder = until(lambda: _control_holder(bed, "dc-a"))
+    trainer = BackgroundTrainer(make_plan(bed, publish_at=0.2))
+    trainer.start()
+    until(lambda: bed.engine_versions().get("engine-2") == 2)
+    bed.process(holder).signal(signal.SIGKILL)
+    assert_step_is_right(trainer.finish())
+    until(lambda: bed.engine_versions() == {"engine-1": 2, "engine-2": 2})
