Hand finished samples over to a successor that is sure to hold the lease

The cause as read from the code, not from the failing run, whose logs were gone: the peer that was given the samples sees the release only with its lease stream's next reading, up to a second later, and another VM can take the lease before it, so that the samples are made again.

Not ruled out by a look: that the peer had expired from the table under the load.

The successor now reads the log's newest before each try, and the stopping VM waits, at most 3 s, until it holds the lease.

--- a/packages/saddledoor-standins/src/saddledoor_standins/demo_outcome.py
+++ b/packages/saddledoor-standins/src/saddledoor_standins/demo_outcome.py
@@ -109,7 +109,11 @@
     reached: dict[tuple[str, str, int], float] = {}
     published: dict[tuple[str, int], float] = {}
     while not watch.done.is_set():
-        answer = read_json(f"http://{site.platform['weights']}/v1/weights")
+        try:
+            answer = read_json(f"http://{site.platform['weights']}/v1/weights")
+        except OSError:
+            # The demo was interrupted, and the platform is gone.
+            return
         for model, version in answer["models"].items():
             published.setdefault((model, version), answer["published_at"][model])
         for name, engine in site.engines.items():
--- a/packages/saddledoor-standins/src/saddledoor_standins/testbed.py
+++ b/packages/saddledoor-standins/src/saddledoor_standins/testbed.py
@@ -216,15 +216,21 @@
         url = f"http://{self.weights}/v1/weights/{MODEL}"
         read_json(url, {"version": version})
 
+    def load(self, engine: str) -> dict:
+        """
+        Return what an engine says of its load.
+        """
+        address = self.engines[engine]["address"]
+        return read_json(f"http://{address}/v1/load", timeout=1.0)
+
     def engine_versions(self) -> dict[str, int]:
         """
         Return the version of each engine that answers.
         """
         versions = {}
-        for name, engine in self.engines.items():
+        for name in self.engines:
             with contextlib.suppress(OSError):
-                load = read_json(f"http://{engine['address']}/v1/load", timeout=1.0)
-                versions[name] = load["versions"][MODEL]
+                versions[name] = self.load(name)["versions"][MODEL]
         return versions
 
     def runs(self) -> dict[str, int]:
--- a/packages/saddledoor/src/saddledoor/_delivery.py
+++ b/packages/saddledoor/src/saddledoor/_delivery.py
@@ -100,13 +100,9 @@
 class Resync:
     """
     The fetch cannot be matched; the trainer must submit the step again.
-
-    :param newer_fence: Whether the trainer knows a newer collector than this one,
-        which is then deposed.
     """
 
     fence: int
-    newer_fence: bool = False
 
 
 @dataclass
@@ -213,9 +209,8 @@
         The samples of an answer stay ready until the trainer names its number, so an
         answer that was lost costs nothing; its slots may come again, judged anew.
         """
-        if request.fence != self.fence:
-            return Resync(self.fence, newer_fence=request.fence > self.fence)
-        if not self._match_cursor(request.cursor):
+        known = request.fence == self.fence and self._match_cursor(request.cursor)
+        if not known:
             return Resync(self.fence)
         self.drop_stale(request.version)
         samples = tuple(self.ready.values())[: request.limit]
--- a/packages/saddledoord/src/saddledoord/_collector.py
+++ b/packages/saddledoord/src/saddledoord/_collector.py
@@ -143,14 +143,18 @@
             self._inherited.pop(next(iter(self._inherited)))
         deadline = asyncio.get_running_loop().time() + _INHERIT_FOR
         while asyncio.get_running_loop().time() < deadline:
+            await self._keeper.refresh()
             if await self._keeper.take(collector_lease(trainer)) is not None:
                 return
             await asyncio.sleep(0.1)
 
-    async def hand_over(self, address: str | None) -> None:
+    async def hand_over(self, address: str | None) -> list[str]:
         """
         Give finished samples to a peer; called once when this VM stops.
+
+        :returns: Names of the leases that the peer is about to take.
         """
+        leases: list[str] = []
         for (trainer, step), run in self._runs.items():
             await run.stop()
             samples = json.dumps([_sample_to_json(s) for s in run.book.ready.values()])
@@ -160,10 +164,12 @@
                 trainer=trainer, step=step, samples=samples.encode()
             )
             try:
-                await self._peers.hand_over(address, request, _FORWARD_TIMEOUT)
+                if await self._peers.hand_over(address, request, _FORWARD_TIMEOUT):
+                    leases.append(collector_lease(trainer))
                 _log.info("step_handed_over", trainer=trainer, step=step, to=address)
             except PeerAwayError:
                 _log.warning("step_not_handed_over", trainer=trainer, step=step)
+        return leases
 
     async def finish_running(self) -> None:
         """
--- a/packages/saddledoord/src/saddledoord/_daemon.py
+++ b/packages/saddledoord/src/saddledoord/_daemon.py
@@ -34,6 +34,8 @@
 _KEEP_ALIVE = 30
 #: How often a stopping VM looks whether it may go on, in seconds.
 _DRAIN_STEP = 0.02
+#: How long a successor may take to take a collector's lease, in seconds.
+_TAKEOVER_WAIT = 3.0
 #: How long peers' calls may take when this VM ends, in seconds.
 _PEER_GRACE = 1.0
 #: Largest header block of a caller, in bytes.
@@ -175,9 +177,11 @@
             _log.warning("samples_given_up")
         while not drain.may_hand_over(boot_time(), in_flight.count):
             await asyncio.sleep(_DRAIN_STEP)
-        await collectors.hand_over(self._successor())
+        handed_over = await collectors.hand_over(self._successor())
         for name in keeper.names():
             await keeper.release(name)
+        # Whoever submits meanwhile must find the successor, which has the samples.
+        await keeper.until_taken(handed_over, _TAKEOVER_WAIT)
         drain.handed_over = True
         # Whoever came meanwhile gets its answer too.
         await asyncio.sleep(_DRAIN_STEP)
--- a/packages/saddledoord/src/saddledoord/_exchange.py
+++ b/packages/saddledoord/src/saddledoord/_exchange.py
@@ -73,6 +73,7 @@
         self._seq = 0
         self._pushed_seq = 0
         self._lonely = asyncio.Event()
+        self._closing: asyncio.Task | None = None
         self._renewed_at = boot_time()
         expiry = state.settings.timings.member_expiry
         self._renew_every = expiry / _RENEWALS
@@ -91,11 +92,24 @@
                     data = await response.json()
                     vms = {str(item["vm"]): item for item in data["vms"]}
                 self._state.vm_list = vms
+                self._forget_channels()
             except (aiohttp.ClientError, TimeoutError, ValueError, KeyError, TypeError):
                 # The last list stays: a lost platform must not empty the fleet.
                 pass
             await self._until_list_is_due()
 
+    def _forget_channels(self) -> None:
+        # VMs are replaced all day; a channel to one that is gone is never used again.
+        if self._closing is not None and not self._closing.done():
+            return
+        known = {m.grpc for m in self._state.members.all_entries()}
+        known |= {m.grpc_outside for m in self._state.members.all_entries()}
+        for item in self._state.vm_list.values():
+            known |= {item["grpc"], item.get("grpc_outside", item["grpc"])}
+        for site in self._state.members.sites(boot_time()):
+            known |= set(site.peers)
+        self._closing = asyncio.create_task(self._peers.keep_only(known))
+
     async def _until_list_is_due(self) -> None:
         self._lonely.clear()
         try:
--- a/packages/saddledoord/src/saddledoord/_follower.py
+++ b/packages/saddledoord/src/saddledoord/_follower.py
@@ -46,7 +46,7 @@
 
 class StreamFollower:
     """
-    Reads one stream in order, by long polls, and lets others wait for an offset.
+    Reads one stream in order, by long polls.
 
     :param begin: Called with the oldest offset the log has before the first record,
         and again if the log has dropped records that were not read yet.
@@ -77,7 +77,6 @@
         self._begin = begin
         self._apply = apply
         self._next = -1
-        self._moved = asyncio.Condition()
         self.wait = state.settings.timings.log_wait
 
     async def run(self) -> None:
@@ -101,19 +100,6 @@
         """
         page = await self._log.read(self._stream, max(self._next, 0), wait)
         self._take(page)
-        async with self._moved:
-            self._moved.notify_all()
-
-    async def reach(self, offset: int, timeout: float) -> bool:
-        """
-        Wait until the record at ``offset`` has been folded.
-        """
-        try:
-            async with asyncio.timeout(timeout), self._moved:
-                await self._moved.wait_for(lambda: self._next > offset)
-        except TimeoutError:
-            return False
-        return True
 
     async def catch_up(self) -> None:
         """
--- a/packages/saddledoord/src/saddledoord/_lease_keeper.py
+++ b/packages/saddledoord/src/saddledoord/_lease_keeper.py
@@ -24,6 +24,9 @@
 
 #: Renewals per term, a count.
 _RENEWALS = 3
+#: How often the log is read while a released lease waits for its next holder, in
+#: seconds.
+_TAKEN_POLL = 0.05
 
 
 class LeaseKeeper:
@@ -86,6 +89,28 @@
                 return held
             return await self._claim(name)
 
+    async def refresh(self) -> None:
+        """
+        Read what the log has now; the follower alone lags by its pause.
+        """
+        try:
+            await self._follower.catch_up()
+        except LogAwayError:
+            pass
+
+    async def until_taken(self, names: list[str], timeout: float) -> bool:
+        """
+        Wait until others hold leases that this process released.
+        """
+        deadline = boot_time() + timeout
+        while boot_time() < deadline:
+            await self.refresh()
+            leases = [self._state.lease_fold.get(name) for name in names]
+            if all(lease and not lease.released for lease in leases):
+                return True
+            await asyncio.sleep(_TAKEN_POLL)
+        return False
+
     async def _claim(self, name: str) -> HeldLease | None:
         lease = self._state.lease_fold.get(name)
         seen = lease.last if lease else -1
--- a/packages/saddledoord/src/saddledoord/_peer_client.py
+++ b/packages/saddledoord/src/saddledoord/_peer_client.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator
 
 import grpc
@@ -31,6 +32,9 @@
 #: Metadata that carries the deployment's peer secret.
 SECRET_KEY = "saddledoor-peer"
 
+#: How long calls on a channel that is closed may still take, in seconds.
+_CLOSE_GRACE = 60.0
+
 _OPTIONS = [
     ("grpc.max_receive_message_length", MAX_MESSAGE),
     ("grpc.max_send_message_length", MAX_MESSAGE),
@@ -65,11 +69,13 @@
 
     async def keep_only(self, addresses: set[str]) -> None:
         """
-        Close channels to peers that are gone.
+        Close channels to peers that are gone, when their calls have ended.
         """
-        for address in set(self._channels) - addresses:
-            self._stubs.pop(address)
-            await self._channels.pop(address).close()
+        gone = set(self._channels) - addresses
+        channels = [self._channels.pop(address) for address in gone]
+        for address in gone:
+            del self._stubs[address]
+        await asyncio.gather(*(channel.close(_CLOSE_GRACE) for channel in channels))
 
     async def exchange(
         self, address: str, request: pb.ExchangeRequest, timeout: float
--- a/tests/test_failures_samples.py
+++ b/tests/test_failures_samples.py
@@ -21,7 +21,7 @@
     share_answered,
 )
 from saddledoor_standins.fleet import read_json
-from saddledoor_standins.testbed import MODEL, Shape, Testbed, until
+from saddledoor_standins.testbed import MODEL, TRAINER, Shape, Testbed, until
 
 
 def test_labels_stay_true_while_engines_swap_badly(bed, record_property):
@@ -161,3 +161,93 @@
     bed.process(holder).signal(signal.SIGKILL)
     assert_step_is_right(trainer.finish())
     until(lambda: bed.engine_versions() == {"engine-1": 2, "engine-2": 2})
+
+
+def test_a_step_whose_last_sample_is_at_a_dead_engine_ends(bed, record_property):
+    """
+    The engine that makes the last, long sample dies; another one resumes it.
+    """
+    record_property("promise", "exactly_once")
+    plan = make_plan(bed, groups=1, group_size=1, tokens=300, publish_at=2.0)
+    trainer = BackgroundTrainer(plan)
+    trainer.start()
+
+    def running() -> str | None:
+        return next((n for n in bed.engines if bed.load(n)["running"]), None)
+
+    victim = until(running)
+    time.sleep(0.4)
+    bed.process(victim).signal(signal.SIGKILL)
+    assert_step_is_right(trainer.finish())
+
+
+def test_a_collector_killed_before_the_acknowledgement_doubles_nothing(
+    bed, record_property
+):
+    """
+    A batch was sent and kept, and its collector dies before it hears of that.
+    """
+    record_property("promise", "exactly_once")
+    samples = [_sample(group) for group in range(4)]
+    path = f"/v1/trainers/{TRAINER}/steps/7"
+    opened = _submit(bed, "dc-a-vm1", path, samples, [])
+    batch = _fetch_some(bed, "dc-a-vm1", path, opened["fence"], opened["cursor"])
+    kept = [(s["group"], s["index"]) for s in batch["samples"]]
+    bed.process(find_collector(bed)).signal(signal.SIGKILL)
+    resync = _fetch(bed, "dc-b-vm1", path, opened["fence"], batch["number"])
+    assert resync.code in (206, 207)
+    opened = until(lambda: _submit(bed, "dc-b-vm1", path, samples, kept))
+    cursor = opened["cursor"]
+    while len(kept) < 4:
+        batch = _fetch_some(bed, "dc-b-vm1", path, opened["fence"], cursor)
+        cursor = batch["number"]
+        kept += [(s["group"], s["index"]) for s in batch["samples"]]
+    assert sorted(kept) == [(group, 0) for group in range(4)]
+
+
+def test_finished_samples_outlive_a_planned_stop(bed, record_property):
+    """
+    Samples that were finished and not fetched are handed over, not made again.
+    """
+    record_property("promise", "planned_stop")
+    samples = [_sample(group) for group in range(6)]
+    path = f"/v1/trainers/{TRAINER}/steps/8"
+    _submit(bed, "dc-a-vm1", path, samples, [])
+    collector = until(lambda: find_collector(bed))
+    until(lambda: bed.status(collector)["steps"][0]["ready"] == 6)
+    made = _samples_made(bed)
+    bed.process(collector).signal(signal.SIGTERM)
+    assert bed.process(collector).wait(30.0) == 0
+    opened = until(lambda: _submit(bed, "dc-b-vm1", path, samples, []))
+    assert opened["missing"] == 0
+    batch = _fetch_some(bed, "dc-b-vm1", path, opened["fence"], opened["cursor"])
+    assert len(batch["samples"]) == 6
+    assert _samples_made(bed) == made
+
+
+def _sample(group: int) -> dict:
+    return {"group": group, "index": 0, "prompt": f"p{group}", "max_tokens": 8}
+
+
+def _samples_made(bed: Testbed) -> int:
+    return sum(len(bed.fake(name)["started"]) for name in bed.engines)
+
+
+def _submit(
+    bed: Testbed, vm: str, path: str, samples: list[dict], received: list
+) -> dict | None:
+    body = {"version": 1, "samples": samples, "received": received}
+    answer = bed.ask(vm, path, body, token=TRAINER)
+    return answer.data if answer.code == 100 else None
+
+
+def _fetch(bed: Testbed, vm: str, path: str, fence: int, cursor: int):
+    body = {"fence": fence, "cursor": cursor, "version": 1, "wait_s": 2.0}
+    return bed.ask(vm, f"{path}/fetch", body, token=TRAINER)
+
+
+def _fetch_some(bed: Testbed, vm: str, path: str, fence: int, cursor: int) -> dict:
+    answer = until(
+        lambda: (a := _fetch(bed, vm, path, fence, cursor)).code == 100 and a
+    )
+    return answer.data
