--- a/packages/saddledoord/src/saddledoord/_exchange.py
+++ b/packages/saddledoord/src/saddledoord/_exchange.py
@@ -11,8 +11,6 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-import aiohttp
-
 from saddledoor import (
     Accepted,
     MemberEntry,
@@ -46,8 +44,6 @@
 _RENEWALS = 4
 #: A summary is passed on only if it is younger by so much, in seconds.
 _FRESHER = 0.5
-#: Wait before the list of VMs is read again because nobody answered, in seconds.
-_LIST_RETRY = 2.0
 #: Entries of VMs that are gone are dropped after so long, in seconds.
 _FORGET_AFTER = 60.0
 
@@ -64,7 +60,9 @@
         watcher: Watcher,
         metrics: Metrics,
         held_leases: Callable[[], tuple[str, ...]],
+        ask_for_list: Callable[[], None],
     ) -> None:
+        self._ask_for_list = ask_for_list
         self._held_leases = held_leases
         self._state = state
         self._peers = peers
@@ -72,53 +70,10 @@
         self._metrics = metrics
         self._seq = 0
         self._pushed_seq = 0
-        self._lonely = asyncio.Event()
-        self._closing: asyncio.Task | None = None
         self._renewed_at = boot_time()
         expiry = state.settings.timings.member_expiry
         self._renew_every = expiry / _RENEWALS
 
-    async def run_vm_list(self, session: aiohttp.ClientSession) -> None:
-        """
-        Read the platform's lagging list of VMs; only a seed for whom to ask.
-        """
-        settings = self._state.settings
-        limit = aiohttp.ClientTimeout(total=settings.timings.log_timeout)
-        while True:
-            try:
-                async with session.get(
-                    f"{settings.vm_list}/v1/vms", timeout=limit
-                ) as response:
-                    data = await response.json()
-                    vms = {str(item["vm"]): item for item in data["vms"]}
-                self._state.vm_list = vms
-                self._forget_channels()
-            except (aiohttp.ClientError, TimeoutError, ValueError, KeyError, TypeError):
-                # The last list stays: a lost platform must not empty the fleet.
-                pass
-            await self._until_list_is_due()
-
-    def _forget_channels(self) -> None:
-        # VMs are replaced all day; a channel to one that is gone is never used again.
-        if self._closing is not None and not self._closing.done():
-            return
-        known = {m.grpc for m in self._state.members.all_entries()}
-        known |= {m.grpc_outside for m in self._state.members.all_entries()}
-        for item in self._state.vm_list.values():
-            known |= {item["grpc"], item.get("grpc_outside", item["grpc"])}
-        for site in self._state.members.sites(boot_time()):
-            known |= set(site.peers)
-        self._closing = asyncio.create_task(self._peers.keep_only(known))
-
-    async def _until_list_is_due(self) -> None:
-        self._lonely.clear()
-        try:
-            async with asyncio.timeout(self._state.settings.timings.vm_list):
-                await self._lonely.wait()
-                await asyncio.sleep(_LIST_RETRY)
-        except TimeoutError:
-            pass
-
     async def run_pulls(self) -> None:
         """
         Pull from one random peer of this data centre, again and again.
@@ -127,7 +82,7 @@
             self.refresh_own()
             address = self._random_peer()
             if address is None or not await self._pull(address):
-                self._lonely.set()
+                self._ask_for_list()
             now = boot_time()
             self._state.members.forget_dead(now, _FORGET_AFTER)
             await asyncio.sleep(self._state.settings.timings.exchange)
@@ -316,7 +271,7 @@
     async def _pull_summary(self, site: str) -> None:
         address = self._peer_of_site(site)
         if address is None:
-            self._lonely.set()
+            self._ask_for_list()
             return
         request = pb.SummaryRequest(
             vm=self._state.settings.vm, config_offset=self._state.in_force.offset
@@ -325,7 +280,7 @@
             reply = await self._peers.summary(address, request, _TIMEOUT)
         except PeerAwayError:
             self._metrics.exchanges.add(1, {"outcome": "site_away"})
-            self._lonely.set()
+            self._ask_for_list()
             return
         self._metrics.exchanges.add(1, {"outcome": "site_answered"})
         self._count_bytes(request, reply)
--- a/packages/saddledoord/src/saddledoord/_parts.py
+++ b/packages/saddledoord/src/saddledoord/_parts.py
@@ -30,6 +30,7 @@
 from ._settings import Settings
 from ._state import NodeState
 from ._status import status_reader
+from ._vm_list import VmListReader
 from ._watcher import Watcher
 from .filters.claim import KeyLedger
 
@@ -50,6 +51,7 @@
     dispatcher: Dispatcher
     watcher: Watcher
     exchange: Exchange
+    vm_list: VmListReader
     claims: ClaimLog
     burn: BurnFeed
     collectors: Collectors
@@ -70,7 +72,7 @@
             self.dispatcher.review(),
             self.claims.run_releases(),
             self.burn.run(),
-            self.exchange.run_vm_list(self.backends.session),
+            self.vm_list.run(self.backends.session),
             self.exchange.run_pulls(),
             self.exchange.run_summaries(),
         ]
@@ -102,7 +104,8 @@
     keeper = LeaseKeeper(log, state, control_stream)
     dispatcher = Dispatcher(state)
     watcher = Watcher(state, backends)
-    exchange = Exchange(state, peers, watcher, metrics, keeper.names)
+    vm_list = VmListReader(state, peers)
+    exchange = Exchange(state, peers, watcher, metrics, keeper.names, vm_list.ask)
     claims = ClaimLog(log, state, metrics)
     ledger = KeyLedger()
     burn = BurnFeed(state, log)
@@ -121,6 +124,7 @@
         dispatcher=dispatcher,
         watcher=watcher,
         exchange=exchange,
+        vm_list=vm_list,
         claims=claims,
         burn=burn,
         collectors=collectors,
