--- a/packages/saddledoord/src/saddledoord/_pipeline.py
+++ b/packages/saddledoord/src/saddledoord/_pipeline.py
@@ -34,6 +34,7 @@
 from ._metrics import Metrics
 from ._peer_client import PeerAwayError, PeerClient
 from ._state import NodeState
+from ._wire_types import call_from_wire, call_to_wire
 from .filters.attempt import CompletionJob, attempt_completion
 from .filters.call import ServiceJob, attempt_call
 from .filters.claim import KeyLedger, claimed_call
@@ -171,7 +172,7 @@
         )
         future = self._ledger.open(ledger_name)
         try:
-            result = await self._attempt(_job_from_wire(work))
+            result = await self._attempt(call_from_wire(work))
         finally:
             future.set_result(result)
         if isinstance(result, NotRun):
@@ -235,7 +236,7 @@
     async def _call_by_issued_key(
         self, job: ServiceJob, request: ServiceRequest
     ) -> CallAnswer | NotRun | OutcomeUnknown:
-        work = _job_to_wire(job)
+        work = call_to_wire(job)
         decider = IssuedKeys.decider(job.key)
         if decider == self._state.owner.encode().hex():
             return await self.run_issued(work)
@@ -264,33 +265,3 @@
             for item in self._state.vm_list.values()
         }
         return address if address in known else None
-
-
-def _job_to_wire(job: ServiceJob) -> pb.ServiceWork:
-    return pb.ServiceWork(
-        request_id=job.request_id,
-        partner=job.partner,
-        service=job.service,
-        method=job.method,
-        path=job.target,
-        content_type=job.content_type,
-        body=job.body,
-        key=job.key,
-        timeout_s=max(0.1, job.deadline - boot_time()),
-    )
-
-
-def _job_from_wire(work: pb.ServiceWork) -> ServiceJob:
-    return ServiceJob(
-        request_id=work.request_id,
-        partner=work.partner,
-        weight=1.0,
-        service=work.service,
-        method=work.method,
-        target=work.path,
-        content_type=work.content_type,
-        body=work.body,
-        unrepeatable=True,
-        key=work.key,
-        deadline=boot_time() + work.timeout_s,
-    )
--- a/packages/saddledoord/src/saddledoord/_wire_types.py
+++ b/packages/saddledoord/src/saddledoord/_wire_types.py
@@ -22,12 +22,15 @@
 from ._backends import CallAnswer
 from ._clock import boot_time
 from .filters.attempt import CompletionJob
+from .filters.call import ServiceJob
 from .wire import peer_pb2 as pb
 
 
 __all__ = [
     "answer_from_wire",
     "answer_to_wire",
+    "call_from_wire",
+    "call_to_wire",
     "entry_from_wire",
     "entry_to_wire",
     "outcome_from_code",
@@ -215,3 +218,36 @@
         peers=tuple(site.peers),
         unusable=tuple(site.unusable),
     )
+
+
+def call_to_wire(job: ServiceJob) -> pb.ServiceWork:
+    return pb.ServiceWork(
+        request_id=job.request_id,
+        partner=job.partner,
+        service=job.service,
+        method=job.method,
+        path=job.target,
+        content_type=job.content_type,
+        body=job.body,
+        key=job.key,
+        timeout_s=max(0.1, job.deadline - boot_time()),
+    )
+
+
+def call_from_wire(work: pb.ServiceWork) -> ServiceJob:
+    """
+    Read a call under an issued key; it is always unrepeatable.
+    """
+    return ServiceJob(
+        request_id=work.request_id,
+        partner=work.partner,
+        weight=1.0,
+        service=work.service,
+        method=work.method,
+        target=work.path,
+        content_type=work.content_type,
+        body=work.body,
+        unrepeatable=True,
+        key=work.key,
+        deadline=boot_time() + work.timeout_s,
+    )
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 from pathlib import Path
 
 import pytest
@@ -22,14 +23,13 @@
     docs/CALLERS.md has exactly one row per code, as the code describes it.
     """
     text = (_ROOT / "docs" / "CALLERS.md").read_text()
-    told = [line for line in text.splitlines() if line[:3].strip("| ").isdigit()]
+    told = [line for line in text.splitlines() if re.match(r"\| \d+ \|", line)]
     expected = [
         f"| {int(code)} | {code.name.lower()} | {code.family.value} | {status} "
         f"| {meaning} | {todo} |"
         for code, status, meaning, todo in describe()
     ]
-    assert [line for line in text.splitlines() if line in expected] == expected
-    assert len(told) <= len(expected)
+    assert told == expected
 
 
 def test_every_promise_has_its_row():
--- a/tests/test_failures_requests.py
+++ b/tests/test_failures_requests.py
@@ -195,13 +195,16 @@
     record_property("promise", "whole_answer")
     for name in bed.engines:
         bed.fake(name, cut_streams=2)
+    whole = 0
     for number, vm in enumerate(bed.vms):
         answer = bed.complete(vm, f"prompt {number}", 24)
         if answer.code != 100:
             assert answer.code == 302
             continue
+        whole += 1
         text = answer.data["choices"][0]["text"]
         assert [int(t.split(":")[3]) for t in text.split()] == list(range(24))
+    assert whole > 0
 
 
 def test_a_stream_that_cannot_be_resumed_has_no_end_marker(bed, record_property):
