Wait for both counted events in the burn report's test

As read from the code, not seen in the failing run: the VM writes its totals every 0.5 s; a record written between the test's two requests holds the first alone, and the test took the first report that named the partner.

The test now waits until both events are counted (total 2) and asserts the same rate, so it is as strict.

--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -136,7 +136,13 @@
         found = json.loads(done.stdout)["rows"]
         return {(r["objective"], r["subject"]): r for r in found}
 
-    seen = until(lambda: (r := rows()) and ("refused", "partner-a") in r and r)
+    def both_counted() -> dict | None:
+        # A record may be written between the two requests.
+        found = rows()
+        row = found.get(("refused", "partner-a"))
+        return found if row and row["total"] == 2 else None
+
+    seen = until(both_counted)
     assert seen[("fast", "pool:pool-a")]["rate"] == 0
     assert seen[("refused", "partner-a")]["rate"] == pytest.approx(1.0)
     assert seen[("refused", "partner-a")]["by_data_centre"] == {"dc-a": 1}
