--- a/packages/saddledoor/src/saddledoor/__init__.py
+++ b/packages/saddledoor/src/saddledoor/__init__.py
@@ -45,6 +45,29 @@
     validate,
 )
 from ._drain import Drain, Stage
+from ._engine_directory import EngineDirectory, EngineEntry
+from ._event_text import EventText, GeneratedEvent
+from ._job_records import (
+    decode_job,
+    decode_job_record,
+    encode_job_record,
+    job_chunks,
+)
+from ._jobs import (
+    ItemFailed,
+    ItemKept,
+    ItemListed,
+    ItemResult,
+    Job,
+    JobBook,
+    JobChunk,
+    JobEnded,
+    JobItem,
+    JobRecord,
+    JobState,
+    KeptText,
+    ScoreCall,
+)
 from ._labels import VersionRun, append_part, is_fresh, is_wholly_labelled
 from ._leases import TAKEOVER_FACTOR, HeldLease, Lease, LeaseFold, LeaseWatch
 from ._members import (
@@ -74,6 +97,15 @@
     unpack_document,
 )
 from ._retry import RetryBudget
+from ._route_table import (
+    GatewayConfig,
+    GatewayLimits,
+    GatewayRoute,
+    GatewayService,
+    RouteKind,
+    RouteTable,
+    ServiceShare,
+)
 from ._routing import (
     Candidate,
     Choose,
@@ -90,6 +122,34 @@
 
 
 __all__ = [
+    "EngineDirectory",
+    "EngineEntry",
+    "EventText",
+    "GatewayConfig",
+    "GatewayLimits",
+    "GatewayRoute",
+    "GatewayService",
+    "GeneratedEvent",
+    "ItemFailed",
+    "ItemKept",
+    "ItemListed",
+    "ItemResult",
+    "Job",
+    "JobBook",
+    "JobChunk",
+    "JobEnded",
+    "JobItem",
+    "JobRecord",
+    "JobState",
+    "KeptText",
+    "RouteKind",
+    "RouteTable",
+    "ScoreCall",
+    "ServiceShare",
+    "decode_job",
+    "decode_job_record",
+    "encode_job_record",
+    "job_chunks",
     "StepOrder",
     "in_order",
     "longest_first",
--- /dev/null
+++ b/packages/saddledoor/src/saddledoor/_event_text.py
@@ -0,0 +1,81 @@
+# SPDX-License-Identifier: MIT
+
+"""
+A text put together from numbered events of one or more runs.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ._jobs import KeptText
+
+
+__all__ = ["EventText", "GeneratedEvent"]
+
+
+@dataclass(frozen=True)
+class GeneratedEvent:
+    """
+    An event of an engine's stream.
+
+    :param number: From 1, without gaps within one text.
+    :param version: Weight version that made it.
+    """
+
+    number: int
+    data: str
+    version: int | None
+
+
+class EventText:
+    """
+    Takes events in order; a later run goes on after the last one taken.
+    """
+
+    @property
+    def last(self) -> int:
+        """
+        Number of the newest event; 0 before the first.
+        """
+        return len(self._events)
+
+    @property
+    def versions(self) -> tuple[int, ...]:
+        """
+        Weight versions that made the events, in order of appearance.
+        """
+        return tuple(self._versions)
+
+    @property
+    def text(self) -> str:
+        """
+        Data of all events, with line feeds between them.
+        """
+        return "\n".join(self._events)
+
+    def __init__(self, kept: KeptText | None = None) -> None:
+        self._events: list[str] = list(kept.events) if kept else []
+        self._versions: list[int] = list(kept.versions) if kept else []
+
+    def take(self, event: GeneratedEvent, oldest_version: int) -> bool:
+        """
+        Take the next event.
+
+        :returns: False if it is not the next one, or if the weights that made it are
+            unknown or too old; nothing was taken then.
+        """
+        if event.number != len(self._events) + 1:
+            return False
+        if event.version is None or event.version < oldest_version:
+            return False
+        self._events.append(event.data)
+        if event.version not in self._versions:
+            self._versions.append(event.version)
+        return True
+
+    def keep(self) -> KeptText:
+        """
+        Return what was taken so far.
+        """
+        return KeptText(tuple(self._events), tuple(self._versions))
--- /dev/null
+++ b/packages/saddledoor/src/saddledoor/_job_records.py
@@ -0,0 +1,126 @@
+# SPDX-License-Identifier: MIT
+
+"""
+The byte form of job records: msgpack arrays, a letter for the type first.
+"""
+
+from __future__ import annotations
+
+import msgpack
+
+from ._jobs import (
+    ItemFailed,
+    ItemKept,
+    ItemListed,
+    ItemResult,
+    Job,
+    JobChunk,
+    JobEnded,
+    JobItem,
+    JobRecord,
+    KeptText,
+    ScoreCall,
+)
+from .exceptions import UndecodableRecordError
+
+
+__all__ = ["decode_job", "decode_job_record", "encode_job_record", "job_chunks"]
+
+
+def encode_job_record(record: JobRecord) -> bytes:
+    """
+    Return a record's bytes.
+    """
+    match record:
+        case JobChunk():
+            fields = [record.writer, record.index, record.count, record.data]
+            return msgpack.packb(["c", record.job_id, *fields])
+        case ItemListed(result=result):
+            fields = [result.item_id, result.done, result.text]
+            return msgpack.packb(
+                ["r", record.job_id, *fields, list(result.versions), result.score]
+            )
+        case ItemFailed():
+            return msgpack.packb(["f", record.job_id, record.item_id, record.scoring])
+        case ItemKept(kept=kept):
+            fields = [record.item_id, list(kept.events), list(kept.versions)]
+            return msgpack.packb(["k", record.job_id, *fields])
+        case JobEnded():
+            return msgpack.packb(["e", record.job_id])
+
+
+def decode_job_record(data: bytes) -> JobRecord:
+    """
+    Read a record.
+
+    :raises UndecodableRecordError: If it is none of the known types.
+    """
+    try:
+        kind, job_id, *fields = msgpack.unpackb(data)
+        return _DECODERS[kind](job_id, *fields)
+    except (ValueError, KeyError, TypeError, msgpack.UnpackException) as error:
+        raise UndecodableRecordError(f"job record: {error!r}") from None
+
+
+def _listed(job_id, item_id, done, text, versions, score) -> ItemListed:
+    return ItemListed(job_id, ItemResult(item_id, done, text, tuple(versions), score))
+
+
+def _kept(job_id, item_id, events, versions) -> ItemKept:
+    return ItemKept(job_id, item_id, KeptText(tuple(events), tuple(versions)))
+
+
+_DECODERS = {
+    "c": JobChunk,
+    "r": _listed,
+    "f": ItemFailed,
+    "k": _kept,
+    "e": JobEnded,
+}
+
+
+def job_chunks(job: Job, writer: str, chunk_bytes: int) -> list[JobChunk]:
+    """
+    Cut a job into records that the log takes.
+
+    :param writer: Names this append.
+    :param chunk_bytes: Largest piece, in bytes.
+    """
+    data = _encode_job(job)
+    pieces = [data[i : i + chunk_bytes] for i in range(0, len(data), chunk_bytes)]
+    return [
+        JobChunk(job.job_id, writer, index, len(pieces), piece)
+        for index, piece in enumerate(pieces)
+    ]
+
+
+def _encode_job(job: Job) -> bytes:
+    head = [job.job_id, job.host, job.path, job.model, job.step, job.oldest_version]
+    items = [_item_fields(item) for item in job.items]
+    return msgpack.packb([*head, job.groups_wanted, job.submitted_at, items])
+
+
+def _item_fields(item: JobItem) -> list:
+    score = item.score
+    call = score and [score.request_id, score.host, score.path, score.body]
+    head = [item.item_id, item.path, [list(pair) for pair in item.headers]]
+    return [*head, item.body, item.tokens, item.group, call]
+
+
+def decode_job(data: bytes) -> Job:
+    """
+    Read a job that was put together from its pieces.
+
+    :raises ValueError: If it is not one.
+    """
+    try:
+        *head, items = msgpack.unpackb(data)
+        return Job(*head, tuple(_item(*fields) for fields in items))
+    except (TypeError, msgpack.UnpackException) as error:
+        raise ValueError(f"job: {error!r}") from None
+
+
+def _item(item_id, path, headers, body, tokens, group, call) -> JobItem:
+    pairs = tuple((name, value) for name, value in headers)
+    score = ScoreCall(*call) if call else None
+    return JobItem(item_id, path, pairs, body, tokens, group, score)
--- /dev/null
+++ b/packages/saddledoor/src/saddledoor/_jobs.py
@@ -0,0 +1,299 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Batch jobs as a fold over the log: every node that reads it gives the same answers.
+
+The log's order decides everything a reader can see. An item's first result record
+makes its position; any later one, by whichever node, changes nothing. So a node that
+wrongly believes it still runs a job can do no harm by what it appends.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+
+__all__ = [
+    "ItemFailed",
+    "ItemKept",
+    "ItemListed",
+    "ItemResult",
+    "Job",
+    "JobBook",
+    "JobChunk",
+    "JobEnded",
+    "JobItem",
+    "JobRecord",
+    "JobState",
+    "KeptText",
+    "ScoreCall",
+]
+
+
+@dataclass(frozen=True)
+class ScoreCall:
+    """
+    The request that scores a finished text.
+
+    :param request_id: The caller's name for it; it may be repeated.
+    """
+
+    request_id: str
+    host: str
+    path: str
+    body: bytes
+
+
+@dataclass(frozen=True)
+class JobItem:
+    """
+    A generation that a job asks for.
+
+    :param headers: Passed on to the engine as they are.
+    :param tokens: Prompt and longest answer together, a count.
+    :param group: Items of one group share their prompt; empty without groups.
+    """
+
+    item_id: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    tokens: int
+    group: str = ""
+    score: ScoreCall | None = None
+
+
+@dataclass(frozen=True)
+class Job:
+    """
+    Generations that a trainer submits at once.
+
+    :param oldest_version: Oldest weight version that may make a token.
+    :param groups_wanted: Whole groups that the trainer waits for, a count.
+    :param submitted_at: Time of day of the acceptance, in seconds.
+    """
+
+    job_id: str
+    host: str
+    path: str
+    model: str
+    step: int
+    oldest_version: int
+    groups_wanted: int
+    submitted_at: float
+    items: tuple[JobItem, ...]
+
+
+@dataclass(frozen=True)
+class ItemResult:
+    """
+    What a reader gets for an item.
+
+    :param done: False if the item was given up; then the rest is empty.
+    :param versions: Every weight version that made an event of the text.
+    :param score: The mark of the scoring call's answer.
+    """
+
+    item_id: str
+    done: bool
+    text: str = ""
+    versions: tuple[int, ...] = ()
+    score: str = ""
+
+
+@dataclass(frozen=True)
+class JobChunk:
+    """
+    A piece of an accepted job; all pieces stand in one append, one after the other.
+
+    :param writer: Names one append among several of the same job.
+    """
+
+    job_id: str
+    writer: str
+    index: int
+    count: int
+    data: bytes
+
+
+@dataclass(frozen=True)
+class ItemListed:
+    """
+    An item's result.
+    """
+
+    job_id: str
+    result: ItemResult
+
+
+@dataclass(frozen=True)
+class ItemFailed:
+    """
+    An engine answered that it failed on an item.
+
+    :param scoring: Whether it was the scoring call.
+    """
+
+    job_id: str
+    item_id: str
+    scoring: bool = False
+
+
+@dataclass(frozen=True)
+class KeptText:
+    """
+    The part of an item's text that was made before its run was given up.
+
+    :param events: Data of the events, in order from the first.
+    :param versions: Weight versions that made them, in order of appearance.
+    """
+
+    events: tuple[str, ...]
+    versions: tuple[int, ...]
+
+
+@dataclass(frozen=True)
+class ItemKept:
+    """
+    Text that the next node to run an item may go on from.
+    """
+
+    job_id: str
+    item_id: str
+    kept: KeptText
+
+
+@dataclass(frozen=True)
+class JobEnded:
+    """
+    The trainer has ended the job; nothing of it runs any more.
+    """
+
+    job_id: str
+
+
+JobRecord = JobChunk | ItemListed | ItemFailed | ItemKept | JobEnded
+
+
+@dataclass
+class JobState:
+    """
+    A job and what the log says of it.
+
+    :param results: In the order of their positions.
+    :param failures: Failed runs of each item, a count.
+    :param score_failures: Failed scoring calls of each item, a count.
+    """
+
+    job: Job
+    order: int
+    results: list[ItemResult] = field(default_factory=list)
+    listed: set[str] = field(default_factory=set)
+    failures: dict[str, int] = field(default_factory=dict)
+    score_failures: dict[str, int] = field(default_factory=dict)
+    kept: dict[str, KeptText] = field(default_factory=dict)
+    ended: bool = False
+
+    def __post_init__(self) -> None:
+        self.items = {item.item_id: item for item in self.job.items}
+
+    @property
+    def is_open(self) -> bool:
+        """
+        Whether something is left to run.
+        """
+        return not self.ended and len(self.listed) < len(self.items)
+
+    def unlisted(self) -> Iterator[JobItem]:
+        """
+        Return the items that have no result, in the order of the job.
+        """
+        return (i for i in self.job.items if i.item_id not in self.listed)
+
+
+class JobBook:
+    """
+    All jobs, folded from the log's records.
+
+    :param decode: Turns the joined pieces of a job into a `Job`; raises `ValueError`.
+    """
+
+    def __init__(self, decode) -> None:
+        self._decode = decode
+        self._jobs: dict[str, JobState] = {}
+        self._pieces: dict[tuple[str, str], list[bytes]] = {}
+        self._accepted = 0
+
+    def get(self, job_id: str) -> JobState | None:
+        """
+        Return a job, or none if the log holds none of that name.
+        """
+        return self._jobs.get(job_id)
+
+    def open_jobs(self) -> list[JobState]:
+        """
+        Return the jobs that have something to run, oldest first.
+        """
+        return [state for state in self._jobs.values() if state.is_open]
+
+    def apply(self, record: JobRecord) -> str:
+        """
+        Fold one record.
+
+        :returns: The job it belongs to.
+        :raises ValueError: If a job's pieces cannot be decoded; it is not taken then.
+        """
+        if isinstance(record, JobChunk):
+            self._apply_chunk(record)
+            return record.job_id
+        state = self._jobs.get(record.job_id)
+        if state is not None:
+            _apply_change(state, record)
+        return record.job_id
+
+    def forget(self, before: float) -> None:
+        """
+        Drop ended jobs that were submitted before a time of day, in seconds.
+        """
+        for job_id, state in list(self._jobs.items()):
+            if not state.is_open and state.job.submitted_at < before:
+                del self._jobs[job_id]
+
+    def _apply_chunk(self, chunk: JobChunk) -> None:
+        if chunk.job_id in self._jobs:
+            return
+        key = (chunk.job_id, chunk.writer)
+        pieces = self._pieces.setdefault(key, [])
+        if chunk.index != len(pieces):
+            # The beginning is gone from the log, so the job cannot be put together.
+            del self._pieces[key]
+            return
+        pieces.append(chunk.data)
+        if len(pieces) < chunk.count:
+            return
+        del self._pieces[key]
+        job = self._decode(b"".join(pieces))
+        self._accepted += 1
+        self._jobs[chunk.job_id] = JobState(job, self._accepted)
+
+
+def _apply_change(
+    state: JobState, record: ItemListed | ItemFailed | ItemKept | JobEnded
+) -> None:
+    match record:
+        case ItemListed(result=result):
+            if result.item_id in state.items and result.item_id not in state.listed:
+                state.listed.add(result.item_id)
+                state.results.append(result)
+                state.kept.pop(result.item_id, None)
+        case ItemFailed(item_id=item_id, scoring=scoring):
+            counts = state.score_failures if scoring else state.failures
+            counts[item_id] = counts.get(item_id, 0) + 1
+        case ItemKept(item_id=item_id, kept=kept):
+            before = state.kept.get(item_id)
+            if before is None or len(kept.events) > len(before.events):
+                state.kept[item_id] = kept
+        case JobEnded():
+            state.ended = True
+            state.kept.clear()
--- /dev/null
+++ b/packages/saddledoor/src/saddledoor/_route_table.py
@@ -0,0 +1,166 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Pass-through routes: which service a request goes to, and what may be repeated.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+__all__ = [
+    "GatewayConfig",
+    "GatewayLimits",
+    "GatewayRoute",
+    "GatewayService",
+    "RouteKind",
+    "RouteTable",
+    "ServiceShare",
+]
+
+
+class RouteKind(Enum):
+    """
+    What a route carries, which decides what may be repeated.
+    """
+
+    #: Idempotent requests: may run more than once.
+    SAFE = "safe"
+    #: At most once for each request of a caller.
+    UNSAFE = "unsafe"
+    #: A stream of events; at most once unless the route is resumable.
+    STREAM = "stream"
+    #: Batch jobs of a trainer.
+    JOB = "job"
+
+
+@dataclass(frozen=True)
+class ServiceShare:
+    """
+    A service's share of a route's requests.
+
+    :param weight: Relative to the other shares; 0 sends nothing.
+    """
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True)
+class GatewayRoute:
+    """
+    A route by host and path prefix.
+
+    :param timeout: Longest time a request may be held, in seconds.
+    :param objective: Time within which an answer is worth its full credit, in seconds.
+    :param max_attempts: Largest number of back ends one request may be sent to.
+    :param rank: 0 is the most urgent.
+    :param resumable: Whether a broken stream may go on at another back end.
+    :param single_version: Whether a sample must come from one weight version.
+    :param give_up_after: Age at which an item of a job may be given up, in seconds.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    shares: tuple[ServiceShare, ...]
+    timeout: float
+    objective: float
+    max_attempts: int
+    rank: int = 0
+    resumable: bool = False
+    single_version: bool = False
+    give_up_after: float | None = None
+
+    def service(self, draw: float) -> str:
+        """
+        Return the service for one request.
+
+        :param draw: A random number in [0, 1).
+        """
+        total = sum(share.weight for share in self.shares)
+        point = draw * total
+        for share in self.shares:
+            if point < share.weight:
+                return share.service
+            point -= share.weight
+        return self.shares[-1].service
+
+
+@dataclass(frozen=True)
+class GatewayService:
+    """
+    What the configuration says of a service's back ends.
+
+    :param models: Names of the models its engines run; empty for a plain service.
+    """
+
+    name: str
+    max_connections: int
+    models: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True)
+class GatewayLimits:
+    """
+    What a caller may send, and how long its connection may rest.
+
+    :param idle_timeout: In seconds.
+    """
+
+    max_header_bytes: int
+    max_body_bytes: int
+    idle_timeout: float
+
+
+@dataclass(frozen=True)
+class GatewayConfig:
+    """
+    A whole configuration of the pass-through.
+
+    :param version: Rises with each configuration, by uneven steps.
+    """
+
+    version: int
+    routes: tuple[GatewayRoute, ...]
+    services: Mapping[str, GatewayService]
+    limits: GatewayLimits
+
+
+@dataclass(frozen=True)
+class RouteTable:
+    """
+    Finds a request's route.
+    """
+
+    _by_host: dict[str, tuple[GatewayRoute, ...]] = field(default_factory=dict)
+
+    @classmethod
+    def from_config(cls, routes: Sequence[GatewayRoute]) -> RouteTable:
+        """
+        Build the table; longer prefixes are tried first.
+        """
+        by_host: dict[str, list[GatewayRoute]] = {}
+        for route in routes:
+            by_host.setdefault(route.host.lower(), []).append(route)
+        ordered = {
+            host: tuple(sorted(found, key=lambda r: -len(r.path_prefix)))
+            for host, found in by_host.items()
+        }
+        return cls(ordered)
+
+    def find(self, host: str, path: str) -> GatewayRoute | None:
+        """
+        Return the route of this host with the longest prefix of the path.
+
+        :param host: With or without a port.
+        """
+        name = host.partition(":")[0].lower()
+        for route in self._by_host.get(name, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
--- a/packages/saddledoord/src/saddledoord/_backends.py
+++ b/packages/saddledoord/src/saddledoord/_backends.py
@@ -14,6 +14,8 @@
 
 from saddledoor import NotRun, OutcomeUnknown, Part, ResultCode
 
+from ._send_once import send_once
+
 
 __all__ = [
     "Backends",
@@ -44,24 +46,6 @@
         super().__init__(reason)
 
 
-class _HandedOverError(aiohttp.ClientError):
-    """
-    A connection was closed after the request was sent.
-    """
-
-
-async def _send_once(
-    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-) -> aiohttp.ClientResponse:
-    # The library repeats idempotent methods after just these two errors.
-    try:
-        return await handler(request)
-    except aiohttp.ClientConnectorError:
-        raise
-    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise _HandedOverError(repr(error)) from error
-
-
 @dataclass(frozen=True)
 class CallAnswer:
     """
@@ -115,7 +99,7 @@
                 connector=single,
                 timeout=timeout,
                 auto_decompress=False,
-                middlewares=(_send_once,),
+                middlewares=(send_once,),
             ),
         )
 
--- a/packages/saddledoord/src/saddledoord/_daemon.py
+++ b/packages/saddledoord/src/saddledoord/_daemon.py
@@ -7,19 +7,17 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import random
 import signal
-import socket
 from collections.abc import Coroutine
 
 import structlog
-import uvicorn
 
 from saddledoor.tracing import NodeBegan, StageChanged
 
 from ._clock import boot_time
 from ._collector import collector_lease
+from ._http_server import HttpServer, listen, server_config
 from ._parts import Parts, build_parts
 from ._peer_server import start_peer_server
 from ._settings import Settings
@@ -38,34 +36,6 @@
 _TAKEOVER_WAIT = 3.0
 #: How long peers' calls may take when this VM ends, in seconds.
 _PEER_GRACE = 1.0
-#: Largest header block of a caller, in bytes.
-_MAX_HEADERS = 32_768
-
-
-class _Server(uvicorn.Server):
-    def __init__(self, config: uvicorn.Config) -> None:
-        super().__init__(config)
-        self._ended = asyncio.Event()
-
-    def end(self, *, force: bool) -> None:
-        """
-        Close the listener and what is open on it.
-
-        :param force: Whether to wait for nobody.
-        """
-        self.should_exit = True
-        self.force_exit = force
-        self._ended.set()
-
-    @contextlib.contextmanager
-    def capture_signals(self):
-        # The daemon itself handles signals: a planned stop is more than closing.
-        yield
-
-    async def main_loop(self) -> None:
-        # The library's own loop wakes up ten times a second, which would cost an idle
-        # VM a fifth of its share of a core; nothing that it looks after is used here.
-        await self._ended.wait()
 
 
 class Daemon:
@@ -93,8 +63,8 @@
         peer_server = await start_peer_server(
             parts.peer_service, settings.grpc, settings.peer_secret
         )
-        http = _Server(_uvicorn_config(parts.app))
-        listener = _listen(settings.http)
+        http = HttpServer(server_config(parts.app, _KEEP_ALIVE))
+        listener = listen(settings.http)
         serving = asyncio.create_task(http.serve(sockets=[listener]))
         _log.info("started", vm=settings.vm, http=settings.http, grpc=settings.grpc)
         for loop in parts.loops():
@@ -198,32 +168,3 @@
         for site in self._state.members.sites(boot_time()):
             serving += [] if serving else list(site.peers)
         return random.choice(serving) if serving else None
-
-
-def _uvicorn_config(app) -> uvicorn.Config:
-    return uvicorn.Config(
-        app,
-        http="h11",
-        ws="none",
-        lifespan="off",
-        log_config=None,
-        access_log=False,
-        timeout_keep_alive=_KEEP_ALIVE,
-        h11_max_incomplete_event_size=_MAX_HEADERS,
-        server_header=False,
-        date_header=False,
-    )
-
-
-def _listen(address: str) -> socket.socket:
-    host, _, port = address.rpartition(":")
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    try:
-        listener.bind((host, int(port)))
-    except OSError as error:
-        listener.close()
-        raise OSError(f"{address}: {error.strerror}") from None
-    listener.listen(1024)
-    listener.setblocking(False)
-    return listener
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/_gateway_metrics.py
@@ -0,0 +1,49 @@
+# SPDX-License-Identifier: MIT
+
+"""
+The gateway's counters and latency histograms.
+"""
+
+from __future__ import annotations
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.sdk.metrics import MeterProvider
+from prometheus_client import REGISTRY, generate_latest
+
+from saddledoor import ResultCode
+
+
+__all__ = ["GatewayMetrics"]
+
+
+class GatewayMetrics:
+    """
+    Requests by route and result code, and how long they took.
+    """
+
+    def __init__(self) -> None:
+        meter = MeterProvider(metric_readers=[PrometheusMetricReader()]).get_meter(
+            "saddledoord"
+        )
+        self._requests = meter.create_counter(
+            "saddledoor_gateway_requests",
+            description="Requests ended, by route and result code",
+        )
+        self._seconds = meter.create_histogram(
+            "saddledoor_gateway_seconds",
+            unit="s",
+            description="Time from a request's arrival to its outcome",
+        )
+
+    def count(self, route: str, code: ResultCode, seconds: float) -> None:
+        """
+        Count an ended request.
+        """
+        self._requests.add(1, {"route": route, "code": str(int(code))})
+        self._seconds.record(seconds, {"route": route})
+
+    def render(self) -> bytes:
+        """
+        Return the text that Prometheus reads.
+        """
+        return generate_latest(REGISTRY)
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/_structured_log.py
@@ -0,0 +1,124 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Structured logs on standard output: bounded by kind of event, never blocking.
+"""
+
+from __future__ import annotations
+
+import logging
+import os
+import sys
+from collections.abc import Callable
+
+import structlog
+
+from ._clock import boot_time
+
+
+__all__ = ["BoundedEvents", "NonBlockingLines", "set_up_json_logs"]
+
+#: Lines of one kind that may come at once, a count.
+_BURST = 200
+#: Lines of one kind a second after that; at 300 bytes a line and a dozen busy kinds a
+#: process stays under 2 MB in a minute.
+_PER_SECOND = 8.0
+
+
+class BoundedEvents:
+    """
+    A processor that drops lines of a kind that comes too often, and counts them.
+
+    :param clock: Monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        burst: float = _BURST,
+        per_second: float = _PER_SECOND,
+        clock: Callable[[], float] = boot_time,
+    ) -> None:
+        self._burst = burst
+        self._per_second = per_second
+        self._clock = clock
+        self._buckets: dict[str, tuple[float, float]] = {}
+        self._dropped: dict[str, int] = {}
+
+    def __call__(self, logger, method: str, event: dict) -> dict:
+        kind = event["event"]
+        now = self._clock()
+        tokens, since = self._buckets.get(kind, (self._burst, now))
+        tokens = min(self._burst, tokens + (now - since) * self._per_second)
+        if tokens < 1:
+            self._buckets[kind] = (tokens, now)
+            self._dropped[kind] = self._dropped.get(kind, 0) + 1
+            raise structlog.DropEvent
+        self._buckets[kind] = (tokens - 1, now)
+        dropped = self._dropped.pop(kind, 0)
+        if dropped:
+            event["dropped_before"] = dropped
+        return event
+
+
+class NonBlockingLines:
+    """
+    Writes lines to a descriptor; what its reader does not take is dropped, counted.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._rest = b""
+        self._lost = 0
+
+    def msg(self, message: str) -> None:
+        """
+        Write a line, or drop it if the reader lags.
+        """
+        if not self._flush():
+            self._lost += 1
+            return
+        line = message.encode()
+        if self._lost:
+            line = line[:-1] + b', "lines_lost": %d}' % self._lost
+            self._lost = 0
+        self._rest = line + b"\n"
+        self._flush()
+
+    log = debug = info = warning = warn = error = critical = exception = fatal = msg
+
+    def _flush(self) -> bool:
+        """
+        Write on where a line was cut; true if nothing is left.
+        """
+        try:
+            while self._rest:
+                written = os.write(self._descriptor, self._rest)
+                self._rest = self._rest[written:]
+        except BlockingIOError:
+            return False
+        except OSError:
+            # Nobody reads any more; there is nowhere left to say so.
+            self._rest = b""
+        return True
+
+
+def set_up_json_logs(vm: str) -> None:
+    """
+    Send every line to standard output as JSON, with the VM's name.
+    """
+    logging.basicConfig(level=logging.CRITICAL, stream=sys.stdout)
+    lines = NonBlockingLines(sys.stdout.fileno())
+    structlog.configure(
+        processors=[
+            BoundedEvents(),
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        logger_factory=lambda *args: lines,
+        cache_logger_on_first_use=True,
+    )
+    structlog.contextvars.bind_contextvars(vm=vm)
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/cluster/follow.py
@@ -0,0 +1,198 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Follows a stream or a registry of the store, across outages.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import structlog
+
+from ..ports import (
+    KeyedEntry,
+    KeyedPage,
+    LogGoneError,
+    LogPage,
+    Registry,
+    SharedLog,
+    StoreAwayError,
+)
+
+
+__all__ = ["LogFollower", "RegistryFollower"]
+
+_log = structlog.get_logger()
+
+#: How long a read waits at the store for news, in seconds. Short, since a silent store
+#: is only noticed when the answer is overdue.
+_WAIT = 2.0
+#: Pause after a read that failed, in seconds.
+_PAUSE = 0.1
+
+
+class _Reachable:
+    """
+    Notes when the store is lost and regained, one log line each.
+    """
+
+    def __init__(self, name: str, on_change: Callable[[bool], None]) -> None:
+        self._name = name
+        self._on_change = on_change
+        self._reached = True
+
+    def answered(self) -> None:
+        if not self._reached:
+            self._reached = True
+            _log.info("store_regained", reading=self._name)
+            self._on_change(True)
+
+    def failed(self, reason: str) -> None:
+        if self._reached:
+            self._reached = False
+            _log.warning("store_lost", reading=self._name, reason=reason)
+            self._on_change(False)
+
+
+def _ignore(_: bool) -> None:
+    pass
+
+
+class LogFollower:
+    """
+    Applies a stream's records in order, each once.
+
+    :param apply: Called with each record and its offset.
+    :param reachable: Told when the store is lost (false) and regained (true).
+    """
+
+    def __init__(
+        self,
+        log: SharedLog,
+        stream: str,
+        apply: Callable[[int, bytes], None],
+        reachable: Callable[[bool], None] = _ignore,
+    ) -> None:
+        self._log = log
+        self._stream = stream
+        self._apply = apply
+        self._next = 0
+        self._reach = _Reachable(stream, reachable)
+        self._caught_up = asyncio.Event()
+
+    @property
+    def caught_up(self) -> bool:
+        """
+        Whether everything that was in the log at the start has been applied.
+        """
+        return self._caught_up.is_set()
+
+    async def run(self) -> None:
+        """
+        Follow until cancelled.
+        """
+        while True:
+            try:
+                page = await self._read(_WAIT if self.caught_up else 0.0)
+            except StoreAwayError as error:
+                self._reach.failed(str(error))
+                await asyncio.sleep(_PAUSE)
+                continue
+            self._reach.answered()
+            self._take(page)
+
+    async def sync(self) -> bool:
+        """
+        Apply everything that was in the log when this was called.
+
+        :returns: False if the store did not answer; then nothing is sure.
+        """
+        try:
+            while True:
+                page = await self._read(0.0)
+                self._take(page)
+                if self._next >= page.end:
+                    return True
+        except StoreAwayError:
+            return False
+
+    async def _read(self, wait: float) -> LogPage:
+        try:
+            return await self._log.read(self._stream, self._next, wait)
+        except LogGoneError as error:
+            _log.warning("records_gone", stream=self._stream, first=error.first)
+            self._next = error.first
+            return await self._log.read(self._stream, self._next, 0.0)
+
+    def _take(self, page: LogPage) -> None:
+        for index, record in enumerate(page.records):
+            offset = page.start + index
+            # A second read may have brought it meanwhile.
+            if offset >= self._next:
+                self._next = offset + 1
+                self._apply(offset, record)
+        if self._next >= page.end:
+            self._caught_up.set()
+
+
+class RegistryFollower:
+    """
+    Applies the newest value of every key of a registry.
+
+    :param apply: Called with each change that is newer than the key's last one.
+    :param replaced: Called with the keys there are after all were read anew.
+    :param reachable: Told when the store is lost (false) and regained (true).
+    """
+
+    def __init__(
+        self,
+        registry: Registry,
+        name: str,
+        apply: Callable[[KeyedEntry], None],
+        replaced: Callable[[set[str]], None] = lambda keys: None,
+        reachable: Callable[[bool], None] = _ignore,
+    ) -> None:
+        self._registry = registry
+        self._name = name
+        self._apply = apply
+        self._replaced = replaced
+        self._offsets: dict[str, int] = {}
+        self._next: int | None = None
+        self._reach = _Reachable(name, reachable)
+
+    async def run(self) -> None:
+        """
+        Follow until cancelled.
+        """
+        while True:
+            try:
+                page = await self._page()
+            except StoreAwayError as error:
+                self._reach.failed(str(error))
+                # Entries may lapse while nobody can read: look at all of them after.
+                self._next = None
+                await asyncio.sleep(_PAUSE)
+                continue
+            self._reach.answered()
+            self._take(page)
+
+    async def _page(self) -> KeyedPage:
+        if self._next is None:
+            return await self._registry.newest()
+        try:
+            return await self._registry.changes(self._next, _WAIT)
+        except LogGoneError as error:
+            _log.warning("records_gone", reading=self._name, first=error.first)
+            return await self._registry.newest()
+
+    def _take(self, page: KeyedPage) -> None:
+        self._next = page.next_offset
+        for entry in page.entries:
+            # Pages of the newest values are no snapshot: they may run ahead.
+            if entry.offset > self._offsets.get(entry.key, -1):
+                self._offsets[entry.key] = entry.offset
+                self._apply(entry)
+        if page.whole:
+            self._replaced({entry.key for entry in page.entries})
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/cluster/membership.py
@@ -0,0 +1,83 @@
+# SPDX-License-Identifier: MIT
+
+"""
+This node's share of the jobs, as the store deals it out among the live nodes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from collections.abc import Callable
+
+import structlog
+
+from ..ports import Assignment, StoreAwayError, WorkGroup
+
+
+__all__ = ["Membership"]
+
+_log = structlog.get_logger()
+
+#: How often a node shows that it is alive, in seconds; three times within the shortest
+#: silence after which the store takes its share away (1 s).
+_HEARTBEAT = 0.33
+
+
+class Membership:
+    """
+    Keeps this node in the group and tells which jobs it runs.
+
+    The share only says who works, not whose word counts: that the log's order decides.
+
+    :param parts: Into how many shares the jobs are divided.
+    """
+
+    def __init__(
+        self, group: WorkGroup, parts: int, changed: Callable[[], None]
+    ) -> None:
+        self._group = group
+        self._parts = parts
+        self._changed = changed
+        self._assignment = Assignment(0, frozenset())
+
+    def owns(self, job_id: str) -> bool:
+        """
+        Tell whether this node runs a job.
+        """
+        digest = hashlib.blake2b(job_id.encode(), digest_size=4).digest()
+        return int.from_bytes(digest, "big") % self._parts in self._assignment.parts
+
+    async def run(self) -> None:
+        """
+        Stay a member until cancelled.
+        """
+        while True:
+            try:
+                self._take(await self._group.join(self._assignment.generation))
+            except StoreAwayError as error:
+                # The share stays: while the store is away it deals none to others,
+                # and if it only turned this node away, work done twice does no harm.
+                _log.warning("membership_heartbeat_failed", reason=str(error))
+            await asyncio.sleep(_HEARTBEAT)
+
+    async def leave(self) -> None:
+        """
+        Give this node's share up, so that others take it over at once.
+        """
+        self._take(Assignment(self._assignment.generation, frozenset()))
+        try:
+            await self._group.leave()
+        except StoreAwayError as error:
+            _log.warning("membership_leave_failed", reason=str(error))
+
+    def _take(self, assignment: Assignment) -> None:
+        before = self._assignment
+        self._assignment = assignment
+        if before.parts != assignment.parts:
+            _log.info(
+                "share_changed",
+                generation=assignment.generation,
+                parts=sorted(assignment.parts),
+            )
+            self._changed()
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/cluster/view.py
@@ -0,0 +1,123 @@
+# SPDX-License-Identifier: MIT
+
+"""
+What this node knows of the configuration, the weights in force and the engines.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import structlog
+
+from saddledoor import (
+    EngineDirectory,
+    EngineEntry,
+    GatewayConfig,
+    GatewayRoute,
+    RouteTable,
+)
+
+from .._clock import boot_time
+from ..ports import KeyedEntry, NamedVersion
+
+
+__all__ = ["ClusterView"]
+
+_log = structlog.get_logger()
+
+
+class ClusterView:
+    """
+    Folded from the operator's registry and the engines' entries.
+    """
+
+    def __init__(self) -> None:
+        self.directory = EngineDirectory()
+        self.changed = asyncio.Event()
+        self._config: GatewayConfig | None = None
+        self._table = RouteTable()
+        self._named: dict[str, int] = {}
+
+    @property
+    def config(self) -> GatewayConfig | None:
+        """
+        The newest configuration, or none before the first.
+        """
+        return self._config
+
+    @property
+    def named_versions(self) -> dict[str, int]:
+        """
+        The newest version that a trainer has named, by model.
+        """
+        return self._named
+
+    def route(self, host: str, path: str) -> GatewayRoute | None:
+        """
+        Return a request's route under the newest configuration.
+        """
+        return self._table.find(host, path)
+
+    def apply_operator(self, entry: KeyedEntry) -> None:
+        """
+        Take a configuration or a named version; never an older one.
+        """
+        match entry.value:
+            case GatewayConfig() as config:
+                self._accept(config)
+            case NamedVersion(model=model, version=version):
+                if version > self._named.get(model, 0):
+                    self._named[model] = version
+                    _log.info("version_named", model=model, version=version)
+        self.changed.set()
+
+    def apply_engine(self, entry: KeyedEntry) -> None:
+        """
+        Take an engine's entry, or its removal.
+        """
+        if isinstance(entry.value, EngineEntry):
+            self._log_engine(entry.value)
+            self.directory.put(entry.value)
+        else:
+            _log.info("engine_entry_gone", engine=entry.key, offset=entry.offset)
+            self.directory.remove(entry.key, boot_time())
+        self.changed.set()
+
+    def engines_replaced(self, keys: set[str]) -> None:
+        """
+        Remove the engines that have no entry any more.
+        """
+        for engine_id in self.directory.known_ids() - keys:
+            _log.info("engine_entry_gone", engine=engine_id, offset=None)
+            self.directory.remove(engine_id, boot_time())
+        self.changed.set()
+
+    def store_reached(self, reached: bool) -> None:
+        """
+        Note that the store was lost or regained.
+        """
+        if reached:
+            self.directory.store_regained(boot_time())
+        else:
+            self.directory.store_lost()
+
+    def _accept(self, config: GatewayConfig) -> None:
+        if self._config is not None and config.version <= self._config.version:
+            return
+        self._config = config
+        self._table = RouteTable.from_config(config.routes)
+        _log.info(
+            "configuration_in_force", version=config.version, routes=len(config.routes)
+        )
+
+    def _log_engine(self, entry: EngineEntry) -> None:
+        known = self.directory.get(entry.engine_id)
+        if known is None or known.draining != entry.draining:
+            _log.info(
+                "engine_entry",
+                engine=entry.engine_id,
+                service=entry.service,
+                address=entry.address,
+                draining=entry.draining,
+            )
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -0,0 +1,205 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Puts the gateway together: pass-through, batch jobs and orders over one shared log.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+
+import structlog
+
+from saddledoor import JobBook, ResultCode, RouteKind, decode_job, least_outstanding
+
+from ._clock import boot_time
+from .cluster.follow import RegistryFollower
+from .cluster.membership import Membership
+from .cluster.view import ClusterView
+from .jobs.changes import Changes
+from .jobs.record_writer import RecordWriter
+from .jobs.runner import JobRunner
+from .jobs.scoring import Scorer
+from .jobs.service import JobService
+from .orders.lease import OrderLease
+from .orders.weights import WeightKeeper
+from .ports import Engines, Registry, SharedLog, WorkGroup
+from .serving.pass_through import PassThrough
+from .serving.pool import EnginePool
+
+
+__all__ = ["Gateway", "GatewayPorts", "GatewaySettings"]
+
+_log = structlog.get_logger()
+
+#: How long a stopping node gives its last records to reach the log, in seconds.
+_FLUSH_LIMIT = 1.5
+
+
+@dataclass(frozen=True)
+class GatewaySettings:
+    """
+    What a node knows before it reads anything.
+
+    :param vm: Name of the VM.
+    :param parts: Into how many shares the jobs are divided.
+    :param lease_term: Of the lease for orders, in seconds.
+    :param chunk_bytes: Largest piece of a job in one record, in bytes.
+    """
+
+    vm: str
+    parts: int
+    lease_term: float
+    chunk_bytes: int
+
+
+@dataclass(frozen=True)
+class GatewayPorts:
+    """
+    The outside world, by adapters.
+
+    :param operator: Configurations and named versions.
+    :param entries: What engines write of themselves.
+    """
+
+    log: SharedLog
+    operator: Registry
+    entries: Registry
+    group: WorkGroup
+    engines: Engines
+
+
+class Gateway:
+    """
+    One node's part of the service.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        ports: GatewayPorts,
+        count: Callable[[str, ResultCode, float], None],
+    ) -> None:
+        self._ports = ports
+        self._stopping = False
+        self._tasks: list[asyncio.Task] = []
+        incarnation = f"{settings.vm}#{secrets.token_hex(4)}"
+        self.view = ClusterView()
+        pool = EnginePool(self.view, least_outstanding(random.random))
+        self.pass_through = PassThrough(self.view, pool, ports.engines, count)
+        self._book = JobBook(decode_job)
+        self.jobs = JobService(ports.log, self._book, Changes(), settings.chunk_bytes)
+        self._writer = RecordWriter(ports.log)
+        self._membership = Membership(ports.group, settings.parts, self._wake)
+        self._runner = JobRunner(
+            self._book,
+            self.view,
+            pool,
+            ports.engines,
+            self._writer,
+            Scorer(self.view, self.pass_through),
+            self._membership.owns,
+        )
+        self.jobs.on_change(self._wake)
+        self._lease = OrderLease(ports.log, incarnation, settings.lease_term)
+        self._weights = WeightKeeper(
+            self.view, ports.engines, self._lease, settings.vm, self._keep_runs
+        )
+
+    @property
+    def ready(self) -> bool:
+        """
+        Whether this node should get callers.
+        """
+        known = self.view.config is not None and self.jobs.caught_up
+        return known and not self._stopping
+
+    @property
+    def stopping(self) -> bool:
+        """
+        Whether a planned stop has begun.
+        """
+        return self._stopping
+
+    def start(self, failed: Callable[[BaseException], None]) -> None:
+        """
+        Start the loops.
+
+        :param failed: Called when one of them ended by a fault.
+        """
+        view = self.view
+        operator = RegistryFollower(
+            self._ports.operator, "operator", view.apply_operator
+        )
+        entries = RegistryFollower(
+            self._ports.entries,
+            "engines",
+            self._apply_engine,
+            view.engines_replaced,
+            view.store_reached,
+        )
+        loops: list[Coroutine] = [
+            operator.run(),
+            entries.run(),
+            self.jobs.run(),
+            self._writer.run(),
+            self._membership.run(),
+            self._runner.run(),
+            self._lease.run(),
+            self._weights.run(),
+        ]
+        for loop in loops:
+            task = asyncio.create_task(loop)
+            task.add_done_callback(lambda task: _report(task, failed))
+            self._tasks.append(task)
+
+    async def stop(self) -> None:
+        """
+        Hand over what this node has: its jobs and its lease.
+        """
+        self._stopping = True
+        began = boot_time()
+        self._runner.hand_over()
+        flushed = await self._writer.flushed(_FLUSH_LIMIT)
+        await self._membership.leave()
+        await self._lease.release()
+        _log.info("handed_over", flushed=flushed, seconds=round(boot_time() - began, 3))
+
+    async def close(self) -> None:
+        """
+        End the loops.
+        """
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _wake(self) -> None:
+        self._runner.wake()
+
+    def _apply_engine(self, entry) -> None:
+        self.view.apply_engine(entry)
+        self._wake()
+
+    def _keep_runs(self, model: str) -> bool:
+        """
+        Whether no route of a model's jobs asks for texts of a single version.
+        """
+        config = self.view.config
+        if config is None:
+            return True
+        services = {s.name for s in config.services.values() if model in s.models}
+        return not any(
+            route.single_version
+            for route in config.routes
+            if route.kind is RouteKind.JOB
+            and any(share.service in services for share in route.shares)
+        )
+
+
+def _report(task: asyncio.Task, failed: Callable[[BaseException], None]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        failed(task.exception())
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/jobs/__init__.py
@@ -0,0 +1,5 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Batch jobs that last in the log.
+"""
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/jobs/scoring.py
@@ -0,0 +1,82 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Has a finished text scored by the service that the trainer named.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+
+import structlog
+
+from saddledoor import ScoreCall
+
+from .._clock import boot_time
+from ..cluster.view import ClusterView
+from ..ports import EngineAnswer, ForwardedRequest
+from ..serving.pass_through import PassThrough
+
+
+__all__ = ["ScoreImpossibleError", "Scorer"]
+
+_log = structlog.get_logger()
+
+#: Pause before a scoring call is repeated, in seconds: about its usual work (45 ms).
+_PAUSE = 0.05
+#: Pause while the call has no route, in seconds.
+_NO_ROUTE_PAUSE = 0.5
+
+
+class ScoreImpossibleError(Exception):
+    """
+    The scoring service failed as often as its route allows.
+    """
+
+
+class Scorer:
+    """
+    Repeats the call until it is answered; the trainer says that it may be repeated.
+    """
+
+    def __init__(self, view: ClusterView, pass_through: PassThrough) -> None:
+        self._view = view
+        self._pass_through = pass_through
+
+    async def score(
+        self, call: ScoreCall, failures: int, failed: Callable[[], None]
+    ) -> str:
+        """
+        Return the mark of the first successful answer.
+
+        :param failures: Failed calls so far, by whichever node.
+        :param failed: Called after each further one.
+        :raises ScoreImpossibleError: After as many failures as the route allows.
+        """
+        while True:
+            route = self._view.route(call.host, call.path.partition("?")[0])
+            if route is None:
+                _log.warning("score_without_route", request=call.request_id)
+                await asyncio.sleep(_NO_ROUTE_PAUSE)
+                continue
+            if failures >= route.max_attempts:
+                raise ScoreImpossibleError(call.request_id)
+            once = replace(route, max_attempts=1)
+            outcome = await self._pass_through.run(
+                once, _request(call), boot_time() + route.timeout
+            )
+            match outcome:
+                case EngineAnswer(status=status, mark=mark) if status < 300 and mark:
+                    return mark
+                case EngineAnswer(status=500):
+                    failures += 1
+                    failed()
+            await asyncio.sleep(_PAUSE)
+
+
+def _request(call: ScoreCall) -> ForwardedRequest:
+    return ForwardedRequest(
+        "POST", call.host, call.path, (), call.body, call.request_id
+    )
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/jobs/service.py
@@ -0,0 +1,244 @@
+# SPDX-License-Identifier: MIT
+
+"""
+What callers may ask of batch jobs, at any node: submit, read, end.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import time
+from dataclasses import dataclass
+
+import structlog
+
+from saddledoor import (
+    ItemResult,
+    Job,
+    JobBook,
+    JobEnded,
+    JobState,
+    NotRun,
+    OutcomeUnknown,
+    ResultCode,
+    decode_job_record,
+    encode_job_record,
+    job_chunks,
+)
+from saddledoor.exceptions import UndecodableRecordError
+
+from .._clock import boot_time
+from ..cluster.follow import LogFollower
+from ..ports import Appended, NotAppended, SharedLog, UnknownAppend
+from .changes import Changes
+from .record_writer import JOBS_STREAM
+
+
+__all__ = ["Accepted", "JobReading", "JobService", "NoSuchJob", "Unsure"]
+
+_log = structlog.get_logger()
+
+#: Most text in one reading, in bytes; the platform's pages allow 1 MB.
+_MOST_READ = 900_000
+#: How long a submission may try to get into the log, in seconds.
+_ACCEPT_LIMIT = 1.2
+#: Pause between those tries, in seconds.
+_ACCEPT_PAUSE = 0.05
+#: When a refused submitter should come back, in seconds.
+_COME_BACK = 0.2
+#: How long ended jobs are kept for readers, in seconds; longer than the platform lets
+#: them be read (120 s).
+_KEEP_ENDED = 200.0
+
+
+@dataclass(frozen=True)
+class Accepted:
+    """
+    The log holds the job, or its end.
+    """
+
+
+@dataclass(frozen=True)
+class JobReading:
+    """
+    Results from one position on.
+    """
+
+    total: int
+    next_position: int
+    results: tuple[ItemResult, ...]
+
+
+@dataclass(frozen=True)
+class NoSuchJob:
+    """
+    The log holds no such job, item or body.
+    """
+
+
+@dataclass(frozen=True)
+class Unsure:
+    """
+    This node cannot read the log just now, so it does not know.
+    """
+
+    retry_after: float = _COME_BACK
+
+
+class JobService:
+    """
+    Answers from the fold of the log, read on where the fold alone is not sure.
+
+    :param chunk_bytes: Largest piece of a job in one record, in bytes.
+    """
+
+    def __init__(
+        self, log: SharedLog, book: JobBook, changes: Changes, chunk_bytes: int
+    ) -> None:
+        self._log = log
+        self._book = book
+        self._changes = changes
+        self._chunk_bytes = chunk_bytes
+        self._changed = lambda: None
+        self._follower = LogFollower(log, JOBS_STREAM, self._apply)
+
+    @property
+    def caught_up(self) -> bool:
+        """
+        Whether the jobs accepted before this process began are known.
+        """
+        return self._follower.caught_up
+
+    def on_change(self, changed) -> None:
+        """
+        Call a function after each record.
+        """
+        self._changed = changed
+
+    async def run(self) -> None:
+        """
+        Follow the log until cancelled.
+        """
+        await self._follower.run()
+
+    async def submit(self, job: Job) -> Accepted | NotRun | OutcomeUnknown:
+        """
+        Accept a job once the log holds it; the same job again is accepted again.
+        """
+        if self._book.get(job.job_id) is not None:
+            return Accepted()
+        chunks = job_chunks(job, secrets.token_hex(4), self._chunk_bytes)
+        outcome = await self._append_surely([encode_job_record(c) for c in chunks])
+        code = ResultCode.DONE if isinstance(outcome, Accepted) else outcome.code
+        _log.info(
+            "job_submitted",
+            job=job.job_id,
+            step=job.step,
+            items=len(job.items),
+            oldest_version=job.oldest_version,
+            outcome=code.name.lower(),
+        )
+        return outcome
+
+    async def read(
+        self, job_id: str, position: int, wait: float
+    ) -> JobReading | NoSuchJob | Unsure:
+        """
+        Return the results from a position on.
+
+        :param wait: How long to wait for one, in seconds.
+        """
+        state = await self._find(job_id)
+        if not isinstance(state, JobState):
+            return state
+        deadline = boot_time() + wait
+        while position >= len(state.results) and boot_time() < deadline:
+            if len(state.results) == len(state.items):
+                break
+            await self._changes.wait(job_id, deadline - boot_time())
+        if position >= len(state.results) and not await self._follower.sync():
+            return Unsure()
+        results = _from_position(state.results, position)
+        return JobReading(len(state.items), position + len(results), results)
+
+    async def body(self, job_id: str, item_id: str) -> bytes | NoSuchJob | Unsure:
+        """
+        Return the body of an item.
+        """
+        state = await self._find(job_id)
+        if not isinstance(state, JobState):
+            return state
+        item = state.items.get(item_id)
+        return item.body if item is not None else NoSuchJob()
+
+    async def end(self, job_id: str) -> Accepted | NoSuchJob | Unsure:
+        """
+        End a job once the log holds its end.
+        """
+        state = await self._find(job_id)
+        if not isinstance(state, JobState):
+            return state
+        if state.ended:
+            return Accepted()
+        record = encode_job_record(JobEnded(job_id))
+        outcome = await self._append_surely([record])
+        _log.info(
+            "job_ended",
+            job=job_id,
+            listed=len(state.results),
+            acknowledged=isinstance(outcome, Accepted),
+        )
+        return outcome if isinstance(outcome, Accepted) else Unsure()
+
+    async def _find(self, job_id: str) -> JobState | NoSuchJob | Unsure:
+        state = self._book.get(job_id)
+        if state is not None:
+            return state
+        if not await self._follower.sync():
+            return Unsure()
+        return self._book.get(job_id) or NoSuchJob()
+
+    async def _append_surely(
+        self, records: list[bytes]
+    ) -> Accepted | NotRun | OutcomeUnknown:
+        """
+        Append, again and again for a while; the fold ignores what comes twice.
+        """
+        deadline = boot_time() + _ACCEPT_LIMIT
+        may_be_there = False
+        reason = ""
+        while boot_time() < deadline:
+            outcome = await self._log.append(JOBS_STREAM, records)
+            match outcome:
+                case Appended():
+                    return Accepted()
+                case UnknownAppend(reason=reason):
+                    may_be_there = True
+                case NotAppended(reason=reason):
+                    pass
+            await asyncio.sleep(_ACCEPT_PAUSE)
+        if may_be_there:
+            return OutcomeUnknown(ResultCode.OUTCOME_UNKNOWN, reason)
+        return NotRun(ResultCode.LOG_AWAY, reason, _COME_BACK)
+
+    def _apply(self, offset: int, data: bytes) -> None:
+        try:
+            job_id = self._book.apply(decode_job_record(data))
+        except (UndecodableRecordError, ValueError) as error:
+            _log.error("record_skipped", offset=offset, reason=str(error))
+            return
+        self._book.forget(time.time() - _KEEP_ENDED)
+        self._changes.notify(job_id)
+        self._changed()
+
+
+def _from_position(results: list[ItemResult], position: int) -> tuple[ItemResult, ...]:
+    chosen: list[ItemResult] = []
+    size = 0
+    for result in results[position:]:
+        size += len(result.text)
+        if chosen and size > _MOST_READ:
+            break
+        chosen.append(result)
+    return tuple(chosen)
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/orders/weights.py
@@ -0,0 +1,177 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Brings the engines to the weight versions that trainers name, a few at a time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import structlog
+
+from saddledoor import EngineEntry
+
+from .._clock import boot_time
+from ..cluster.view import ClusterView
+from ..ports import Engines, EngineState, OrderOutcome, VersionOrder
+from .lease import OrderLease
+
+
+__all__ = ["WeightKeeper"]
+
+_log = structlog.get_logger()
+
+#: Engines that load at once, a count; with more the platform slows every load.
+_AT_ONCE = 2
+#: How often the engines are looked at, in seconds.
+_LOOK = 0.05
+#: How long the lease must still hold when an order is sent, in seconds: the longest
+#: wait for its answer.
+_ORDER_MARGIN = 0.6
+#: When an engine is first asked whether it is done, in seconds; a load takes 0.9 s.
+_FIRST_POLL = 0.9
+#: How often it is asked after that, in seconds.
+_POLL = 0.2
+#: How long a load may take before the order is given again, in seconds.
+_LOAD_LIMIT = 4.0
+#: Pause after an order that came to nothing, in seconds.
+_RETRY_PAUSE = 0.3
+
+
+class WeightKeeper:
+    """
+    Gives absolute orders under the lease's fencing number.
+
+    Each order names the incarnation and the count of orders the engine has taken, so
+    one that is carried out late, after a newer one, is refused by the engine.
+
+    :param keep_runs: Tells of a model whether runs may go on under new weights.
+    """
+
+    def __init__(
+        self,
+        view: ClusterView,
+        engines: Engines,
+        lease: OrderLease,
+        holder: str,
+        keep_runs: Callable[[str], bool],
+    ) -> None:
+        self._view = view
+        self._engines = engines
+        self._lease = lease
+        self._holder = holder
+        self._keep_runs = keep_runs
+        self._reached: dict[tuple[str, str], int] = {}
+        self._loading: dict[str, asyncio.Task] = {}
+        self._paused: dict[str, float] = {}
+
+    async def run(self) -> None:
+        """
+        Look after the engines until cancelled.
+        """
+        while True:
+            await asyncio.sleep(_LOOK)
+            if self._lease.current(_ORDER_MARGIN) is None:
+                continue
+            for model, version in self._view.named_versions.items():
+                self._begin_loads(model, version)
+
+    def _begin_loads(self, model: str, version: int) -> None:
+        now = boot_time()
+        for engine in self._engines_of(model, now):
+            name = engine.engine_id
+            if len(self._loading) >= _AT_ONCE:
+                return
+            if name in self._loading or self._paused.get(name, 0.0) > now:
+                continue
+            if self._version_of(engine, model) >= version:
+                continue
+            task = asyncio.create_task(self._bring(engine, model, version))
+            self._loading[name] = task
+            task.add_done_callback(lambda task, name=name: self._ended(name, task))
+
+    def _ended(self, name: str, task: asyncio.Task) -> None:
+        del self._loading[name]
+        if not task.cancelled() and task.exception() is not None:
+            _log.error("order_task_failed", engine=name, exc_info=task.exception())
+            self._paused[name] = boot_time() + _RETRY_PAUSE
+
+    def _engines_of(self, model: str, now: float) -> list[EngineEntry]:
+        services = self._view.config.services.values() if self._view.config else ()
+        return [
+            engine
+            for service in services
+            if model in service.models
+            for engine in self._view.directory.usable(service.name, now)
+        ]
+
+    def _version_of(self, engine: EngineEntry, model: str) -> int:
+        reached = self._reached.get((engine.engine_id, model), 0)
+        return max(reached, engine.versions.get(model, 0))
+
+    async def _bring(self, engine: EngineEntry, model: str, version: int) -> None:
+        state = await self._engines.state(engine)
+        if state is None or state.busy:
+            self._paused[engine.engine_id] = boot_time() + _RETRY_PAUSE
+            return
+        if not self._is_reached(engine, model, version, state):
+            await self._order(engine, model, version, state)
+
+    async def _order(
+        self, engine: EngineEntry, model: str, version: int, state: EngineState
+    ) -> None:
+        held = self._lease.current(_ORDER_MARGIN)
+        if held is None:
+            return
+        order = VersionOrder(
+            model,
+            version,
+            self._holder,
+            held.fence,
+            state.orders_taken,
+            self._keep_runs(model),
+        )
+        outcome = await self._engines.order(engine, order)
+        _log.info(
+            "engine_ordered",
+            engine=engine.engine_id,
+            model=model,
+            version=version,
+            before=state.versions.get(model),
+            fence=held.fence,
+            orders_taken=state.orders_taken,
+            outcome=outcome,
+        )
+        match outcome:
+            case OrderOutcome.FENCED:
+                self._lease.fenced(held.fence)
+            case OrderOutcome.TAKEN | OrderOutcome.UNKNOWN:
+                await self._await_load(engine, model, version)
+            case OrderOutcome.CONFLICT | OrderOutcome.REFUSED:
+                self._paused[engine.engine_id] = boot_time() + _RETRY_PAUSE
+
+    async def _await_load(self, engine: EngineEntry, model: str, version: int) -> None:
+        deadline = boot_time() + _LOAD_LIMIT
+        await asyncio.sleep(_FIRST_POLL)
+        while boot_time() < deadline:
+            state = await self._engines.state(engine)
+            if state is not None:
+                if self._is_reached(engine, model, version, state):
+                    return
+                if not state.busy:
+                    # The order was lost: the next look gives it again.
+                    return
+            await asyncio.sleep(_POLL)
+        self._paused[engine.engine_id] = boot_time() + _RETRY_PAUSE
+
+    def _is_reached(
+        self, engine: EngineEntry, model: str, version: int, state: EngineState
+    ) -> bool:
+        now = state.versions.get(model, 0)
+        if now < version or state.busy:
+            return False
+        self._reached[engine.engine_id, model] = now
+        _log.info("engine_reached", engine=engine.engine_id, model=model, version=now)
+        return True
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/serving/__init__.py
@@ -0,0 +1,5 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Requests that are passed through to a service.
+"""
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/serving/pool.py
@@ -0,0 +1,108 @@
+# SPDX-License-Identifier: MIT
+
+"""
+This node's own view of the engines: what it has in flight and who failed lately.
+"""
+
+from __future__ import annotations
+
+import contextlib
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator
+
+from saddledoor import Candidate, Choose, EngineEntry
+
+from .._clock import boot_time
+from ..cluster.view import ClusterView
+
+
+__all__ = ["EnginePool"]
+
+#: How long an engine that refused gets no new work, in seconds: a tenth of the time
+#: that it takes to load weights (0.9 s), the longest usual reason.
+_REFUSED_PAUSE = 0.09
+#: First and longest pause after a failure, in seconds; doubled each time.
+_FAILED_PAUSE = 0.25
+_FAILED_PAUSE_MOST = 2.0
+
+
+class EnginePool:
+    """
+    Chooses engines among those that may get work.
+
+    :param choose: The policy among candidates.
+    """
+
+    def __init__(self, view: ClusterView, choose: Choose) -> None:
+        self._view = view
+        self._choose = choose
+        self._own: Counter[str] = Counter()
+        self._paused: dict[str, float] = {}
+        self._failures: Counter[str] = Counter()
+
+    def choose(
+        self,
+        service: str,
+        exclude: Iterable[str] = (),
+        fits: Callable[[EngineEntry], bool] = lambda engine: True,
+        room_only: bool = False,
+    ) -> EngineEntry | None:
+        """
+        Return an engine for one request, or none.
+
+        :param exclude: Engines that were tried already, by id.
+        :param fits: Whether an engine may run this request.
+        :param room_only: Whether to leave out engines whose slots this node has filled.
+        """
+        now = boot_time()
+        tried = set(exclude)
+        engines = {
+            engine.engine_id: engine
+            for engine in self._view.directory.usable(service, now)
+            if engine.engine_id not in tried
+            and self._paused.get(engine.engine_id, 0.0) <= now
+            and not (room_only and self._own[engine.engine_id] >= engine.slots)
+            and fits(engine)
+        }
+        if not engines:
+            return None
+        candidates = [
+            Candidate(engine_id, max(1, engine.slots), self._own[engine_id])
+            for engine_id, engine in engines.items()
+        ]
+        return engines[self._choose(candidates).name]
+
+    @contextlib.contextmanager
+    def occupied(self, engine: EngineEntry) -> Iterator[None]:
+        """
+        Count a request as in flight at an engine.
+        """
+        self._own[engine.engine_id] += 1
+        try:
+            yield
+        finally:
+            self._own[engine.engine_id] -= 1
+            if not self._own[engine.engine_id]:
+                del self._own[engine.engine_id]
+
+    def answered(self, engine: EngineEntry) -> None:
+        """
+        Note that an engine works.
+        """
+        self._failures.pop(engine.engine_id, None)
+        self._paused.pop(engine.engine_id, None)
+
+    def refused(self, engine: EngineEntry) -> None:
+        """
+        Note that an engine has no room just now.
+        """
+        self._paused[engine.engine_id] = boot_time() + _REFUSED_PAUSE
+
+    def failed(self, engine: EngineEntry) -> None:
+        """
+        Note that an engine did not answer, or not as it should.
+        """
+        self._failures[engine.engine_id] += 1
+        doubled = _FAILED_PAUSE * 2 ** (self._failures[engine.engine_id] - 1)
+        pause = min(_FAILED_PAUSE_MOST, doubled)
+        self._paused[engine.engine_id] = boot_time() + pause
