Count a place at an engine when it is chosen; one node runs a trainer's jobs

Each job ran at another node, which opened its own connections: 946 for 2072 requests.

Change: places are taken by the choice; after a refusal an engine gets one request until it takes one; the owner is chosen by trainer, not by job.

--- a/packages/saddledoor/src/saddledoor/_jobs.py
+++ b/packages/saddledoor/src/saddledoor/_jobs.py
@@ -84,6 +84,14 @@
     submitted_at: float
     items: tuple[JobItem, ...]
 
+    @property
+    def series(self) -> str:
+        """
+        Names the jobs of one trainer, which one node runs as long as it lives: it knows
+        exactly what they have in flight, and keeps its connections to the engines.
+        """
+        return f"{self.host}/{self.model}"
+
 
 @dataclass(frozen=True)
 class ItemResult:
--- a/packages/saddledoord/src/saddledoord/cluster/membership.py
+++ b/packages/saddledoord/src/saddledoord/cluster/membership.py
@@ -41,11 +41,11 @@
         self._changed = changed
         self._assignment = Assignment(0, frozenset())
 
-    def owns(self, job_id: str) -> bool:
+    def owns(self, series: str) -> bool:
         """
-        Tell whether this node runs a job.
+        Tell whether this node runs a series of jobs.
         """
-        digest = hashlib.blake2b(job_id.encode(), digest_size=4).digest()
+        digest = hashlib.blake2b(series.encode(), digest_size=4).digest()
         return int.from_bytes(digest, "big") % self._parts in self._assignment.parts
 
     async def run(self) -> None:
--- a/packages/saddledoord/src/saddledoord/jobs/runner.py
+++ b/packages/saddledoord/src/saddledoord/jobs/runner.py
@@ -28,7 +28,7 @@
 
 from ..cluster.view import ClusterView
 from ..ports import Engines, ForwardedRequest, Generation, GenerationFailedError
-from ..serving.pool import EnginePool
+from ..serving.pool import EnginePool, Place
 from .record_writer import RecordWriter
 from .scoring import ScoreImpossibleError, Scorer
 
@@ -70,7 +70,7 @@
     """
     Keeps every engine's slots filled with items that still count.
 
-    :param owns: Whether this node runs a job.
+    :param owns: Whether this node runs a series of jobs.
     """
 
     def __init__(
@@ -133,7 +133,7 @@
         wanted: dict[Key, tuple[JobState, JobItem]] = {}
         if not self._stopped:
             for state in self._book.open_jobs():
-                if self._owns(state.job.job_id):
+                if self._owns(state.job.series):
                     for item in state.unlisted():
                         wanted[state.job.job_id, item.item_id] = (state, item)
         for key in list(self._runs):
@@ -187,10 +187,16 @@
                 no_room.add(needs)
                 run.unfit.clear()
                 continue
-            run.task = asyncio.create_task(self._work(run, route, engine))
-            run.task.add_done_callback(self._ended)
+            self._begin(run, route, engine)
 
-    def _ended(self, task: asyncio.Task) -> None:
+    def _begin(self, run: _ItemRun, route: GatewayRoute, engine: EngineEntry) -> None:
+        place = self._pool.take(engine)
+        run.task = asyncio.create_task(self._work(run, route, engine, place))
+        run.task.add_done_callback(lambda task: self._ended(task, place))
+
+    def _ended(self, task: asyncio.Task, place: Place) -> None:
+        # A task that is cancelled before it began has not given its place back.
+        place.release()
         if not task.cancelled() and task.exception() is not None:
             _log.error("item_task_failed", exc_info=task.exception())
         self.wake()
@@ -213,9 +219,9 @@
         return max(known, seen) >= run.state.job.oldest_version
 
     async def _work(
-        self, run: _ItemRun, route: GatewayRoute, engine: EngineEntry
+        self, run: _ItemRun, route: GatewayRoute, engine: EngineEntry, place: Place
     ) -> None:
-        with self._pool.occupied(engine):
+        with place:
             whole = await self._generate(run, route, engine)
         # The slot is free for the next item while this one is scored.
         self.wake()
@@ -245,13 +251,13 @@
         finally:
             # Closes the connection, so the engine stops at once.
             await stream.aclose()
-        self._pool.answered(engine)
         return True
 
     def _take(
         self, run: _ItemRun, route: GatewayRoute, engine: EngineEntry, event
     ) -> None:
         job = run.state.job
+        self._pool.answered(engine)
         if event.version is not None:
             self._seen_versions[engine.engine_id, job.model] = event.version
         mixed = run.text.versions and event.version not in run.text.versions
--- a/packages/saddledoord/src/saddledoord/serving/pass_through.py
+++ b/packages/saddledoord/src/saddledoord/serving/pass_through.py
@@ -119,7 +119,7 @@
         return self._give_up(current)
 
     async def _attempt(self, current: _Try, engine: EngineEntry) -> Outcome:
-        with self._pool.occupied(engine):
+        with self._pool.take(engine):
             try:
                 async with asyncio.timeout(self._share_of_time(current)):
                     outcome = await self._engines.call(
--- a/packages/saddledoord/src/saddledoord/serving/pool.py
+++ b/packages/saddledoord/src/saddledoord/serving/pool.py
@@ -6,9 +6,8 @@
 
 from __future__ import annotations
 
-import contextlib
 from collections import Counter
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 
 from saddledoor import Candidate, Choose, EngineEntry
 
@@ -16,16 +15,41 @@
 from ..cluster.view import ClusterView
 
 
-__all__ = ["EnginePool"]
+__all__ = ["EnginePool", "Place"]
 
 #: How long an engine that refused gets no new work, in seconds: a tenth of the time
 #: that it takes to load weights (0.9 s), the longest usual reason.
 _REFUSED_PAUSE = 0.09
+#: Requests that an engine gets after a refusal until it takes one, a count.
+_TRIAL = 1
 #: First and longest pause after a failure, in seconds; doubled each time.
 _FAILED_PAUSE = 0.25
 _FAILED_PAUSE_MOST = 2.0
 
 
+class Place:
+    """
+    A request's place at an engine, given back once.
+    """
+
+    def __init__(self, give_back: Callable[[], None]) -> None:
+        self._give_back: Callable[[], None] | None = give_back
+
+    def release(self) -> None:
+        """
+        Give the place back; a second call changes nothing.
+        """
+        give_back, self._give_back = self._give_back, None
+        if give_back is not None:
+            give_back()
+
+    def __enter__(self) -> Place:
+        return self
+
+    def __exit__(self, *exc_info) -> None:
+        self.release()
+
+
 class EnginePool:
     """
     Chooses engines among those that may get work.
@@ -39,6 +63,7 @@
         self._own: Counter[str] = Counter()
         self._paused: dict[str, float] = {}
         self._failures: Counter[str] = Counter()
+        self._on_trial: set[str] = set()
 
     def choose(
         self,
@@ -61,7 +86,7 @@
             for engine in self._view.directory.usable(service, now)
             if engine.engine_id not in tried
             and self._paused.get(engine.engine_id, 0.0) <= now
-            and not (room_only and self._own[engine.engine_id] >= engine.slots)
+            and (not room_only or self._has_room(engine))
             and fits(engine)
         }
         if not engines:
@@ -72,23 +97,29 @@
         ]
         return engines[self._choose(candidates).name]
 
-    @contextlib.contextmanager
-    def occupied(self, engine: EngineEntry) -> Iterator[None]:
+    def take(self, engine: EngineEntry) -> Place:
         """
-        Count a request as in flight at an engine.
+        Take a place at an engine at once, so that the next choice counts it.
         """
         self._own[engine.engine_id] += 1
-        try:
-            yield
-        finally:
-            self._own[engine.engine_id] -= 1
-            if not self._own[engine.engine_id]:
-                del self._own[engine.engine_id]
+        return Place(lambda: self._give_back(engine.engine_id))
+
+    def _give_back(self, engine_id: str) -> None:
+        self._own[engine_id] -= 1
+        if not self._own[engine_id]:
+            del self._own[engine_id]
+
+    def _has_room(self, engine: EngineEntry) -> bool:
+        own = self._own[engine.engine_id]
+        if engine.engine_id in self._on_trial:
+            return own < _TRIAL
+        return own < engine.slots
 
     def answered(self, engine: EngineEntry) -> None:
         """
         Note that an engine works.
         """
+        self._on_trial.discard(engine.engine_id)
         self._failures.pop(engine.engine_id, None)
         self._paused.pop(engine.engine_id, None)
 
@@ -96,6 +127,7 @@
         """
         Note that an engine has no room just now.
         """
+        self._on_trial.add(engine.engine_id)
         self._paused[engine.engine_id] = boot_time() + _REFUSED_PAUSE
 
     def failed(self, engine: EngineEntry) -> None:
