--- a/packages/saddledoord/src/saddledoord/cluster/membership.py
+++ b/packages/saddledoord/src/saddledoord/cluster/membership.py
@@ -15,7 +15,7 @@
 from ..ports import Assignment, StoreAwayError, WorkGroup
 
 
-__all__ = ["Membership"]
+__all__ = ["Membership", "part_of"]
 
 _log = structlog.get_logger()
 
@@ -24,6 +24,14 @@
 _HEARTBEAT = 0.33
 
 
+def part_of(series: str, parts: int) -> int:
+    """
+    Return the share that a series of jobs belongs to, the same on every node.
+    """
+    digest = hashlib.blake2b(series.encode(), digest_size=4).digest()
+    return int.from_bytes(digest, "big") % parts
+
+
 class Membership:
     """
     Keeps this node in the group and tells which jobs it runs.
@@ -40,21 +48,23 @@
         self._parts = parts
         self._changed = changed
         self._assignment = Assignment(0, frozenset())
+        self._left = False
 
     def owns(self, series: str) -> bool:
         """
         Tell whether this node runs a series of jobs.
         """
-        digest = hashlib.blake2b(series.encode(), digest_size=4).digest()
-        return int.from_bytes(digest, "big") % self._parts in self._assignment.parts
+        return part_of(series, self._parts) in self._assignment.parts
 
     async def run(self) -> None:
         """
-        Stay a member until cancelled.
+        Stay a member until it is left.
         """
-        while True:
+        while not self._left:
             try:
-                self._take(await self._group.join(self._assignment.generation))
+                assignment = await self._group.join(self._assignment.generation)
+                if not self._left:
+                    self._take(assignment)
             except StoreAwayError as error:
                 # The share stays: while the store is away it deals none to others,
                 # and if it only turned this node away, work done twice does no harm.
@@ -65,6 +75,7 @@
         """
         Give this node's share up, so that others take it over at once.
         """
+        self._left = True
         self._take(Assignment(self._assignment.generation, frozenset()))
         try:
             await self._group.leave()
--- a/packages/saddledoord/src/saddledoord/jobs/runner.py
+++ b/packages/saddledoord/src/saddledoord/jobs/runner.py
@@ -55,6 +55,7 @@
     What this node holds of an item: its text so far and the task that works on it.
 
     :param listing: Whether its result is on its way into the log.
+    :param failures: Failed runs, a count; the log's own lags behind this node's.
     :param unfit: Engines that cannot run it now, by id.
     """
 
@@ -63,6 +64,7 @@
     text: EventText
     task: asyncio.Task | None = None
     listing: bool = False
+    failures: int = 0
     unfit: set[str] = field(default_factory=set)
 
 
@@ -142,7 +144,8 @@
         for key, (state, item) in wanted.items():
             if key not in self._runs:
                 text = EventText(state.kept.get(item.item_id))
-                self._runs[key] = _ItemRun(state, item, text)
+                failures = state.failures.get(item.item_id, 0)
+                self._runs[key] = _ItemRun(state, item, text, failures=failures)
 
     def _drop(self, key: Key, reason: str) -> None:
         run = self._runs.pop(key)
@@ -301,9 +304,9 @@
     def _count_failure(self, run: _ItemRun) -> None:
         job, item_id = run.state.job, run.item.item_id
         self._writer.put(ItemFailed(job.job_id, item_id))
-        count = run.state.failures.get(item_id, 0) + 1
+        run.failures += 1
         route = self._view.route(job.host, run.item.path.partition("?")[0])
-        if route is not None and count >= route.max_attempts:
+        if route is not None and run.failures >= route.max_attempts:
             self._list(run, ItemResult(item_id, done=False))
 
     async def _finish(self, run: _ItemRun) -> None:
--- a/packages/saddledoord/src/saddledoord/orders/lease.py
+++ b/packages/saddledoord/src/saddledoord/orders/lease.py
@@ -56,6 +56,7 @@
         self._fold = LeaseFold()
         self._watch = LeaseWatch(term)
         self._held: HeldLease | None = None
+        self._released = False
         self._follower = LogFollower(log, CONTROL_STREAM, self._apply)
 
     def current(self, margin: float) -> HeldLease | None:
@@ -81,15 +82,16 @@
         try:
             while True:
                 await asyncio.sleep(self._term / _LOOKS)
-                if self._follower.caught_up:
+                if self._follower.caught_up and not self._released:
                     await self._look()
         finally:
             following.cancel()
 
     async def release(self) -> None:
         """
-        Give the lease up, so that another node may take it at once.
+        Give the lease up for good, so that another node may take it at once.
         """
+        self._released = True
         held, self._held = self._held, None
         if held is not None:
             _log.info("order_lease_released", fence=held.fence)
@@ -118,6 +120,10 @@
             return
         lease = self._fold.get(_LEASE)
         if lease is not None and lease.claim_id == claim.record_id:
+            if self._released:
+                release = LeaseRelease(_LEASE, lease.fence)
+                await self._log.append(CONTROL_STREAM, [_encode(release)])
+                return
             self._held = HeldLease(_LEASE, lease.fence, before + self._term)
             _log.info("order_lease_taken", fence=lease.fence)
 
--- a/packages/saddledoord/src/saddledoord/serving/pass_through.py
+++ b/packages/saddledoord/src/saddledoord/serving/pass_through.py
@@ -34,6 +34,9 @@
 
 #: When a refused caller should come back, in seconds: twice the usual work (40 ms).
 _COME_BACK = 0.1
+#: When a request that may be repeated is also sent to a second engine, as a share of
+#: its objective: then the second can still answer in time (its work takes a fifth).
+_OVERLAP_AFTER = 0.5
 #: Least time left that an attempt is worth, in seconds.
 _LEAST_TIME = 0.01
 
@@ -51,7 +54,6 @@
     deadline: float
     tried: list[str]
     last: Outcome | None = None
-    handed_over: bool = False
 
     @property
     def left(self) -> float:
@@ -108,57 +110,94 @@
         """
         current = _Try(route, request, deadline, [])
         service = route.service(random.random())
-        while len(current.tried) < route.max_attempts and current.left > _LEAST_TIME:
-            engine = self._pool.choose(service, exclude=current.tried)
-            if engine is None:
-                break
-            current.tried.append(engine.engine_id)
-            outcome = await self._attempt(current, engine)
-            if _is_final(route, outcome):
-                return outcome
+        pending: set[asyncio.Task[Outcome]] = set()
+        try:
+            while current.left > _LEAST_TIME:
+                if not pending or self._may_overlap(current):
+                    pending |= self._start(current, service)
+                if not pending:
+                    break
+                done, pending = await asyncio.wait(
+                    pending,
+                    timeout=self._patience(current),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                for outcome in (task.result() for task in done):
+                    if _is_final(route, outcome):
+                        return outcome
+        finally:
+            # Closes their connections, so those engines stop.
+            for task in pending:
+                task.cancel()
         return self._give_up(current)
 
+    def _start(self, current: _Try, service: str) -> set[asyncio.Task[Outcome]]:
+        """
+        Begin an attempt at an engine that has not had the request, if there is one.
+        """
+        if len(current.tried) >= current.route.max_attempts:
+            return set()
+        engine = self._pool.choose(service, exclude=current.tried)
+        if engine is None:
+            return set()
+        current.tried.append(engine.engine_id)
+        return {asyncio.create_task(self._attempt(current, engine))}
+
+    def _may_overlap(self, current: _Try) -> bool:
+        """
+        Whether a second engine may work on the request beside the first.
+        """
+        return current.route.kind is RouteKind.SAFE
+
+    def _patience(self, current: _Try) -> float:
+        """
+        How long to wait before the next attempt is begun, in seconds.
+        """
+        left = max(0.0, current.left)
+        if not self._may_overlap(current):
+            return left
+        if len(current.tried) >= current.route.max_attempts:
+            return left
+        return min(left, current.route.objective * _OVERLAP_AFTER)
+
     async def _attempt(self, current: _Try, engine: EngineEntry) -> Outcome:
+        number = len(current.tried)
         with self._pool.take(engine):
             try:
-                async with asyncio.timeout(self._share_of_time(current)):
+                async with asyncio.timeout(max(0.0, current.left)):
                     outcome = await self._engines.call(
                         engine, current.request, current.left
                     )
             except TimeoutError:
-                outcome = OutcomeUnknown(
-                    ResultCode.OUTCOME_UNKNOWN, "no answer in time"
-                )
+                code = ResultCode.OUTCOME_UNKNOWN
+                outcome = OutcomeUnknown(code, "no answer in time")
+            except asyncio.CancelledError:
+                self._log_attempt(current, engine, number, "cancelled")
+                raise
         match outcome:
             case EngineAnswer():
                 self._pool.answered(engine)
             case NotRun():
                 self._pool.refused(engine)
             case OutcomeUnknown():
-                current.handed_over = True
                 self._pool.failed(engine)
         if not isinstance(outcome, EngineAnswer) or outcome.status >= 500:
-            _log.info(
-                "attempt_failed",
-                request=current.request.request_id,
-                engine=engine.engine_id,
-                attempt=len(current.tried),
-                outcome=_describe(outcome),
-                left=round(current.left, 3),
-            )
+            self._log_attempt(current, engine, number, _describe(outcome))
         if not isinstance(outcome, NotRun):
             current.last = outcome
         return outcome
 
-    def _share_of_time(self, current: _Try) -> float:
-        """
-        How long this attempt may take: a request that can be repeated leaves time for
-        another back end.
-        """
-        attempts_left = current.route.max_attempts - len(current.tried)
-        if current.route.kind is not RouteKind.SAFE or not attempts_left:
-            return current.left
-        return max(current.route.objective, current.left / (attempts_left + 1))
+    def _log_attempt(
+        self, current: _Try, engine: EngineEntry, number: int, outcome: str
+    ) -> None:
+        _log.info(
+            "attempt_failed",
+            request=current.request.request_id,
+            engine=engine.engine_id,
+            attempt=number,
+            outcome=outcome,
+            left=round(current.left, 3),
+        )
 
     def _give_up(self, current: _Try) -> Outcome:
         outcome = current.last
--- /dev/null
+++ b/tests/adapter/conftest.py
@@ -0,0 +1,29 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Fixtures of the adapter's tests.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from platform_bed import PlatformBed
+
+
+@pytest.fixture
+def platform_bed(tmp_path):
+    """
+    One edge, two model engines, two instances of a plain service.
+    """
+    with PlatformBed.open(tmp_path) as bed:
+        yield bed
+
+
+@pytest.fixture
+def two_edges(tmp_path):
+    """
+    Two edges, two model engines, two instances of a plain service.
+    """
+    with PlatformBed.open(tmp_path, edges=2) as bed:
+        yield bed
--- /dev/null
+++ b/tests/adapter/platform_bed.py
@@ -0,0 +1,394 @@
+# SPDX-License-Identifier: MIT
+
+"""
+A small deployment on loopback: the real edge program before stand-ins of the platform.
+"""
+
+from __future__ import annotations
+
+import base64
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from email.message import Message
+from pathlib import Path
+
+
+__all__ = ["HOST", "MODEL", "Answer", "PlatformBed", "make_config", "make_job", "until"]
+
+_HERE = Path(__file__).parent
+_ROOT = _HERE.parent.parent
+HOST = "desk.example"
+MODEL = "model-a"
+#: Partitions that divide the work, a count.
+PARTS = 4
+
+
+@dataclass(frozen=True)
+class Answer:
+    """
+    What an edge answered; names of headers in lower case.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def media(self) -> dict:
+        return json.loads(self.body)
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def until(check: Callable[[], object], timeout: float = 10.0) -> object:
+    """
+    Return the check's first true value.
+    """
+    deadline = time.monotonic() + timeout
+    while time.monotonic() < deadline:
+        if value := check():
+            return value
+        time.sleep(0.02)
+    raise AssertionError(f"not within {timeout} s")
+
+
+def make_config(version: int = 1, **changes: object) -> dict:
+    """
+    Return a configuration with a look-up, a booking and a trainer's route.
+    """
+    plain = {"host": HOST, "timeout_ms": 2000, "slo_ms": 200, "priority": 2}
+    routes = [
+        {
+            "name": "look-up",
+            "path_prefix": "/look/",
+            "route_type": "safe",
+            "service": "desk",
+            "max_attempts": 3,
+            **plain,
+        },
+        {
+            "name": "book",
+            "path_prefix": "/book/",
+            "route_type": "unsafe",
+            "service": "desk",
+            "max_attempts": 3,
+            **plain,
+        },
+        {
+            "name": "train",
+            "path_prefix": "/train/",
+            "route_type": "rollout",
+            "service": "pool",
+            "max_attempts": 3,
+            "max_queue_s": 40,
+            **plain,
+        },
+    ]
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": "desk", "health_path": "/health", "max_conns": 50},
+            {
+                "name": "pool",
+                "health_path": "/health",
+                "max_conns": 50,
+                "engine": {"models": [{"name": MODEL}]},
+            },
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 100_000,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+        **changes,
+    }
+
+
+def make_job(items: int = 6, **changes: object) -> dict:
+    """
+    Return a job as a trainer submits it; two items a group.
+    """
+    requests = [
+        {
+            "id": f"item-{index}",
+            "path": f"/train/{index}",
+            "headers": {"Saddledoor-Model-Name": MODEL},
+            "body": base64.b64encode(b"prompt").decode(),
+            "tokens": 10,
+            "group_size": f"group-{index // 2}",
+            "scorer": {
+                "id": f"score-{index}",
+                "host": HOST,
+                "path": "/look/score",
+                "body": base64.b64encode(b"score").decode(),
+            },
+        }
+        for index in range(items)
+    ]
+    fields = {"step": 1, "model": MODEL, "min_version": 1, "desired": 2}
+    return {**fields, "requests": requests, **changes}
+
+
+@dataclass
+class _Process:
+    handle: subprocess.Popen
+    out: Path
+
+    def end(self) -> None:
+        if self.handle.poll() is None:
+            self.handle.kill()
+        self.handle.wait()
+
+
+@dataclass
+class PlatformBed:
+    """
+    A store, engines and edges; every process is started here and ended here.
+    """
+
+    folder: Path
+    store_port: int = field(default_factory=free_port)
+    engine_ports: dict[str, int] = field(default_factory=dict)
+    front_ports: dict[str, int] = field(default_factory=dict)
+    ready_ports: dict[str, int] = field(default_factory=dict)
+    processes: dict[str, _Process] = field(default_factory=dict)
+
+    @classmethod
+    @contextlib.contextmanager
+    def open(cls, folder: Path, edges: int = 1, engines: int = 2) -> Iterator:
+        """
+        Start everything and wait until the edges are ready.
+        """
+        bed = cls(folder)
+        try:
+            bed._run("store", "store", str(bed.store_port), str(PARTS))
+            until(lambda: bed._answers(bed.store_port))
+            bed.configure(make_config())
+            for index in range(engines):
+                bed.start_engine(f"engine-{index}", "pool", MODEL)
+            bed.start_engine("desk-0", "desk")
+            bed.start_engine("desk-1", "desk")
+            for index in range(edges):
+                bed.start_edge(f"edge-{index}")
+            for name in bed.ready_ports:
+                until(lambda name=name: bed.ready(name))
+            yield bed
+        finally:
+            for process in bed.processes.values():
+                process.end()
+
+    def start_engine(
+        self, engine_id: str, service: str, model: str = "", port: int = 0
+    ) -> None:
+        """
+        Start an engine, which writes its entry.
+        """
+        port = port or free_port()
+        self.engine_ports[engine_id] = port
+        store = f"127.0.0.1:{self.store_port}"
+        self._run(engine_id, "engine", str(port), engine_id, service, store, model)
+        until(lambda: self._answers(port))
+
+    def put_entry(
+        self,
+        engine_id: str,
+        service: str,
+        port: int,
+        model: str = "",
+        state: str = "ready",
+    ) -> None:
+        """
+        Write an entry in an engine's place.
+        """
+        entry = {
+            "service": service,
+            "address": f"127.0.0.1:{port}",
+            "zone": "dc-a",
+            "version": "v1",
+            "slots": 4,
+            "state": state,
+            "seq_no": 1,
+            "models": [{"name": model, "version": 1}] if model else [],
+        }
+        self.put("keyed.servers", engine_id, json.dumps(entry))
+
+    def remove_entry(self, engine_id: str) -> None:
+        self.put("keyed.servers", engine_id, "")
+
+    def configure(self, config: dict) -> None:
+        self.put("keyed.op", "config", json.dumps(config))
+
+    def name_version(self, version: int) -> None:
+        value = json.dumps({"model": MODEL, "version": version})
+        self.put("keyed.op", f"version/{MODEL}", value)
+
+    def put(self, topic: str, key: str, value: str) -> None:
+        self.fake_store(put=[[topic, key, value]])
+
+    def fake_store(self, **changes: object) -> dict:
+        return self._fake(self.store_port, changes)
+
+    def fake_engine(self, engine_id: str, **changes: object) -> dict:
+        return self._fake(self.engine_ports[engine_id], changes)
+
+    def runs(self) -> list[dict]:
+        """
+        Return what the live engines began to work on, by any of them.
+        """
+        live = [name for name in self.engine_ports if self.is_running(name)]
+        return [run for name in live for run in self.fake_engine(name)["runs"]]
+
+    def is_running(self, name: str) -> bool:
+        return self.processes[name].handle.poll() is None
+
+    def start_edge(self, name: str) -> None:
+        """
+        Start an edge, or start it again with the settings it had.
+        """
+        front = self.front_ports.setdefault(name, free_port())
+        ready = self.ready_ports.setdefault(name, free_port())
+        path = self.folder / f"{name}.toml"
+        path.write_text(_SETTINGS.format(name, front, ready, self.store_port, PARTS))
+        out = self.folder / f"{name}.out"
+        with out.open("ab") as stream:
+            handle = subprocess.Popen(
+                [sys.executable, str(_ROOT / "platform" / "edge.py")],
+                env={
+                    **os.environ,
+                    "SADDLEDOOR_BOOT": str(path),
+                    "SADDLEDOOR_METRICS_PORT": str(free_port()),
+                },
+                stdout=stream,
+                stderr=subprocess.STDOUT,
+            )
+        self.processes[name] = _Process(handle, out)
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        os.kill(self.processes[name].handle.pid, number)
+
+    def wait_end(self, name: str, timeout: float = 15.0) -> int:
+        return self.processes[name].handle.wait(timeout)
+
+    def log(self, name: str) -> list[dict]:
+        """
+        Return an edge's log lines; each has to be JSON.
+        """
+        text = self.processes[name].out.read_text()
+        return [json.loads(line) for line in text.splitlines()]
+
+    def ready(self, name: str) -> bool:
+        with contextlib.suppress(OSError):
+            port = self.ready_ports[name]
+            return self._ask(port, "GET", "/v1/readiness").status == 200
+        return False
+
+    def ask(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        request_id: str = "",
+        edge: str = "edge-0",
+        timeout: float = 10.0,
+        **headers: str,
+    ) -> Answer:
+        """
+        Ask an edge as a client.
+        """
+        fields = {"Host": HOST, **{k.replace("_", "-"): v for k, v in headers.items()}}
+        if request_id:
+            fields["Saddledoor-Attempt-Id"] = request_id
+        port = self.front_ports[edge]
+        return self._ask(port, method, target, body, fields, timeout)
+
+    def submit(self, job_id: str, job: dict, edge: str = "edge-0") -> Answer:
+        return self.ask("POST", "/train/x", json.dumps(job).encode(), job_id, edge)
+
+    def results(self, job_id: str, edge: str = "edge-0", since: int = 0) -> list[dict]:
+        answer = self.ask("GET", f"/v1/lots/{job_id}?since_rev={since}", edge=edge)
+        return answer.media["results"] if answer.status == 200 else []
+
+    def finished(self, job_id: str, items: int, edge: str = "edge-0") -> list[dict]:
+        """
+        Wait for all results.
+        """
+        until(lambda: len(self.results(job_id, edge)) == items, 20.0)
+        return self.results(job_id, edge)
+
+    def _run(self, name: str, *arguments: str) -> None:
+        out = self.folder / f"{name}.out"
+        with out.open("ab") as stream:
+            handle = subprocess.Popen(
+                [sys.executable, str(_HERE / "standins.py"), *arguments],
+                stdout=stream,
+                stderr=subprocess.STDOUT,
+            )
+        self.processes[name] = _Process(handle, out)
+
+    def _answers(self, port: int) -> bool:
+        with contextlib.suppress(OSError):
+            return self._fake(port, {}) is not None
+        return False
+
+    def _fake(self, port: int, body: dict) -> dict:
+        return self._ask(port, "POST", "/fake", json.dumps(body).encode()).media
+
+    def _ask(
+        self,
+        port: int,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        headers: dict | None = None,
+        timeout: float = 5.0,
+    ) -> Answer:
+        request = urllib.request.Request(
+            f"http://127.0.0.1:{port}{target}",
+            data=body or None,
+            headers=headers or {},
+            method=method,
+        )
+        try:
+            with urllib.request.urlopen(request, timeout=timeout) as response:
+                return _answer(response.status, response.headers, response.read())
+        except urllib.error.HTTPError as error:
+            return _answer(error.code, error.headers, error.read())
+
+
+def _answer(status: int, headers: Message, body: bytes) -> Answer:
+    return Answer(status, {k.lower(): v for k, v in headers.items()}, body)
+
+
+_SETTINGS = """
+node_name = "{0}"
+ip = "127.0.0.1"
+zone = "dc-a"
+a_field_of_later = true
+[listen]
+front = "127.0.0.1:{1}"
+ready = "127.0.0.1:{2}"
+[platform]
+address = "127.0.0.1:{3}"
+parts = {4}
+record_bytes = 262144
+ttl_min_ms = 1000
+[timing_bounds]
+lease_ms = 1000
+grace_s = 8
+"""
--- /dev/null
+++ b/tests/adapter/standin_engine.py
@@ -0,0 +1,264 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Stand-in of an engine on the platform: requests, streams of events, reports, orders.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from dataclasses import asdict, dataclass, field
+
+import aiohttp
+from aiohttp import web
+
+
+__all__ = ["engine_app"]
+
+
+@dataclass
+class _Run:
+    """
+    A request that the engine began to work on.
+    """
+
+    request_id: str
+    method: str
+    target: str
+    body: str
+    resume_after: int
+    ended: str = "running"
+
+
+@dataclass
+class _Faults:
+    """
+    What a test wants to go wrong.
+
+    :ivar cut_after: Streams break off in the middle of the event after this one.
+    :ivar no_end: Streams break off after their last event, before the end marker.
+    :ivar extra: A second, foreign answer follows each plain one.
+    :ivar wrong_id: Plain answers carry the id of another request.
+    :ivar delay: Work of a plain request, in seconds.
+    :ivar fail: Status of every answer; 0 for none.
+    :ivar late_orders: So many orders get no answer and are carried out later.
+    """
+
+    cut_after: int = 0
+    no_end: bool = False
+    extra: bool = False
+    wrong_id: bool = False
+    delay: float = 0.0
+    fail: int = 0
+    late_orders: int = 0
+
+
+@dataclass
+class _Engine:
+    engine_id: str
+    model: str
+    address: str
+    service: str
+    store: str
+    slots: int = 4
+    events: int = 5
+    pace: float = 0.01
+    load: float = 0.2
+    version: int = 1
+    busy: bool = False
+    orders_taken: int = 0
+    top_fence: int = -1
+    faults: _Faults = field(default_factory=_Faults)
+    runs: list[_Run] = field(default_factory=list)
+    orders: list[dict] = field(default_factory=list)
+    tasks: set[asyncio.Task] = field(default_factory=set)
+
+    async def request(self, request: web.Request) -> web.StreamResponse:
+        body = await request.read()
+        name = request.headers.get("Saddledoor-Attempt-Id", "")
+        expected = request.headers.get("Saddledoor-Expect-Instance")
+        if expected not in (None, self.engine_id):
+            headers = {"Saddledoor-Instance-Id": self.engine_id}
+            return web.Response(status=421, headers=headers)
+        resume_after = int(request.headers.get("Last-Event-Id", "0"))
+        run = _Run(
+            name, request.method, request.path_qs, body.decode("latin-1"), resume_after
+        )
+        if self.faults.fail == 503:
+            headers = {"Saddledoor-Not-Executed": "1"}
+            return web.Response(status=503, headers=headers)
+        self.runs.append(run)
+        try:
+            if self.faults.fail:
+                headers = {"Saddledoor-Attempt-Id": name}
+                return web.Response(status=self.faults.fail, headers=headers)
+            answer = self._stream if self.model and body != b"score" else self._plain
+            response = await answer(request, name, resume_after)
+            run.ended = "done"
+            return response
+        except (asyncio.CancelledError, ConnectionError):
+            run.ended = "cancelled"
+            raise
+
+    async def _plain(self, request, name: str, _: int) -> web.StreamResponse:
+        await asyncio.sleep(self.faults.delay)
+        said = "another" if self.faults.wrong_id else name
+        body = f"answer to {name}".encode()
+        headers = {
+            "Saddledoor-Attempt-Id": said,
+            "Saddledoor-Server-Seal": f"seal-{name}",
+        }
+        if self.faults.extra:
+            return await _with_extra(request, headers, body)
+        return web.Response(body=body, headers=headers)
+
+    async def _stream(self, request, name: str, after: int) -> web.StreamResponse:
+        response = web.StreamResponse(
+            headers={
+                "Content-Type": "text/event-stream",
+                "Saddledoor-Attempt-Id": name,
+                "Saddledoor-Weight-Versions": str(self.version),
+            }
+        )
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        said = self.version
+        for number in range(after + 1, self.events + 1):
+            await asyncio.sleep(self.pace)
+            head = ""
+            if self.version != said:
+                said = self.version
+                head = f"saddledoor-weight-versions: {said}\n"
+            event = f"{head}id: {number}\ndata: {name}-{number}\n\n".encode()
+            if self.faults.cut_after and number == self.faults.cut_after + 1:
+                await response.write(event[: len(event) // 2])
+                request.transport.close()
+                return response
+            await response.write(event)
+        if self.faults.no_end:
+            request.transport.close()
+            return response
+        await response.write_eof()
+        return response
+
+    async def report(self, request: web.Request) -> web.Response:
+        return web.json_response(
+            {
+                "stage": "both",
+                "models": [{"name": self.model, "version": self.version}],
+                "busy": self.busy,
+                "seq_no": self.orders_taken,
+            }
+        )
+
+    async def order(self, request: web.Request) -> web.StreamResponse:
+        order = await request.json()
+        self.orders.append(order)
+        if self.faults.late_orders > 0:
+            self.faults.late_orders -= 1
+            self._spawn(self._take_late(order))
+            request.transport.abort()
+            return web.Response()
+        return web.Response(status=self._take(order))
+
+    async def _take_late(self, order: dict) -> None:
+        await asyncio.sleep(1.5)
+        order["late_status"] = self._take(order)
+
+    def _take(self, order: dict) -> int:
+        if order["fence_token"] < self.top_fence:
+            return 412
+        self.top_fence = order["fence_token"]
+        if self.busy or order.get("if_rev", self.orders_taken) != self.orders_taken:
+            return 409
+        if order["version"] == self.version:
+            return 200
+        self.orders_taken += 1
+        self._spawn(self._load(order["version"]))
+        return 202
+
+    async def _load(self, version: int) -> None:
+        self.busy = True
+        await asyncio.sleep(self.load)
+        self.version, self.busy = version, False
+        await self.write_entry()
+
+    async def write_entry(self) -> None:
+        """
+        Tell the store of this engine.
+        """
+        models = [{"name": self.model, "version": self.version}] if self.model else []
+        entry = {
+            "service": self.service,
+            "address": self.address,
+            "zone": "dc-a",
+            "version": "v1",
+            "slots": self.slots,
+            "state": "ready",
+            "seq_no": 1,
+            "models": models,
+        }
+        body = {"put": [["keyed.servers", self.engine_id, json.dumps(entry)]]}
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(f"http://{self.store}/fake", json=body) as response,
+        ):
+            response.raise_for_status()
+
+    def _spawn(self, work) -> None:
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def fake(self, request: web.Request) -> web.Response:
+        """
+        Set faults or fields, and show what was run and ordered.
+        """
+        body = await request.json()
+        for name, value in body.items():
+            owner = self.faults if hasattr(self.faults, name) else self
+            setattr(owner, name, value)
+        return web.json_response(
+            {
+                "runs": [asdict(run) for run in self.runs],
+                "orders": self.orders,
+                "version": self.version,
+            }
+        )
+
+
+async def _with_extra(request, headers: dict, body: bytes) -> web.StreamResponse:
+    """
+    Answer, and send a whole foreign answer right behind on the same connection.
+    """
+    lines = [f"{name}: {value}" for name, value in headers.items()]
+    foreign = json.dumps({"foreign": True}).encode()
+    data = b""
+    for content in (body, foreign):
+        head = ["HTTP/1.1 200 OK", *lines, f"Content-Length: {len(content)}", "", ""]
+        data += "\r\n".join(head).encode() + content
+    request.transport.write(data)
+    await asyncio.sleep(0.2)
+    request.transport.close()
+    return web.Response()
+
+
+def engine_app(
+    address: str, engine_id: str, service: str, store: str, model: str = ""
+) -> web.Application:
+    """
+    Return an engine; without a model it is a plain service.
+    """
+    engine = _Engine(engine_id, model, address, service, store)
+
+    async def started(_: web.Application) -> None:
+        await engine.write_entry()
+
+    app = web.Application(client_max_size=8_000_000)
+    app.on_startup.append(started)
+    app.router.add_get("/v1/report", engine.report)
+    app.router.add_post("/v1/order", engine.order)
+    app.router.add_post("/fake", engine.fake)
+    app.router.add_route("*", "/{path:.*}", engine.request)
+    return app
--- /dev/null
+++ b/tests/adapter/standin_store.py
@@ -0,0 +1,245 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Stand-in of the platform's store: topics, keyed topics, groups, and their failures.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import contextlib
+import struct
+import time
+from dataclasses import dataclass, field
+
+from aiohttp import web
+
+
+__all__ = ["store_app"]
+
+
+@dataclass
+class _Topic:
+    first: int = 0
+    records: list[bytes] = field(default_factory=list)
+
+    @property
+    def end(self) -> int:
+        return self.first + len(self.records)
+
+
+@dataclass
+class _Member:
+    heard: float
+    ttl: float
+
+
+class _Store:
+    """
+    Everything the store holds, and what a test wants to go wrong.
+
+    :ivar mode: ``ok``, or how every call fails: ``busy`` (503), ``reset``, ``silent``.
+    :ivar lose_done: So many appends are done and get no answer.
+    :ivar lose_undone: So many appends get no answer and are not done.
+    :ivar late_by: Seconds after which the appends of ``lose_undone`` are done all the
+        same; 0 for never.
+    :ivar deal_all: Every member is dealt every part, as if each thought it were the
+        owner.
+    """
+
+    def __init__(self, parts: int) -> None:
+        self._parts = parts
+        self._topics: dict[str, _Topic] = {}
+        self._keyed: dict[str, dict[str, tuple[int, bytes]]] = {}
+        self._members: dict[str, _Member] = {}
+        self._holders: dict[int, str] = {}
+        self._generation = 0
+        self._grown = asyncio.Condition()
+        self._late: set[asyncio.Task] = set()
+        self.mode = "ok"
+        self.lose_done = 0
+        self.lose_undone = 0
+        self.late_by = 0.0
+        self.deal_all = False
+
+    def topic(self, name: str) -> _Topic:
+        return self._topics.setdefault(name, _Topic())
+
+    async def put(self, name: str, records: list[bytes]) -> int:
+        topic = self.topic(name)
+        offset = topic.end
+        for record in records:
+            if name.startswith("keyed."):
+                key = record[1 : 1 + record[0]].decode()
+                value = record[1 + record[0] :]
+                self._keyed.setdefault(name, {})[key] = (topic.end, value)
+            topic.records.append(record)
+        async with self._grown:
+            self._grown.notify_all()
+        return offset
+
+    async def append(self, request: web.Request) -> web.StreamResponse:
+        await self._fail(request)
+        name = request.query["topic"]
+        records = list(_split(await request.read()))
+        if self.lose_undone > 0:
+            self.lose_undone -= 1
+            if self.late_by:
+                task = asyncio.create_task(self._put_late(name, records))
+                self._late.add(task)
+                task.add_done_callback(self._late.discard)
+            return await _no_answer(request)
+        expected = request.query.get("as_of")
+        if expected is not None and int(expected) != self.topic(name).end:
+            return web.json_response({"end": self.topic(name).end}, status=412)
+        offset = await self.put(name, records)
+        if self.lose_done > 0:
+            self.lose_done -= 1
+            return await _no_answer(request)
+        return web.json_response({"offset": offset, "end": self.topic(name).end})
+
+    async def _put_late(self, name: str, records: list[bytes]) -> None:
+        await asyncio.sleep(self.late_by)
+        await self.put(name, records)
+
+    async def read(self, request: web.Request) -> web.StreamResponse:
+        await self._fail(request)
+        topic = self.topic(request.query["topic"])
+        start = int(request.query["from"])
+        wait = int(request.query.get("wait_ms", "0")) / 1000
+        if start < topic.first:
+            return web.json_response({"first": topic.first}, status=410)
+        if start >= topic.end and wait:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait), self._grown:
+                    await self._grown.wait_for(lambda: topic.end > start)
+        await self._fail(request)
+        records = topic.records[max(0, start - topic.first) :]
+        body = struct.pack(">QQ", topic.end, topic.first)
+        body += b"".join(struct.pack(">I", len(r)) + r for r in records)
+        return web.Response(body=body)
+
+    async def newest(self, request: web.Request) -> web.StreamResponse:
+        await self._fail(request)
+        name = request.query["topic"]
+        rows = [
+            {
+                "private_key": key,
+                "value": base64.b64encode(value).decode(),
+                "offset": offset,
+            }
+            for key, (offset, value) in sorted(self._keyed.get(name, {}).items())
+            if value
+        ]
+        after = request.query.get("since_rev", "")
+        rows = [row for row in rows if row["private_key"] > after]
+        # Small pages, so that the client's paging is tried.
+        page, more = rows[:2], len(rows) > 2
+        return web.json_response(
+            {"requests": page, "has_more": more, "end": self.topic(name).end}
+        )
+
+    async def join(self, request: web.Request) -> web.StreamResponse:
+        await self._fail(request)
+        body = await request.json()
+        now = time.monotonic()
+        name = body["member"]
+        if name not in self._members:
+            self._generation += 1
+        self._members[name] = _Member(now, body["ttl_ms"] / 1000)
+        self._drop_silent(now)
+        rows = [[body["topics"][0], part, 0] for part in self._deal(name)]
+        return web.json_response({"generation": self._generation, "parts": rows})
+
+    def _deal(self, name: str) -> list[int]:
+        """
+        Return a member's parts; one passes on only once its holder has let it go.
+        """
+        if self.deal_all:
+            return list(range(self._parts))
+        members = sorted(self._members)
+        mine = []
+        for part in range(self._parts):
+            target = members[part % len(members)]
+            holder = self._holders.get(part)
+            if holder == name and target != name:
+                del self._holders[part]
+            if target == name and self._holders.setdefault(part, name) == name:
+                mine.append(part)
+        return mine
+
+    async def leave(self, request: web.Request) -> web.StreamResponse:
+        await self._fail(request)
+        self._remove((await request.json())["member"])
+        return web.json_response({})
+
+    def _drop_silent(self, now: float) -> None:
+        for name, member in list(self._members.items()):
+            if now - member.heard > member.ttl:
+                self._remove(name)
+
+    def _remove(self, name: str) -> None:
+        self._members.pop(name, None)
+        self._generation += 1
+        for part, holder in list(self._holders.items()):
+            if holder == name:
+                del self._holders[part]
+
+    async def _fail(self, request: web.Request) -> None:
+        if self.mode == "busy":
+            raise web.HTTPServiceUnavailable
+        if self.mode == "reset":
+            request.transport.abort()
+            raise web.HTTPServiceUnavailable
+        if self.mode == "silent":
+            await asyncio.sleep(3600)
+
+    async def fake(self, request: web.Request) -> web.Response:
+        """
+        Set failures, put keyed values (text) or drop the oldest records of a topic.
+        """
+        body = await request.json()
+        for name in ("mode", "lose_done", "lose_undone", "late_by", "deal_all"):
+            setattr(self, name, body.get(name, getattr(self, name)))
+        for name, key, value in body.get("put", ()):
+            record = bytes([len(key)]) + key.encode() + value.encode()
+            await self.put(name, [record])
+        for name in body.get("forget", ()):
+            topic = self.topic(name)
+            topic.first, topic.records = topic.end, []
+        async with self._grown:
+            self._grown.notify_all()
+        ends = {name: topic.end for name, topic in self._topics.items()}
+        return web.json_response({"ends": ends, "members": sorted(self._members)})
+
+
+async def _no_answer(request: web.Request) -> web.Response:
+    request.transport.abort()
+    return web.Response()
+
+
+def _split(data: bytes):
+    position = 0
+    while position < len(data):
+        (length,) = struct.unpack_from(">I", data, position)
+        position += 4
+        yield data[position : position + length]
+        position += length
+
+
+def store_app(parts: int) -> web.Application:
+    """
+    Return the store.
+
+    :param parts: Partitions of the topic that divides the work.
+    """
+    store = _Store(parts)
+    app = web.Application(client_max_size=8_000_000)
+    app.router.add_post("/v1/log-append", store.append)
+    app.router.add_get("/v1/log-read", store.read)
+    app.router.add_get("/v1/log-newest", store.newest)
+    app.router.add_post("/v1/log-join", store.join)
+    app.router.add_post("/v1/log-leave", store.leave)
+    app.router.add_post("/fake", store.fake)
+    return app
--- /dev/null
+++ b/tests/adapter/test_edge_jobs.py
@@ -0,0 +1,334 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Batch jobs through the edge program, with stores, engines and edges that fail.
+"""
+
+from __future__ import annotations
+
+import signal
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from platform_bed import MODEL, make_job, until
+
+
+ITEMS = 6
+
+
+def _texts(results: list[dict]) -> dict[str, str]:
+    return {result["id"]: result["message"] for result in results}
+
+
+def _whole_texts(items: int = ITEMS, events: int = 5) -> dict[str, str]:
+    return {
+        f"item-{i}": "\n".join(f"item-{i}-{n}" for n in range(1, events + 1))
+        for i in range(items)
+    }
+
+
+def test_a_job_is_run_scored_and_read_at_any_edge(two_edges):
+    """
+    Whole texts, true versions, the scorer's mark; the same positions at every edge.
+    """
+    assert two_edges.submit("job-1", make_job()).status == 202
+    results = two_edges.finished("job-1", ITEMS)
+    assert _texts(results) == _whole_texts()
+    for result in results:
+        assert result["state"] == "completed"
+        assert result["versions"] == [1]
+        assert result["score"] == f"seal-score-{result['id'].removeprefix('item-')}"
+    assert two_edges.results("job-1", "edge-1") == results
+    assert two_edges.results("job-1", "edge-1", since=4) == results[4:]
+
+
+def test_an_unknown_job_is_404_and_503_while_the_store_is_away(platform_bed):
+    """
+    A node that cannot be sure does not say that there is none.
+    """
+    assert platform_bed.ask("GET", "/v1/lots/none").status == 404
+    platform_bed.fake_store(mode="busy")
+    answer = platform_bed.ask("GET", "/v1/lots/none")
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0
+
+
+def test_a_job_submitted_again_is_taken_once(two_edges):
+    """
+    At whichever edge: accepted again, and its items run once.
+    """
+    job = make_job()
+    for edge in ("edge-0", "edge-1", "edge-0"):
+        assert two_edges.submit("job-1", job, edge).status == 202
+    two_edges.finished("job-1", ITEMS)
+    names = [run["request_id"] for run in two_edges.runs() if run["body"] == "prompt"]
+    assert sorted(names) == [f"item-{i}" for i in range(ITEMS)]
+
+
+def test_an_accept_whose_answer_was_lost_is_taken_once(platform_bed):
+    """
+    Done without an answer, and not done without an answer.
+    """
+    platform_bed.fake_store(lose_done=1)
+    assert platform_bed.submit("job-1", make_job()).status == 202
+    platform_bed.fake_store(lose_undone=1)
+    assert platform_bed.submit("job-2", make_job()).status == 202
+    assert _texts(platform_bed.finished("job-1", ITEMS)) == _whole_texts()
+    assert _texts(platform_bed.finished("job-2", ITEMS)) == _whole_texts()
+
+
+def test_a_job_that_may_come_into_the_log_later_is_not_called_not_run(platform_bed):
+    """
+    No 429 and no 503 while an append without an answer may still be done.
+    """
+    platform_bed.fake_store(lose_undone=1000, late_by=2.5)
+    assert platform_bed.submit("job-1", make_job()).status == 502
+    platform_bed.fake_store(lose_undone=0)
+    assert _texts(platform_bed.finished("job-1", ITEMS)) == _whole_texts()
+
+
+def test_a_job_refused_while_the_store_is_busy_never_runs(platform_bed):
+    """
+    The store vouches that nothing was done, so the refusal may promise it.
+    """
+    platform_bed.fake_store(mode="busy")
+    answer = platform_bed.submit("job-1", make_job())
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0
+    platform_bed.fake_store(mode="ok")
+    time.sleep(1.0)
+    assert platform_bed.ask("GET", "/v1/lots/job-1").status == 404
+    assert platform_bed.runs() == []
+
+
+def test_an_accepted_job_outlives_the_death_of_every_edge(two_edges):
+    """
+    All are killed right after the accept; what starts again takes the job up.
+    """
+    assert two_edges.submit("job-1", make_job()).status == 202
+    for edge in ("edge-0", "edge-1"):
+        two_edges.signal(edge, signal.SIGKILL)
+        two_edges.wait_end(edge)
+    for edge in ("edge-0", "edge-1"):
+        two_edges.start_edge(edge)
+    until(lambda: two_edges.ready("edge-1"))
+    assert _texts(two_edges.finished("job-1", ITEMS, "edge-1")) == _whole_texts()
+
+
+def test_two_edges_that_both_believe_to_own_a_job_list_each_item_once(two_edges):
+    """
+    The log's order decides; positions are the same at both, whoever wrote first.
+    """
+    two_edges.fake_store(deal_all=True)
+    until(lambda: all(_owns_all(two_edges, e) for e in ("edge-0", "edge-1")))
+    assert two_edges.submit("job-1", make_job()).status == 202
+    results = two_edges.finished("job-1", ITEMS)
+    time.sleep(0.5)
+    assert two_edges.results("job-1", "edge-1") == results
+    assert len({result["id"] for result in results}) == ITEMS
+    # Both did run it, or the test shows nothing.
+    names = [run["request_id"] for run in two_edges.runs()]
+    assert names.count("item-0") == 2
+
+
+def _owns_all(bed, edge: str) -> bool:
+    lines = [line for line in bed.log(edge) if line["event"] == "share_changed"]
+    return bool(lines) and len(lines[-1]["parts"]) == 4
+
+
+def test_a_stream_cut_within_an_event_goes_on_after_the_last_whole_one(platform_bed):
+    """
+    At another engine, and the text has no gap, no repeat and no half event.
+    """
+    platform_bed.fake_engine("engine-0", cut_after=2)
+    assert platform_bed.submit("job-1", make_job()).status == 202
+    assert _texts(platform_bed.finished("job-1", ITEMS)) == _whole_texts()
+    resumed = [run for run in platform_bed.runs() if run["resume_after"]]
+    assert resumed
+    assert {run["resume_after"] for run in resumed} <= {2}
+
+
+def test_a_stream_without_its_end_marker_is_not_taken_as_whole(platform_bed):
+    """
+    All events came, the end did not: nothing is listed until an engine ends it well.
+    """
+    for engine in ("engine-0", "engine-1"):
+        platform_bed.fake_engine(engine, no_end=True)
+    assert platform_bed.submit("job-1", make_job(2)).status == 202
+    time.sleep(1.0)
+    assert platform_bed.results("job-1") == []
+    for engine in ("engine-0", "engine-1"):
+        platform_bed.fake_engine(engine, no_end=False)
+    assert _texts(platform_bed.finished("job-1", 2)) == _whole_texts(2)
+
+
+def test_an_item_that_always_fails_is_given_up_after_its_attempts(platform_bed):
+    """
+    Listed as given up, after no more runs than the route allows.
+    """
+    for engine in ("engine-0", "engine-1"):
+        platform_bed.fake_engine(engine, fail=500)
+    assert platform_bed.submit("job-1", make_job(1)).status == 202
+    (result,) = platform_bed.finished("job-1", 1)
+    assert result["state"] == "dead"
+    assert len(platform_bed.runs()) == 3
+
+
+def test_an_item_that_can_never_be_done_is_given_up_at_once(platform_bed):
+    """
+    One answer of 422 is enough.
+    """
+    for engine in ("engine-0", "engine-1"):
+        platform_bed.fake_engine(engine, fail=422)
+    assert platform_bed.submit("job-1", make_job(1)).status == 202
+    assert platform_bed.finished("job-1", 1)[0]["state"] == "dead"
+    assert len(platform_bed.runs()) == 1
+
+
+def test_nothing_of_an_ended_job_runs(two_edges):
+    """
+    Running items stop, waiting ones never start, and what was listed stays.
+    """
+    for engine in ("engine-0", "engine-1"):
+        two_edges.fake_engine(engine, pace=0.2)
+    assert two_edges.submit("job-1", make_job(20)).status == 202
+    until(lambda: len(two_edges.results("job-1")) >= 2)
+    listed = two_edges.results("job-1")
+    assert two_edges.ask("DELETE", "/v1/lots/job-1", edge="edge-1").status == 200
+    assert two_edges.ask("DELETE", "/v1/lots/job-1", edge="edge-0").status == 200
+    until(lambda: all(r["ended"] != "running" for r in two_edges.runs()), 2.0)
+    began = len(two_edges.runs())
+    time.sleep(1.0)
+    assert len(two_edges.runs()) == began
+    assert two_edges.results("job-1")[: len(listed)] == listed
+
+
+def test_the_body_of_an_item_that_is_not_listed_can_be_read(two_edges):
+    """
+    At any edge; an unknown item has none.
+    """
+    for engine in ("engine-0", "engine-1"):
+        two_edges.fake_engine(engine, pace=0.5)
+    assert two_edges.submit("job-1", make_job()).status == 202
+    answer = two_edges.ask("GET", "/v1/items/job-1?id=item-3", edge="edge-1")
+    assert (answer.status, answer.body) == (200, b"prompt")
+    assert two_edges.ask("GET", "/v1/items/job-1?id=none").status == 404
+
+
+def test_a_job_with_a_broken_item_is_refused_whole(platform_bed):
+    """
+    The answer names the place, and no item of it runs.
+    """
+    job = make_job()
+    del job["requests"][3]["id"]
+    answer = platform_bed.submit("job-1", job)
+    assert answer.status == 400
+    assert b"requests[3]: 'id' is missing" in answer.body
+    time.sleep(0.3)
+    assert platform_bed.runs() == []
+
+
+def test_texts_say_which_weights_made_them(platform_bed):
+    """
+    New weights within a run: both versions stand in the result.
+    """
+    for engine in ("engine-0", "engine-1"):
+        platform_bed.fake_engine(engine, pace=0.2)
+    assert platform_bed.submit("job-1", make_job(2)).status == 202
+    until(lambda: len(platform_bed.runs()) == 2)
+    platform_bed.name_version(2)
+    for result in platform_bed.finished("job-1", 2):
+        assert result["versions"] == [1, 2]
+        assert _texts([result]) == {result["id"]: _whole_texts(2)[result["id"]]}
+
+
+def test_no_token_is_older_than_the_job_allows(platform_bed):
+    """
+    A job that needs version 2 waits until an engine reports it.
+    """
+    assert platform_bed.submit("job-1", make_job(2, min_version=2)).status == 202
+    time.sleep(0.5)
+    assert platform_bed.results("job-1") == []
+    platform_bed.name_version(2)
+    results = platform_bed.finished("job-1", 2)
+    assert {tuple(result["versions"]) for result in results} == {(2,)}
+
+
+def test_an_order_carried_out_late_changes_nothing(platform_bed):
+    """
+    A newer order has been taken meanwhile, so the engine refuses the late one.
+    """
+    platform_bed.fake_engine("engine-0", late_orders=1)
+    platform_bed.name_version(2)
+    until(lambda: platform_bed.fake_engine("engine-0")["version"] == 2)
+    platform_bed.name_version(3)
+    until(lambda: platform_bed.fake_engine("engine-0")["version"] == 3)
+    seen = platform_bed.fake_engine("engine-0")
+    assert until(lambda: seen["orders"][0].get("late_status") or _late(platform_bed))
+    assert platform_bed.fake_engine("engine-0")["version"] == 3
+
+
+def _late(bed) -> int | None:
+    return bed.fake_engine("engine-0")["orders"][0].get("late_status")
+
+
+def test_orders_come_from_one_holder_with_rising_fences(two_edges):
+    """
+    After the holder's death the next one uses a higher fencing number.
+    """
+    two_edges.name_version(2)
+    until(lambda: two_edges.fake_engine("engine-0")["version"] == 2)
+    first = two_edges.fake_engine("engine-0")["orders"][-1]
+    two_edges.signal(first["holder"], signal.SIGKILL)
+    two_edges.name_version(3)
+    until(lambda: two_edges.fake_engine("engine-0")["version"] == 3)
+    second = two_edges.fake_engine("engine-0")["orders"][-1]
+    assert second["holder"] != first["holder"]
+    assert second["fence_token"] > first["fence_token"]
+    assert second["model"] == MODEL
+
+
+def test_a_planned_stop_hands_the_texts_over(two_edges):
+    """
+    The next owner goes on after the events that the stopping one has kept.
+    """
+    for engine in ("engine-0", "engine-1"):
+        two_edges.fake_engine(engine, pace=0.4)
+    assert two_edges.submit("job-1", make_job(2), "edge-1").status == 202
+    until(lambda: len(two_edges.runs()) == 2)
+    time.sleep(1.0)
+    owner = _runner(two_edges)
+    other = "edge-1" if owner == "edge-0" else "edge-0"
+    two_edges.signal(owner, signal.SIGTERM)
+    assert _texts(two_edges.finished("job-1", 2, other)) == _whole_texts(2)
+    resumed = [run for run in two_edges.runs() if run["resume_after"] >= 1]
+    assert len(resumed) == 2
+    assert two_edges.wait_end(owner) == 0
+
+
+def _runner(bed) -> str:
+    """
+    Return the edge whose connections the engines serve, by its share of the jobs.
+    """
+    from saddledoord.cluster.membership import part_of
+
+    part = part_of(f"desk.example/{MODEL}", 4)
+    for edge in ("edge-0", "edge-1"):
+        lines = [line for line in bed.log(edge) if line["event"] == "share_changed"]
+        if lines and part in lines[-1]["parts"]:
+            return edge
+    raise AssertionError("nobody owns the job")
+
+
+def test_reading_while_results_come_waits_for_the_next(platform_bed):
+    """
+    A reader at the end is held until a result exists.
+    """
+    for engine in ("engine-0", "engine-1"):
+        platform_bed.fake_engine(engine, pace=0.1)
+    assert platform_bed.submit("job-1", make_job(1)).status == 202
+    with ThreadPoolExecutor(1) as pool:
+        asked = pool.submit(
+            platform_bed.ask, "GET", "/v1/lots/job-1", Saddledoor_Wait_Ms="1000"
+        )
+        assert asked.result().media["next_token"] == 1
--- /dev/null
+++ b/tests/adapter/test_edge_requests.py
@@ -0,0 +1,215 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Requests through the edge program, with engines that fail in their ways.
+"""
+
+from __future__ import annotations
+
+import socket
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from platform_bed import HOST, make_config, until
+
+
+def test_a_request_reaches_the_engine_unchanged(platform_bed):
+    """
+    Method, path, query and body go on as sent; status, body and mark come back.
+    """
+    answer = platform_bed.ask("PUT", "/look/a%20b//c?x=1&y=%2F", b"\x00body", "r-1")
+    assert answer.status == 200
+    assert answer.body == b"answer to r-1"
+    assert answer.headers["saddledoor-server-seal"] == "seal-r-1"
+    (run,) = platform_bed.runs()
+    assert (run["method"], run["target"]) == ("PUT", "/look/a%20b//c?x=1&y=%2F")
+    assert run["body"] == "\x00body"
+
+
+def test_without_a_route_the_answer_is_404(platform_bed):
+    """
+    Neither another host nor another path has a route.
+    """
+    assert platform_bed.ask("GET", "/nowhere/", request_id="r-1").status == 404
+    other = platform_bed.ask("GET", "/look/x", request_id="r-2", Host="other.example")
+    assert other.status == 404
+    assert platform_bed.runs() == []
+
+
+def test_an_extra_answer_reaches_nobody(platform_bed):
+    """
+    Bytes behind a whole answer belong to no request.
+    """
+    for name in ("desk-0", "desk-1"):
+        platform_bed.fake_engine(name, extra=True)
+    for index in range(6):
+        answer = platform_bed.ask("POST", "/look/x", b"b", f"r-{index}")
+        assert answer.body == f"answer to r-{index}".encode()
+
+
+def test_the_answer_of_another_request_is_not_passed_on(platform_bed):
+    """
+    A wrong id in the answer means that this request has none yet.
+    """
+    platform_bed.fake_engine("desk-0", wrong_id=True)
+    for index in range(4):
+        answer = platform_bed.ask("POST", "/look/x", b"b", f"r-{index}")
+        assert (answer.status, answer.body) == (200, f"answer to r-{index}".encode())
+
+
+def test_an_unrepeatable_request_runs_once_and_is_not_called_not_run(platform_bed):
+    """
+    After a foreign answer the request may have run: neither repeated nor promised.
+    """
+    for name in ("desk-0", "desk-1"):
+        platform_bed.fake_engine(name, wrong_id=True)
+    answer = platform_bed.ask("POST", "/book/x", b"b", "r-1")
+    assert answer.status == 502
+    assert len(platform_bed.runs()) == 1
+
+
+def test_an_engine_that_refuses_is_not_an_attempt_that_ran(platform_bed):
+    """
+    If every engine vouches that it did not start, the caller is told when to return.
+    """
+    for name in ("desk-0", "desk-1"):
+        platform_bed.fake_engine(name, fail=503)
+    began = time.monotonic()
+    answer = platform_bed.ask("POST", "/book/x", b"b", "r-1")
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0
+    assert time.monotonic() - began < 1.0
+    assert platform_bed.runs() == []
+
+
+def test_a_failure_of_the_engine_is_passed_on_for_an_unrepeatable_request(platform_bed):
+    """
+    Its own status comes back, and it is not tried again.
+    """
+    for name in ("desk-0", "desk-1"):
+        platform_bed.fake_engine(name, fail=500)
+    assert platform_bed.ask("POST", "/book/x", b"b", "r-1").status == 500
+    assert len(platform_bed.runs()) == 1
+
+
+def test_an_engine_stops_when_the_caller_leaves(platform_bed):
+    """
+    Well before its work is done.
+    """
+    for name in ("desk-0", "desk-1"):
+        platform_bed.fake_engine(name, delay=5.0)
+    with socket.create_connection(
+        ("127.0.0.1", platform_bed.front_ports["edge-0"])
+    ) as caller:
+        head = f"POST /look/x HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 1\r\n"
+        caller.sendall(f"{head}Saddledoor-Attempt-Id: r-1\r\n\r\nb".encode())
+        until(lambda: [run for run in platform_bed.runs()])
+    until(lambda: platform_bed.runs()[0]["ended"] == "cancelled", 0.6)
+
+
+def test_an_address_that_comes_back_as_another_service_runs_nothing(platform_bed):
+    """
+    The request names the incarnation it is meant for; the other one refuses it.
+    """
+    platform_bed.put_entry("desk-gone", "desk", platform_bed.engine_ports["engine-0"])
+    for index in range(8):
+        assert platform_bed.ask("POST", "/book/x", b"b", f"r-{index}").status == 200
+    assert platform_bed.fake_engine("engine-0")["runs"] == []
+
+
+def test_a_leaving_engine_gets_nothing_more(platform_bed):
+    """
+    Neither one that says that it drains nor one whose entry is gone.
+    """
+    port = platform_bed.engine_ports["desk-0"]
+    platform_bed.put_entry("desk-0", "desk", port, state="draining")
+    time.sleep(0.3)
+    for index in range(6):
+        assert platform_bed.ask("POST", "/look/x", b"b", f"r-{index}").status == 200
+    platform_bed.remove_entry("desk-0")
+    time.sleep(0.3)
+    for index in range(6):
+        assert platform_bed.ask("POST", "/look/x", b"b", f"s-{index}").status == 200
+    assert platform_bed.fake_engine("desk-0")["runs"] == []
+
+
+def test_entries_that_lapse_with_the_store_are_bridged(platform_bed):
+    """
+    Around an outage an engine without an entry is used a little longer, then dropped.
+    """
+    platform_bed.fake_store(mode="busy")
+    until(lambda: _logged(platform_bed, "store_lost"))
+    for name in ("desk-0", "desk-1"):
+        platform_bed.remove_entry(name)
+    platform_bed.fake_store(mode="ok")
+    until(lambda: _logged(platform_bed, "engine_entry_gone"))
+    assert platform_bed.ask("POST", "/look/x", b"b", "r-1").status == 200
+    time.sleep(1.6)
+    assert platform_bed.ask("POST", "/look/x", b"b", "r-2").status == 503
+
+
+def test_the_configuration_never_goes_back(platform_bed):
+    """
+    An older record that comes later, and a history that is forgotten, change nothing.
+    """
+    config = make_config(5)
+    config["routes"] = config["routes"][:1]
+    platform_bed.configure(config)
+    until(lambda: platform_bed.ask("GET", "/book/x", request_id="r").status == 404)
+    platform_bed.configure(make_config(4))
+    platform_bed.fake_store(forget=["keyed.op"])
+    time.sleep(0.5)
+    assert platform_bed.ask("GET", "/book/x", request_id="s").status == 404
+
+
+def test_a_broken_record_in_the_store_is_skipped_with_a_line(platform_bed):
+    """
+    The configuration in force stays, and the log names the place.
+    """
+    platform_bed.put("keyed.op", "config", '{"version": 9, "routes": [{}]}')
+    platform_bed.put("keyed.servers", "odd", '{"service": 1}')
+    until(lambda: len(_logged(platform_bed, "record_skipped")) == 2)
+    reasons = [line["reason"] for line in _logged(platform_bed, "record_skipped")]
+    assert "routes[0]: 'route_type' is missing" in reasons[0]
+    assert platform_bed.ask("POST", "/look/x", b"b", "r-1").status == 200
+
+
+def test_a_body_over_the_limit_is_refused(platform_bed):
+    """
+    With 413, and no engine sees it.
+    """
+    assert platform_bed.ask("POST", "/look/x", b"b" * 100_001, "r-1").status == 413
+    assert platform_bed.runs() == []
+
+
+def test_requests_are_answered_while_the_store_is_away(platform_bed):
+    """
+    Routes and engines known before stay in use.
+    """
+    platform_bed.fake_store(mode="silent")
+    for index in range(4):
+        assert platform_bed.ask("POST", "/look/x", b"b", f"r-{index}").status == 200
+
+
+def test_a_planned_stop_answers_everyone(two_edges):
+    """
+    Not ready at once, answers what comes, says that the connection ends, exits 0.
+    """
+    for name in ("desk-0", "desk-1"):
+        two_edges.fake_engine(name, delay=1.0)
+    with ThreadPoolExecutor(4) as pool:
+        asked = [
+            pool.submit(two_edges.ask, "POST", "/look/x", b"b", f"r-{index}")
+            for index in range(4)
+        ]
+        until(lambda: len(two_edges.runs()) == 4)
+        two_edges.signal("edge-0", 15)
+        until(lambda: not two_edges.ready("edge-0"), 1.0)
+        late = two_edges.ask("POST", "/look/x", b"b", "late")
+        assert (late.status, late.headers["connection"]) == (200, "close")
+        assert [answer.result().status for answer in asked] == [200] * 4
+    assert two_edges.wait_end("edge-0", 8.0) == 0
+
+
+def _logged(bed, event: str) -> list[dict]:
+    return [line for line in bed.log("edge-0") if line["event"] == event]
