Start items only while the log's end is known; move them from slow engines

An edge that had lost power read the log anew page by page and dispatched items of a job whose end stood in a later page.

Ruled out: a cut or a slow store: the sender had just started and the store was calm.

Change: items start only if the log's end was confirmed within 2 s. Also: events of long texts go into the log every 0.5 s so that a successor goes on from them; items move from an engine that is silent as a whole or 1.7 times slower than another with room; slow engines are chosen last.

--- a/packages/saddledoor/src/saddledoor/_event_text.py
+++ b/packages/saddledoor/src/saddledoor/_event_text.py
@@ -74,8 +74,8 @@
             self._versions.append(event.version)
         return True
 
-    def keep(self) -> KeptText:
+    def since(self, number: int) -> KeptText:
         """
-        Return what was taken so far.
+        Return the events after one, with the versions that made any of the text.
         """
-        return KeptText(tuple(self._events), tuple(self._versions))
+        return KeptText(tuple(self._events[number:]), tuple(self._versions))
--- a/packages/saddledoor/src/saddledoor/_job_records.py
+++ b/packages/saddledoor/src/saddledoor/_job_records.py
@@ -43,8 +43,9 @@
         case ItemFailed():
             return msgpack.packb(["f", record.job_id, record.item_id, record.scoring])
         case ItemKept(kept=kept):
-            fields = [record.item_id, list(kept.events), list(kept.versions)]
-            return msgpack.packb(["k", record.job_id, *fields])
+            fields = [record.item_id, record.first]
+            texts = [list(kept.events), list(kept.versions)]
+            return msgpack.packb(["k", record.job_id, *fields, *texts])
         case JobEnded():
             return msgpack.packb(["e", record.job_id])
 
@@ -66,8 +67,8 @@
     return ItemListed(job_id, ItemResult(item_id, done, text, tuple(versions), score))
 
 
-def _kept(job_id, item_id, events, versions) -> ItemKept:
-    return ItemKept(job_id, item_id, KeptText(tuple(events), tuple(versions)))
+def _kept(job_id, item_id, first, events, versions) -> ItemKept:
+    return ItemKept(job_id, item_id, first, KeptText(tuple(events), tuple(versions)))
 
 
 _DECODERS = {
--- a/packages/saddledoor/src/saddledoor/_jobs.py
+++ b/packages/saddledoor/src/saddledoor/_jobs.py
@@ -164,11 +164,14 @@
 @dataclass(frozen=True)
 class ItemKept:
     """
-    Text that the next node to run an item may go on from.
+    Events that the next node to run an item may go on from.
+
+    :param first: Number of the first of them.
     """
 
     job_id: str
     item_id: str
+    first: int
     kept: KeptText
 
 
@@ -298,10 +301,23 @@
         case ItemFailed(item_id=item_id, scoring=scoring):
             counts = state.score_failures if scoring else state.failures
             counts[item_id] = counts.get(item_id, 0) + 1
-        case ItemKept(item_id=item_id, kept=kept):
-            before = state.kept.get(item_id)
-            if before is None or len(kept.events) > len(before.events):
-                state.kept[item_id] = kept
+        case ItemKept(item_id=item_id):
+            _keep(state, record)
         case JobEnded():
             state.ended = True
             state.kept.clear()
+
+
+def _keep(state: JobState, record: ItemKept) -> None:
+    """
+    Add events that go on exactly where the kept ones end; others belong to another run.
+    """
+    before = state.kept.get(record.item_id, KeptText((), ()))
+    if state.ended or record.item_id in state.listed:
+        return
+    if record.first != len(before.events) + 1:
+        return
+    new = [v for v in record.kept.versions if v not in before.versions]
+    state.kept[record.item_id] = KeptText(
+        before.events + record.kept.events, (*before.versions, *new)
+    )
--- a/packages/saddledoord/src/saddledoord/cluster/follow.py
+++ b/packages/saddledoord/src/saddledoord/cluster/follow.py
@@ -11,6 +11,7 @@
 
 import structlog
 
+from .._clock import boot_time
 from ..ports import (
     KeyedEntry,
     KeyedPage,
@@ -28,7 +29,7 @@
 
 #: How long a read waits at the store for news, in seconds. Short, since a silent store
 #: is only noticed when the answer is overdue.
-_WAIT = 2.0
+_WAIT = 1.0
 #: Pause after a read that failed, in seconds.
 _PAUSE = 0.1
 
@@ -43,6 +44,10 @@
         self._on_change = on_change
         self._reached = True
 
+    @property
+    def reached(self) -> bool:
+        return self._reached
+
     def answered(self) -> None:
         if not self._reached:
             self._reached = True
@@ -81,6 +86,21 @@
         self._next = 0
         self._reach = _Reachable(stream, reachable)
         self._caught_up = asyncio.Event()
+        self._confirmed_at = float("-inf")
+
+    @property
+    def reached(self) -> bool:
+        """
+        Whether the store answered the last read.
+        """
+        return self._reach.reached
+
+    @property
+    def confirmed_at(self) -> float:
+        """
+        When everything in the log was known, monotonic, in seconds.
+        """
+        return self._confirmed_at
 
     @property
     def caught_up(self) -> bool:
@@ -135,6 +155,7 @@
                 self._apply(offset, record)
         if self._next >= page.end:
             self._caught_up.set()
+            self._confirmed_at = boot_time()
 
 
 class RegistryFollower:
--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -91,12 +91,12 @@
         self.view = ClusterView()
         pool = EnginePool(self.view, least_outstanding(random.random))
         self.pass_through = PassThrough(self.view, pool, ports.engines, count)
-        self._book = JobBook(decode_job)
-        self.jobs = JobService(ports.log, self._book, Changes(), settings.chunk_bytes)
+        book = JobBook(decode_job)
+        self.jobs = JobService(ports.log, book, Changes(), settings.chunk_bytes)
         self._writer = RecordWriter(ports.log)
         self._membership = Membership(ports.group, settings.parts, self._wake)
         self._runner = JobRunner(
-            self._book,
+            self.jobs,
             self.view,
             pool,
             ports.engines,
@@ -149,6 +149,7 @@
             self._writer.run(),
             self._membership.run(),
             self._runner.run(),
+            self._runner.keep(),
             self._lease.run(),
             self._weights.run(),
         ]
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/jobs/attempt.py
@@ -0,0 +1,142 @@
+# SPDX-License-Identifier: MIT
+
+"""
+One attempt at an item: an engine's stream, watched for silence and slowness.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from saddledoor import EngineEntry, GatewayRoute, GeneratedEvent
+
+from .._clock import boot_time
+from ..ports import Engines, Generation, GenerationFailedError
+from ..serving.pace import EnginePaces
+from .item_run import ItemRun
+
+
+__all__ = ["Attempts"]
+
+#: Silence after which a stream counts as broken, in seconds: twice what a change of
+#: weights takes (0.9 s).
+_SILENCE = 2.0
+#: Silence of a whole engine after which its items move to one that has room, in
+#: seconds: ten events' time, and much less than a change of weights.
+_STALL = 0.45
+#: How often a silent stream is looked at, in seconds.
+_LOOK = 0.1
+#: An item moves if another engine is so many times as fast; the platform's engines
+#: differ by 1.3 when they are well.
+_MUCH_SLOWER = 1.7
+#: Events that an item stays for before it may move, a count: a move costs the reading
+#: of its prompt again, some 10 ms.
+_STAY = 5
+#: Urgency of items; the platform's default is 5.
+_URGENCY = 5
+
+
+class Attempts:
+    """
+    Runs items at engines.
+
+    :param elsewhere: Returns another engine with room that an item may move to.
+    :param seen: Told of each event's weight version, by engine and model.
+    """
+
+    def __init__(
+        self,
+        engines: Engines,
+        paces: EnginePaces,
+        elsewhere: Callable[[ItemRun, EngineEntry], EngineEntry | None],
+        seen: Callable[[EngineEntry, str, int], None],
+    ) -> None:
+        self._engines = engines
+        self._paces = paces
+        self._elsewhere = elsewhere
+        self._seen = seen
+
+    async def run(self, run: ItemRun, route: GatewayRoute, engine: EngineEntry) -> None:
+        """
+        Bring an item's text to its end at one engine.
+
+        :raises GenerationFailedError: If the text is not whole after this.
+        """
+        generation = Generation(run.request, run.text.last, _URGENCY)
+        stream = self._engines.generate(engine, generation)
+        began = run.text.last
+        last: float | None = None
+        try:
+            while True:
+                event = await self._next(stream, run, engine)
+                if event is None:
+                    return
+                now = boot_time()
+                self._paces.observe(engine.engine_id, last and now - last, now)
+                last = now
+                self._take(run, route, engine, event)
+                stayed = run.text.last - began
+                if stayed and stayed % _STAY == 0:
+                    self._check_pace(run, engine, now)
+        finally:
+            # Closes the connection, so the engine stops at once.
+            await stream.aclose()
+
+    async def _next(
+        self, stream, run: ItemRun, engine: EngineEntry
+    ) -> GeneratedEvent | None:
+        began = boot_time()
+        coming = asyncio.ensure_future(anext(stream, None))
+        try:
+            while True:
+                await asyncio.wait({coming}, timeout=_LOOK)
+                if coming.done():
+                    return coming.result()
+                self._check_silence(run, engine, boot_time() - began)
+        finally:
+            if not coming.done():
+                coming.cancel()
+                await asyncio.wait({coming})
+
+    def _check_silence(self, run: ItemRun, engine: EngineEntry, silent: float) -> None:
+        if silent > _SILENCE:
+            raise GenerationFailedError(GenerationFailedError.BROKEN, "silent")
+        whole_engine = self._paces.silent_for(engine.engine_id, boot_time())
+        if min(silent, whole_engine) > _STALL and self._elsewhere(run, engine):
+            raise GenerationFailedError(GenerationFailedError.STALLED, "engine silent")
+
+    def _check_pace(self, run: ItemRun, engine: EngineEntry, now: float) -> None:
+        gap = self._paces.gap(engine.engine_id, now)
+        other = self._elsewhere(run, engine)
+        if gap is None or other is None:
+            return
+        faster = self._paces.gap(other.engine_id, now)
+        if faster is not None and gap > _MUCH_SLOWER * faster:
+            raise GenerationFailedError(
+                GenerationFailedError.SLOW, f"{gap:.3f} s an event, not {faster:.3f}"
+            )
+
+    def _take(
+        self,
+        run: ItemRun,
+        route: GatewayRoute,
+        engine: EngineEntry,
+        event: GeneratedEvent,
+    ) -> None:
+        job = run.state.job
+        if event.version is not None:
+            self._seen(engine, job.model, event.version)
+        mixed = run.text.versions and event.version not in run.text.versions
+        if route.single_version and mixed:
+            run.start_over()
+            raise GenerationFailedError(
+                GenerationFailedError.NOT_STARTED, "weights changed within the text"
+            )
+        if not run.text.take(event, job.oldest_version):
+            run.unfit.add(engine.engine_id)
+            raise GenerationFailedError(
+                GenerationFailedError.NOT_STARTED,
+                f"event {event.number} of version {event.version} after"
+                f" {run.text.last} does not fit {job.oldest_version}",
+            )
--- a/packages/saddledoord/src/saddledoord/jobs/runner.py
+++ b/packages/saddledoord/src/saddledoord/jobs/runner.py
@@ -9,28 +9,29 @@
 import asyncio
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 import structlog
 
 from saddledoor import (
     EngineEntry,
-    EventText,
     GatewayRoute,
     ItemFailed,
-    ItemKept,
     ItemListed,
     ItemResult,
-    JobBook,
     JobItem,
     JobState,
 )
 
+from .._clock import boot_time
 from ..cluster.view import ClusterView
-from ..ports import Engines, ForwardedRequest, Generation, GenerationFailedError
+from ..ports import Engines, GenerationFailedError
+from ..serving.pace import EnginePaces
 from ..serving.pool import EnginePool, Place
+from .attempt import Attempts
+from .item_run import ItemRun
 from .record_writer import RecordWriter
 from .scoring import ScoreImpossibleError, Scorer
+from .service import JobService
 
 
 __all__ = ["JobRunner"]
@@ -39,35 +40,25 @@
 
 #: How often engines are looked at again while items wait, in seconds.
 _TICK = 0.05
-#: Longest silence within a stream, in seconds: twice what a change of weights takes.
-_SILENCE = 2.0
+#: How often events are given to the log, so that another node may go on, in seconds.
+_KEEP_EVERY = 0.5
+#: Fewest new events of an item that are worth a record, a count.
+_KEEP_LEAST = 8
 #: An item is given up so much later than the route allows, in seconds: clocks differ.
 _CLOCK_MARGIN = 1.0
-#: Urgency of items; the platform's default is 5.
-_URGENCY = 5
+#: Items start only if the log's end was known so lately, in seconds; an item must not
+#: reach an engine 3 s after its job's end was acknowledged.
+_FRESH = 2.0
+#: How long items still start while the store cannot be reached, in seconds: nobody
+#: can end a job then, but another node may have taken this one's share.
+_ALONE = 6.0
+#: An engine counts as slow beyond so many times the best one's gap between events;
+#: the platform's engines differ by 1.3 when they are well.
+_SLOW_ENGINE = 1.5
 
 Key = tuple[str, str]
 
 
-@dataclass
-class _ItemRun:
-    """
-    What this node holds of an item: its text so far and the task that works on it.
-
-    :param listing: Whether its result is on its way into the log.
-    :param failures: Failed runs, a count; the log's own lags behind this node's.
-    :param unfit: Engines that cannot run it now, by id.
-    """
-
-    state: JobState
-    item: JobItem
-    text: EventText
-    task: asyncio.Task | None = None
-    listing: bool = False
-    failures: int = 0
-    unfit: set[str] = field(default_factory=set)
-
-
 class JobRunner:
     """
     Keeps every engine's slots filled with items that still count.
@@ -77,7 +68,7 @@
 
     def __init__(
         self,
-        book: JobBook,
+        jobs: JobService,
         view: ClusterView,
         pool: EnginePool,
         engines: Engines,
@@ -85,14 +76,15 @@
         scorer: Scorer,
         owns: Callable[[str], bool],
     ) -> None:
-        self._book = book
+        self._jobs = jobs
         self._view = view
         self._pool = pool
-        self._engines = engines
         self._writer = writer
         self._scorer = scorer
         self._owns = owns
-        self._runs: dict[Key, _ItemRun] = {}
+        self._paces = EnginePaces()
+        self._attempts = Attempts(engines, self._paces, self._elsewhere, self._saw)
+        self._runs: dict[Key, ItemRun] = {}
         self._wake = asyncio.Event()
         self._seen_versions: dict[tuple[str, str], int] = {}
         self._stopped = False
@@ -110,7 +102,8 @@
         while True:
             self._wake.clear()
             self._reconcile()
-            self._dispatch()
+            if self._knows_ends():
+                self._dispatch()
             try:
                 async with asyncio.timeout(_TICK if self._waiting() else None):
                     await self._wake.wait()
@@ -125,8 +118,27 @@
         for key in list(self._runs):
             self._drop(key, "handed_over")
 
+    async def keep(self) -> None:
+        """
+        Give the log what was made of long texts, until cancelled.
+        """
+        while True:
+            await asyncio.sleep(_KEEP_EVERY)
+            for run in self._runs.values():
+                if run.text.last - run.kept >= _KEEP_LEAST and not run.listing:
+                    self._writer.put(run.unkept())
+
     def _waiting(self) -> bool:
-        return any(_is_idle(run) for run in self._runs.values())
+        return any(run.is_idle for run in self._runs.values())
+
+    def _knows_ends(self) -> bool:
+        """
+        Whether this node would know by now that a job has ended.
+        """
+        age = self._jobs.age_of_view()
+        if self._jobs.store_reached:
+            return age < _FRESH
+        return age < _ALONE
 
     def _reconcile(self) -> None:
         """
@@ -134,7 +146,7 @@
         """
         wanted: dict[Key, tuple[JobState, JobItem]] = {}
         if not self._stopped:
-            for state in self._book.open_jobs():
+            for state in self._jobs.open_jobs():
                 if self._owns(state.job.series):
                     for item in state.unlisted():
                         wanted[state.job.job_id, item.item_id] = (state, item)
@@ -143,9 +155,7 @@
                 self._drop(key, "not_wanted")
         for key, (state, item) in wanted.items():
             if key not in self._runs:
-                text = EventText(state.kept.get(item.item_id))
-                failures = state.failures.get(item.item_id, 0)
-                self._runs[key] = _ItemRun(state, item, text, failures=failures)
+                self._runs[key] = ItemRun.begin(state, item)
 
     def _drop(self, key: Key, reason: str) -> None:
         run = self._runs.pop(key)
@@ -161,13 +171,13 @@
             reason=reason,
             events=run.text.last,
         )
-        if run.text.last:
-            self._writer.put(ItemKept(key[0], key[1], run.text.keep()))
+        if record := run.unkept():
+            self._writer.put(record)
 
     def _dispatch(self) -> None:
         no_room: set[tuple[str, str, int]] = set()
         for run in list(self._runs.values()):
-            if not _is_idle(run):
+            if not run.is_idle:
                 continue
             job = run.state.job
             route = self._view.route(job.host, run.item.path.partition("?")[0])
@@ -180,19 +190,14 @@
             needs = (service, job.model, job.oldest_version)
             if needs in no_room and not run.unfit:
                 continue
-            engine = self._pool.choose(
-                service,
-                exclude=run.unfit,
-                fits=lambda engine, run=run: self._fits(engine, run),
-                room_only=True,
-            )
+            engine = self._choose(run, route, run.unfit)
             if engine is None:
                 no_room.add(needs)
                 run.unfit.clear()
                 continue
             self._begin(run, route, engine)
 
-    def _begin(self, run: _ItemRun, route: GatewayRoute, engine: EngineEntry) -> None:
+    def _begin(self, run: ItemRun, route: GatewayRoute, engine: EngineEntry) -> None:
         place = self._pool.take(engine)
         run.task = asyncio.create_task(self._work(run, route, engine, place))
         run.task.add_done_callback(lambda task: self._ended(task, place))
@@ -204,13 +209,13 @@
             _log.error("item_task_failed", exc_info=task.exception())
         self.wake()
 
-    def _too_old(self, run: _ItemRun, route: GatewayRoute) -> bool:
+    def _too_old(self, run: ItemRun, route: GatewayRoute) -> bool:
         if route.give_up_after is None:
             return False
         age = time.time() - run.state.job.submitted_at
         return age > route.give_up_after + _CLOCK_MARGIN
 
-    def _fits(self, engine: EngineEntry, run: _ItemRun) -> bool:
+    def _fits(self, engine: EngineEntry, run: ItemRun) -> bool:
         """
         Whether an engine's weights are new enough, as far as this node knows.
         """
@@ -221,11 +226,55 @@
         seen = self._seen_versions.get((engine.engine_id, model), 0)
         return max(known, seen) >= run.state.job.oldest_version
 
+    def _elsewhere(self, run: ItemRun, engine: EngineEntry) -> EngineEntry | None:
+        """
+        Return another engine with room that could go on with an item.
+        """
+        job = run.state.job
+        route = self._view.route(job.host, run.item.path.partition("?")[0])
+        if route is None:
+            return None
+        return self._choose(run, route, {*run.unfit, engine.engine_id})
+
+    def _choose(
+        self, run: ItemRun, route: GatewayRoute, exclude: set[str]
+    ) -> EngineEntry | None:
+        """
+        Return the engine with room that has the least to do, slow ones last.
+        """
+        now = boot_time()
+        service = route.shares[0].service
+        ids = [e.engine_id for e in self._view.directory.usable(service, now)]
+        best = self._paces.best_gap(ids, now)
+
+        def is_fast(engine: EngineEntry) -> bool:
+            gap = self._paces.gap(engine.engine_id, now)
+            return best is None or gap is None or gap <= best * _SLOW_ENGINE
+
+        def fast_and_fits(engine: EngineEntry) -> bool:
+            return is_fast(engine) and self._fits(engine, run)
+
+        def fits(engine: EngineEntry) -> bool:
+            return self._fits(engine, run)
+
+        return self._pool.choose(
+            service, exclude, fast_and_fits, room_only=True
+        ) or self._pool.choose(service, exclude, fits, room_only=True)
+
+    def _saw(self, engine: EngineEntry, model: str, version: int) -> None:
+        self._pool.answered(engine)
+        self._seen_versions[engine.engine_id, model] = version
+
     async def _work(
-        self, run: _ItemRun, route: GatewayRoute, engine: EngineEntry, place: Place
+        self, run: ItemRun, route: GatewayRoute, engine: EngineEntry, place: Place
     ) -> None:
         with place:
-            whole = await self._generate(run, route, engine)
+            try:
+                await self._attempts.run(run, route, engine)
+                whole = True
+            except GenerationFailedError as error:
+                self._failed(run, engine, error.outcome, str(error))
+                whole = False
         # The slot is free for the next item while this one is scored.
         self.wake()
         if whole:
@@ -233,52 +282,8 @@
         else:
             run.task = None
 
-    async def _generate(
-        self, run: _ItemRun, route: GatewayRoute, engine: EngineEntry
-    ) -> bool:
-        generation = Generation(_request(run), run.text.last, _URGENCY)
-        stream = self._engines.generate(engine, generation)
-        try:
-            while True:
-                async with asyncio.timeout(_SILENCE):
-                    event = await anext(stream, None)
-                if event is None:
-                    break
-                self._take(run, route, engine, event)
-        except TimeoutError:
-            self._failed(run, engine, GenerationFailedError.BROKEN, "silent")
-            return False
-        except GenerationFailedError as error:
-            self._failed(run, engine, error.outcome, str(error))
-            return False
-        finally:
-            # Closes the connection, so the engine stops at once.
-            await stream.aclose()
-        return True
-
-    def _take(
-        self, run: _ItemRun, route: GatewayRoute, engine: EngineEntry, event
-    ) -> None:
-        job = run.state.job
-        self._pool.answered(engine)
-        if event.version is not None:
-            self._seen_versions[engine.engine_id, job.model] = event.version
-        mixed = run.text.versions and event.version not in run.text.versions
-        if route.single_version and mixed:
-            run.text = EventText()
-            raise GenerationFailedError(
-                GenerationFailedError.NOT_STARTED, "weights changed within the text"
-            )
-        if not run.text.take(event, job.oldest_version):
-            run.unfit.add(engine.engine_id)
-            raise GenerationFailedError(
-                GenerationFailedError.NOT_STARTED,
-                f"event {event.number} of version {event.version} after"
-                f" {run.text.last} does not fit {job.oldest_version}",
-            )
-
     def _failed(
-        self, run: _ItemRun, engine: EngineEntry, outcome: str, reason: str
+        self, run: ItemRun, engine: EngineEntry, outcome: str, reason: str
     ) -> None:
         job_id, item_id = run.state.job.job_id, run.item.item_id
         _log.info(
@@ -291,8 +296,10 @@
             events=run.text.last,
         )
         match outcome:
-            case GenerationFailedError.NOT_STARTED:
+            case GenerationFailedError.NOT_STARTED | GenerationFailedError.STALLED:
                 self._pool.refused(engine)
+            case GenerationFailedError.SLOW:
+                pass
             case GenerationFailedError.FAILED:
                 run.unfit.add(engine.engine_id)
                 self._count_failure(run)
@@ -301,7 +308,7 @@
             case _:
                 self._pool.failed(engine)
 
-    def _count_failure(self, run: _ItemRun) -> None:
+    def _count_failure(self, run: ItemRun) -> None:
         job, item_id = run.state.job, run.item.item_id
         self._writer.put(ItemFailed(job.job_id, item_id))
         run.failures += 1
@@ -309,7 +316,7 @@
         if route is not None and run.failures >= route.max_attempts:
             self._list(run, ItemResult(item_id, done=False))
 
-    async def _finish(self, run: _ItemRun) -> None:
+    async def _finish(self, run: ItemRun) -> None:
         job_id, item = run.state.job.job_id, run.item
         mark = ""
         if item.score is not None:
@@ -326,20 +333,9 @@
         text = run.text
         self._list(run, ItemResult(item.item_id, True, text.text, text.versions, mark))
 
-    def _list(self, run: _ItemRun, result: ItemResult) -> None:
+    def _list(self, run: ItemRun, result: ItemResult) -> None:
         """
         Have a result listed; the run stays until the log holds it.
         """
         run.listing = True
         self._writer.put(ItemListed(run.state.job.job_id, result))
-
-
-def _is_idle(run: _ItemRun) -> bool:
-    return run.task is None and not run.listing
-
-
-def _request(run: _ItemRun) -> ForwardedRequest:
-    item = run.item
-    return ForwardedRequest(
-        "POST", run.state.job.host, item.path, item.headers, item.body, item.item_id
-    )
--- a/packages/saddledoord/src/saddledoord/jobs/service.py
+++ b/packages/saddledoord/src/saddledoord/jobs/service.py
@@ -110,6 +110,25 @@
         """
         return self._follower.caught_up
 
+    @property
+    def store_reached(self) -> bool:
+        """
+        Whether the store answered this node's last read.
+        """
+        return self._follower.reached
+
+    def age_of_view(self) -> float:
+        """
+        Return how long ago this node knew the log's end, in seconds.
+        """
+        return boot_time() - self._follower.confirmed_at
+
+    def open_jobs(self) -> list[JobState]:
+        """
+        Return the jobs that have something to run, oldest first.
+        """
+        return self._book.open_jobs()
+
     def on_change(self, changed) -> None:
         """
         Call a function after each record.
--- a/packages/saddledoord/src/saddledoord/ports.py
+++ b/packages/saddledoord/src/saddledoord/ports.py
@@ -280,6 +280,10 @@
     IMPOSSIBLE = "impossible"
     #: Broken off, silent, or not understood.
     BROKEN = "broken"
+    #: The whole engine is silent and another one has room.
+    STALLED = "stalled"
+    #: Another engine with room is much faster.
+    SLOW = "slow"
 
     def __init__(self, outcome: str, reason: str) -> None:
         self.outcome = outcome
--- a/tests/adapter/standin_store.py
+++ b/tests/adapter/standin_store.py
@@ -46,6 +46,8 @@
         same; 0 for never.
     :ivar deal_all: Every member is dealt every part, as if each thought it were the
         owner.
+    :ivar page: Records in one answer to a read, a count.
+    :ivar slow_by: Time that each read takes, in seconds.
     """
 
     def __init__(self, parts: int) -> None:
@@ -62,6 +64,8 @@
         self.lose_undone = 0
         self.late_by = 0.0
         self.deal_all = False
+        self.page = 500
+        self.slow_by = 0.0
 
     def topic(self, name: str) -> _Topic:
         return self._topics.setdefault(name, _Topic())
@@ -105,6 +109,7 @@
 
     async def read(self, request: web.Request) -> web.StreamResponse:
         await self._fail(request)
+        await asyncio.sleep(self.slow_by)
         topic = self.topic(request.query["topic"])
         start = int(request.query["from"])
         wait = int(request.query.get("wait_ms", "0")) / 1000
@@ -115,7 +120,8 @@
                 async with asyncio.timeout(wait), self._grown:
                     await self._grown.wait_for(lambda: topic.end > start)
         await self._fail(request)
-        records = topic.records[max(0, start - topic.first) :]
+        begin = max(0, start - topic.first)
+        records = topic.records[begin : begin + self.page]
         body = struct.pack(">QQ", topic.end, topic.first)
         body += b"".join(struct.pack(">I", len(r)) + r for r in records)
         return web.Response(body=body)
@@ -200,7 +206,15 @@
         Set failures, put keyed values (text) or drop the oldest records of a topic.
         """
         body = await request.json()
-        for name in ("mode", "lose_done", "lose_undone", "late_by", "deal_all"):
+        for name in (
+            "mode",
+            "lose_done",
+            "lose_undone",
+            "late_by",
+            "deal_all",
+            "page",
+            "slow_by",
+        ):
             setattr(self, name, body.get(name, getattr(self, name)))
         for name, key, value in body.get("put", ()):
             record = bytes([len(key)]) + key.encode() + value.encode()
--- a/tests/adapter/test_edge_jobs.py
+++ b/tests/adapter/test_edge_jobs.py
@@ -203,6 +203,24 @@
     assert two_edges.results("job-1")[: len(listed)] == listed
 
 
+def test_an_edge_that_reads_the_log_anew_runs_nothing_of_an_ended_job(platform_bed):
+    """
+    It reads the job, and its end only in a later page: nothing starts in between.
+    """
+    for engine in ("engine-0", "engine-1"):
+        platform_bed.fake_engine(engine, pace=0.2)
+    assert platform_bed.submit("job-1", make_job(20)).status == 202
+    assert platform_bed.ask("DELETE", "/v1/lots/job-1").status == 200
+    platform_bed.signal("edge-0", signal.SIGKILL)
+    platform_bed.wait_end("edge-0")
+    began = len(platform_bed.runs())
+    platform_bed.fake_store(page=1, slow_by=0.6)
+    platform_bed.start_edge("edge-0")
+    until(lambda: platform_bed.ready("edge-0"), 20.0)
+    time.sleep(1.0)
+    assert len(platform_bed.runs()) == began
+
+
 def test_the_body_of_an_item_that_is_not_listed_can_be_read(two_edges):
     """
     At any edge; an unknown item has none.
