--- a/tests/builders.py
+++ b/tests/builders.py
@@ -11,11 +11,18 @@
 from saddledoor import (
     ConfigProposal,
     Deployment,
+    GatewayRoute,
+    Job,
+    JobChunk,
+    JobItem,
+    RouteKind,
     Sample,
     SampleSpec,
+    ServiceShare,
     Slot,
     VersionRun,
     deployment_to_json,
+    job_chunks,
     pack_document,
     token_digest,
     validate,
@@ -100,3 +107,35 @@
     """
     runs = (VersionRun(version, 0, tokens - 1),)
     return Sample(Slot(group, index), "text", tokens, runs)
+
+
+def make_job(items: int = 2, job_id: str = "job-a") -> Job:
+    """
+    Return a job whose items have no scoring call.
+    """
+    made = tuple(
+        JobItem(f"item-{n}", f"/train/{n}", (("model", "m"),), b"prompt", 10, "g")
+        for n in range(items)
+    )
+    return Job(job_id, "desk.example", "/train/x", "model-a", 1, 1, 1, 0.0, made)
+
+
+def make_job_records(job: Job, chunk_bytes: int = 40) -> list[JobChunk]:
+    """
+    Return a job in several pieces, as one append holds them.
+    """
+    return job_chunks(job, "writer", chunk_bytes)
+
+
+def make_route(prefix: str, **changes: object) -> GatewayRoute:
+    fields = {
+        "name": prefix,
+        "host": "desk.example",
+        "path_prefix": prefix,
+        "kind": RouteKind.SAFE,
+        "shares": (ServiceShare("desk", 1.0),),
+        "timeout": 2.0,
+        "objective": 0.2,
+        "max_attempts": 3,
+    }
+    return GatewayRoute(**(fields | changes))
--- a/tests/proofs/__init__.py
+++ b/tests/proofs/__init__.py
@@ -12,6 +12,8 @@
     at_most_once,
     configuration,
     delivery,
+    job_positions,
+    kept_texts,
     labels,
     leaving,
     not_run,
@@ -21,7 +23,7 @@
 from ._proof import Proof
 
 
-__all__ = ["PROOFS", "Proof"]
+__all__ = ["GATEWAY_PROOFS", "PROOFS", "Proof"]
 
 #: In the order in which the promises were taken.
 PROOFS = (
@@ -35,3 +37,6 @@
     leaving.PROOF,
     planned_stop.PROOF,
 )
+
+#: Of the gateway; their broken twins are the stand-ins of `tests/adapter`, not traces.
+GATEWAY_PROOFS = (job_positions.PROOF, kept_texts.PROOF)
--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -1,20 +1,21 @@
 # SPDX-License-Identifier: MIT
 
 """
-The nine promises over the pure decisions: green with the mechanism, red without.
+The promises over the pure decisions: green with the mechanism, red without.
 """
 
 from __future__ import annotations
 
 import pytest
 
-from proofs import PROOFS
+from proofs import GATEWAY_PROOFS, PROOFS
 
 
-_IDS = [proof.name for proof in PROOFS]
+_ALL = (*PROOFS, *GATEWAY_PROOFS)
+_IDS = [proof.name for proof in _ALL]
 
 
-@pytest.mark.parametrize("proof", PROOFS, ids=_IDS)
+@pytest.mark.parametrize("proof", _ALL, ids=_IDS)
 def test_the_promise_holds_with_its_mechanism(proof, record_property):
     """
     No sequence of the failures breaks the promise.
@@ -23,7 +24,7 @@
     proof.run(guard=True)
 
 
-@pytest.mark.parametrize("proof", PROOFS, ids=_IDS)
+@pytest.mark.parametrize("proof", _ALL, ids=_IDS)
 def test_the_proof_fails_without_the_mechanism(proof, record_property):
     """
     With the mechanism off the same machine finds a broken promise.
