--- a/packages/saddledoor/src/saddledoor/__init__.py
+++ b/packages/saddledoor/src/saddledoor/__init__.py
@@ -119,6 +119,7 @@
 )
 from ._step_order import StepOrder, in_order, longest_first, oldest_allowed
 from ._swaps import EngineWeights, Order, next_orders
+from ._weight_waves import engines_to_update
 
 
 __all__ = [
@@ -233,6 +234,7 @@
     "append_part",
     "decode_record",
     "deployment_from_json",
+    "engines_to_update",
     "deployment_schema",
     "deployment_to_json",
     "describe",
--- a/packages/saddledoor/src/saddledoor/_jobs.py
+++ b/packages/saddledoor/src/saddledoor/_jobs.py
@@ -235,6 +235,7 @@
         self._jobs: dict[str, JobState] = {}
         self._pieces: dict[tuple[str, str], list[bytes]] = {}
         self._accepted = 0
+        self._oldest_allowed: dict[str, int] = {}
 
     def get(self, job_id: str) -> JobState | None:
         """
@@ -248,6 +249,12 @@
         """
         return [state for state in self._jobs.values() if state.is_open]
 
+    def oldest_allowed(self, model: str) -> int:
+        """
+        Return the oldest weight version that the newest job of a model allows.
+        """
+        return self._oldest_allowed.get(model, 0)
+
     def apply(self, record: JobRecord) -> str:
         """
         Fold one record.
@@ -287,6 +294,8 @@
         job = self._decode(b"".join(pieces))
         self._accepted += 1
         self._jobs[chunk.job_id] = JobState(job, self._accepted)
+        newest = max(job.oldest_version, self.oldest_allowed(job.model))
+        self._oldest_allowed[job.model] = newest
 
 
 def _apply_change(
--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -36,6 +36,9 @@
 
 _log = structlog.get_logger()
 
+#: How long a node without the store still asks for callers, in seconds: it could take
+#: no job and would have to send its readers away.
+_ALONE = 3.0
 #: How long a stopping node gives its last records to reach the log, in seconds.
 _FLUSH_LIMIT = 1.5
 
@@ -107,7 +110,12 @@
         self.jobs.on_change(self._wake)
         self._lease = OrderLease(ports.log, incarnation, settings.lease_term)
         self._weights = WeightKeeper(
-            self.view, ports.engines, self._lease, settings.vm, self._keep_runs
+            self.view,
+            ports.engines,
+            self._lease,
+            settings.vm,
+            self._keep_runs,
+            book.oldest_allowed,
         )
 
     @property
@@ -116,7 +124,8 @@
         Whether this node should get callers.
         """
         known = self.view.config is not None and self.jobs.caught_up
-        return known and not self._stopping
+        in_touch = self.jobs.store_reached or self.jobs.age_of_view() < _ALONE
+        return known and in_touch and not self._stopping
 
     @property
     def stopping(self) -> bool:
--- a/packages/saddledoord/src/saddledoord/orders/weights.py
+++ b/packages/saddledoord/src/saddledoord/orders/weights.py
@@ -11,7 +11,7 @@
 
 import structlog
 
-from saddledoor import EngineEntry
+from saddledoor import EngineEntry, engines_to_update
 
 from .._clock import boot_time
 from ..cluster.view import ClusterView
@@ -48,6 +48,8 @@
     one that is carried out late, after a newer one, is refused by the engine.
 
     :param keep_runs: Tells of a model whether runs may go on under new weights.
+    :param oldest_allowed: Tells of a model the oldest version that its newest job
+        allows.
     """
 
     def __init__(
@@ -57,12 +59,14 @@
         lease: OrderLease,
         holder: str,
         keep_runs: Callable[[str], bool],
+        oldest_allowed: Callable[[str], int],
     ) -> None:
         self._view = view
         self._engines = engines
         self._lease = lease
         self._holder = holder
         self._keep_runs = keep_runs
+        self._oldest_allowed = oldest_allowed
         self._reached: dict[tuple[str, str], int] = {}
         self._loading: dict[str, asyncio.Task] = {}
         self._paused: dict[str, float] = {}
@@ -80,15 +84,18 @@
 
     def _begin_loads(self, model: str, version: int) -> None:
         now = boot_time()
-        for engine in self._engines_of(model, now):
-            name = engine.engine_id
+        engines = {engine.engine_id: engine for engine in self._engines_of(model, now)}
+        versions = {
+            name: self._version_of(engine, model) for name, engine in engines.items()
+        }
+        # An engine that is being loaded counts as there already.
+        versions |= dict.fromkeys(self._loading.keys() & versions.keys(), version)
+        for name in engines_to_update(versions, version, self._oldest_allowed(model)):
             if len(self._loading) >= _AT_ONCE:
                 return
-            if name in self._loading or self._paused.get(name, 0.0) > now:
+            if self._paused.get(name, 0.0) > now:
                 continue
-            if self._version_of(engine, model) >= version:
-                continue
-            task = asyncio.create_task(self._bring(engine, model, version))
+            task = asyncio.create_task(self._bring(engines[name], model, version))
             self._loading[name] = task
             task.add_done_callback(lambda task, name=name: self._ended(name, task))
 
--- a/packages/saddledoord/src/saddledoord/serving/pool.py
+++ b/packages/saddledoord/src/saddledoord/serving/pool.py
@@ -17,9 +17,11 @@
 
 __all__ = ["EnginePool", "Place"]
 
-#: How long an engine that refused gets no new work, in seconds: a tenth of the time
-#: that it takes to load weights (0.9 s), the longest usual reason.
-_REFUSED_PAUSE = 0.09
+#: First and longest time for which an engine that refused gets no new work, in seconds,
+#: doubled each time: a part of what a load of weights takes (0.9 s), the longest usual
+#: reason.
+_REFUSED_PAUSE = 0.05
+_REFUSED_PAUSE_MOST = 0.2
 #: Requests that an engine gets after a refusal until it takes one, a count.
 _TRIAL = 1
 #: First and longest pause after a failure, in seconds; doubled each time.
@@ -63,7 +65,7 @@
         self._own: Counter[str] = Counter()
         self._paused: dict[str, float] = {}
         self._failures: Counter[str] = Counter()
-        self._on_trial: set[str] = set()
+        self._refusals: Counter[str] = Counter()
 
     def choose(
         self,
@@ -111,7 +113,7 @@
 
     def _has_room(self, engine: EngineEntry) -> bool:
         own = self._own[engine.engine_id]
-        if engine.engine_id in self._on_trial:
+        if engine.engine_id in self._refusals:
             return own < _TRIAL
         return own < engine.slots
 
@@ -119,7 +121,7 @@
         """
         Note that an engine works.
         """
-        self._on_trial.discard(engine.engine_id)
+        self._refusals.pop(engine.engine_id, None)
         self._failures.pop(engine.engine_id, None)
         self._paused.pop(engine.engine_id, None)
 
@@ -127,8 +129,10 @@
         """
         Note that an engine has no room just now.
         """
-        self._on_trial.add(engine.engine_id)
-        self._paused[engine.engine_id] = boot_time() + _REFUSED_PAUSE
+        doubled = _REFUSED_PAUSE * 2 ** self._refusals[engine.engine_id]
+        self._refusals[engine.engine_id] += 1
+        pause = min(_REFUSED_PAUSE_MOST, doubled)
+        self._paused[engine.engine_id] = boot_time() + pause
 
     def failed(self, engine: EngineEntry) -> None:
         """
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -24,6 +24,7 @@
     decode_job,
     decode_job_record,
     encode_job_record,
+    engines_to_update,
 )
 from saddledoor.exceptions import UndecodableRecordError
 
@@ -124,3 +125,24 @@
         book.apply(record)
     assert book.get("job-a").job == make_job()
     assert len(book.open_jobs()) == 1
+
+
+@pytest.mark.parametrize(
+    ("versions", "oldest", "wanted"),
+    [
+        # Half of the engines follow; the others still serve what is asked.
+        ({"a": 4, "b": 4, "c": 4, "d": 4}, 4, ["a", "b"]),
+        # Those that are too old for the job at hand come first, all of them.
+        ({"a": 4, "b": 3, "c": 3, "d": 3}, 4, ["b", "c", "d"]),
+        ({"a": 5, "b": 5, "c": 4, "d": 3}, 4, ["d"]),
+        # A job that wants the newest version needs every engine.
+        ({"a": 4, "b": 5, "c": 4}, 5, ["a", "c"]),
+        ({"a": 5, "b": 5, "c": 4}, 4, []),
+        ({}, 4, []),
+    ],
+)
+def test_half_of_the_engines_follow_and_all_that_are_too_old(versions, oldest, wanted):
+    """
+    Version 5 has been named.
+    """
+    assert engines_to_update(versions, 5, oldest) == wanted
