Take guards out one at a time; sharpen two tests that missed theirs

make prove now also runs tests/guards.py: 17 one-line removals in a scratch copy, each with the test that must fail. First run: 15 red, 2 not noticed (the count of orders in an order; the id of an answer): the stand-ins' late order came before the next one, and the foreign answer had the right body. Both stand-ins mended; both removals are red now. tests/adapter: 51 passed.

--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 
 prove: $(VENV)/.made
 	@$(BIN)/python tests/prove.py -n $(WORKERS)
+	@$(BIN)/python tests/guards.py
 
 bench: $(VENV)/.made
 	@$(BIN)/pip install --quiet --disable-pip-version-check -r requirements-plots.txt
--- a/tests/adapter/standin_engine.py
+++ b/tests/adapter/standin_engine.py
@@ -72,6 +72,7 @@
     faults: _Faults = field(default_factory=_Faults)
     runs: list[_Run] = field(default_factory=list)
     orders: list[dict] = field(default_factory=list)
+    history: list[int] = field(default_factory=list)
     tasks: set[asyncio.Task] = field(default_factory=set)
 
     async def request(self, request: web.Request) -> web.StreamResponse:
@@ -104,7 +105,7 @@
     async def _plain(self, request, name: str, _: int) -> web.StreamResponse:
         await asyncio.sleep(self.faults.delay)
         said = "another" if self.faults.wrong_id else name
-        body = f"answer to {name}".encode()
+        body = f"answer to {said}".encode()
         headers = {
             "Saddledoor-Attempt-Id": said,
             "Saddledoor-Server-Seal": f"seal-{name}",
@@ -163,7 +164,7 @@
         return web.Response(status=self._take(order))
 
     async def _take_late(self, order: dict) -> None:
-        await asyncio.sleep(1.5)
+        await asyncio.sleep(3.0)
         order["late_status"] = self._take(order)
 
     def _take(self, order: dict) -> int:
@@ -182,6 +183,7 @@
         self.busy = True
         await asyncio.sleep(self.load)
         self.version, self.busy = version, False
+        self.history.append(version)
         await self.write_entry()
 
     async def write_entry(self) -> None:
@@ -224,6 +226,7 @@
                 "runs": [asdict(run) for run in self.runs],
                 "orders": self.orders,
                 "version": self.version,
+                "history": self.history,
             }
         )
 
--- a/tests/adapter/test_edge_jobs.py
+++ b/tests/adapter/test_edge_jobs.py
@@ -303,9 +303,9 @@
     until(lambda: platform_bed.fake_engine("engine-0")["version"] == 2)
     _bring(platform_bed, 3)
     until(lambda: platform_bed.fake_engine("engine-0")["version"] == 3)
-    seen = platform_bed.fake_engine("engine-0")
-    assert until(lambda: seen["orders"][0].get("late_status") or _late(platform_bed))
-    assert platform_bed.fake_engine("engine-0")["version"] == 3
+    assert until(lambda: _late(platform_bed)) == 409
+    time.sleep(0.5)
+    assert platform_bed.fake_engine("engine-0")["history"] == [2, 3]
 
 
 def _late(bed) -> int | None:
--- a/tests/adapter/test_edge_requests.py
+++ b/tests/adapter/test_edge_requests.py
@@ -68,6 +68,18 @@
     assert len(platform_bed.runs()) == 1
 
 
+def test_a_slow_engine_does_not_make_a_repeatable_request_late(platform_bed):
+    """
+    After half of the objective a second engine works beside the first.
+    """
+    platform_bed.fake_engine("desk-0", delay=1.5)
+    for index in range(4):
+        began = time.monotonic()
+        answer = platform_bed.ask("POST", "/look/x", b"b", f"r-{index}")
+        assert (answer.status, answer.body) == (200, f"answer to r-{index}".encode())
+        assert time.monotonic() - began < 1.0
+
+
 def test_an_engine_that_refuses_is_not_an_attempt_that_ran(platform_bed):
     """
     If every engine vouches that it did not start, the caller is told when to return.
--- /dev/null
+++ b/tests/guards.py
@@ -0,0 +1,221 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Takes one guard at a time out of a scratch copy and runs the test that must notice.
+
+A guard that no test misses is either not tested or not needed.
+"""
+
+from __future__ import annotations
+
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+
+__all__ = ["GUARDS", "Guard", "is_noticed"]
+
+_ROOT = Path(__file__).parent.parent
+_PACKAGES = ("saddledoor", "saddledoord", "saddledoorctl", "saddledoor-standins")
+_LIBRARY = "packages/saddledoor/src/saddledoor"
+_DAEMON = "packages/saddledoord/src/saddledoord"
+_JOBS = "tests/adapter/test_edge_jobs.py"
+_REQUESTS = "tests/adapter/test_edge_requests.py"
+_PROOFS = "tests/test_proofs.py"
+
+
+@dataclass(frozen=True)
+class Guard:
+    """
+    A guard, how it is taken out, and the test that has to fail then.
+
+    :param test: File and expression of test names.
+    """
+
+    name: str
+    path: str
+    before: str
+    after: str
+    test: tuple[str, str]
+
+
+GUARDS = (
+    Guard(
+        "items start only with a known log end",
+        f"{_DAEMON}/jobs/runner.py",
+        "if self._knows_ends():",
+        "if True:",
+        (_JOBS, "reads_the_log_anew"),
+    ),
+    Guard(
+        "a stopping VM stays out of the group",
+        f"{_DAEMON}/cluster/membership.py",
+        "while not self._left:",
+        "while True:",
+        (_JOBS, "hands_the_texts_over"),
+    ),
+    Guard(
+        "failed runs are counted before the log has them",
+        f"{_DAEMON}/jobs/runner.py",
+        "run.failures += 1",
+        "run.failures = run.state.failures.get(item_id, 0)",
+        (_JOBS, "always_fails"),
+    ),
+    Guard(
+        "an append without an answer is no refusal",
+        f"{_DAEMON}/jobs/service.py",
+        "may_be_there = True",
+        "may_be_there = False",
+        (_JOBS, "not_called_not_run"),
+    ),
+    Guard(
+        "a stream without its end is not whole",
+        "platform/engines.py",
+        """            raise GenerationFailedError(
+                GenerationFailedError.BROKEN, repr(error)
+            ) from None
+""",
+        "            return\n",
+        (_JOBS, "without_its_end_marker"),
+    ),
+    Guard(
+        "an order names the count of orders taken",
+        "platform/engines.py",
+        '            "if_rev": order.orders_taken,\n',
+        "",
+        (_JOBS, "carried_out_late"),
+    ),
+    Guard(
+        "a request names the incarnation",
+        "platform/engines.py",
+        "        (wire.EXPECT_INSTANCE, engine.engine_id),\n    ]",
+        "    ]",
+        (_REQUESTS, "comes_back_as_another"),
+    ),
+    Guard(
+        "an answer carries the request's id",
+        "platform/engines.py",
+        "return response.headers.get(wire.ATTEMPT_ID) == request.request_id",
+        "return True",
+        (_REQUESTS, "of_another_request"),
+    ),
+    Guard(
+        "an unrepeatable request is not sent again",
+        f"{_DAEMON}/serving/pass_through.py",
+        """        case OutcomeUnknown():
+            return route.kind is not RouteKind.SAFE""",
+        """        case OutcomeUnknown():
+            return False""",
+        (_REQUESTS, "unrepeatable_request_runs_once"),
+    ),
+    Guard(
+        "the engine stops when the caller leaves",
+        "platform/front.py",
+        "            work.cancel()\n",
+        "",
+        (_REQUESTS, "caller_leaves"),
+    ),
+    Guard(
+        "a draining engine gets nothing",
+        f"{_LIBRARY}/_engine_directory.py",
+        "if entry.service == service and not entry.draining",
+        "if entry.service == service",
+        (_REQUESTS, "leaving_engine"),
+    ),
+    Guard(
+        "entries that lapse with the store are bridged",
+        f"{_LIBRARY}/_engine_directory.py",
+        "            self._missing[engine_id] = (entry, now + _BRIDGE)",
+        "            pass",
+        (_REQUESTS, "are_bridged"),
+    ),
+    Guard(
+        "the configuration never goes back",
+        f"{_DAEMON}/cluster/view.py",
+        "config.version <= self._config.version",
+        "False",
+        (_REQUESTS, "never_goes_back"),
+    ),
+    Guard(
+        "a second engine works beside a slow one",
+        f"{_DAEMON}/serving/pass_through.py",
+        "if not self._may_overlap(current):\n            return left",
+        "if True:\n            return left",
+        (_REQUESTS, "slow_engine"),
+    ),
+    Guard(
+        "an item has one position",
+        f"{_LIBRARY}/_jobs.py",
+        "and result.item_id not in state.listed",
+        "",
+        (_PROOFS, "holds_with_its_mechanism and job_positions"),
+    ),
+    Guard(
+        "kept events go on where the others end",
+        f"{_LIBRARY}/_jobs.py",
+        "if record.first != len(before.events) + 1:",
+        "if False:",
+        (_PROOFS, "holds_with_its_mechanism and kept_texts"),
+    ),
+    Guard(
+        "no event of weights that are too old",
+        f"{_LIBRARY}/_event_text.py",
+        "event.version is None or event.version < oldest_version",
+        "event.version is None",
+        (_PROOFS, "holds_with_its_mechanism and kept_texts"),
+    ),
+)
+
+
+def is_noticed(guard: Guard) -> bool:
+    """
+    Tell whether the guard's test fails without it.
+
+    :raises ValueError: If the guard's text does not stand once in its file.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        copy = Path(folder)
+        for name in ("packages", "platform", "tests"):
+            ignore = shutil.ignore_patterns("__pycache__", "*.egg-info")
+            shutil.copytree(_ROOT / name, copy / name, ignore=ignore)
+        shutil.copy(_ROOT / "pyproject.toml", copy)
+        path = copy / guard.path
+        text = path.read_text()
+        if text.count(guard.before) != 1:
+            raise ValueError(f"{guard.name}: not once in {guard.path}")
+        path.write_text(text.replace(guard.before, guard.after))
+        sources = [str(copy / "packages" / name / "src") for name in _PACKAGES]
+        file, expression = guard.test
+        done = subprocess.run(
+            [sys.executable, "-m", "pytest", "-q", "-x", file, "-k", expression],
+            cwd=copy,
+            env={**os.environ, "PYTHONPATH": os.pathsep.join(sources)},
+            capture_output=True,
+            check=False,
+        )
+        # 1 is pytest's status for failed tests; anything else is a fault of the table.
+        if done.returncode not in (0, 1):
+            raise ValueError(f"{guard.name}: pytest ended with {done.returncode}")
+        return done.returncode == 1
+
+
+def main() -> int:
+    """
+    Print a row per guard.
+
+    :returns: 0 if every removal was noticed.
+    """
+    good = True
+    for guard in GUARDS:
+        noticed = is_noticed(guard)
+        good = good and noticed
+        print(f"{guard.name:<50} {'red' if noticed else 'NOT NOTICED'}", flush=True)
+    return 0 if good else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
