--- a/tests/guards.py
+++ b/tests/guards.py
@@ -76,7 +76,7 @@
         "a stream without its end is not whole",
         "platform/engines.py",
         """            raise GenerationFailedError(
-                GenerationFailedError.BROKEN, repr(error)
+                GenerationFailedError.BROKEN, short(error)
             ) from None
 """,
         "            return\n",
