Give saddledoord rooms; items follow their route's shares; check settings

Left from earlier: 40 modules in one folder. 29 of them move into http, log, peers, backends, samples and observability; no logic changes, only import paths.

--- a/packages/saddledoord/src/saddledoord/_daemon.py
+++ b/packages/saddledoord/src/saddledoord/_daemon.py
@@ -16,12 +16,12 @@
 from saddledoor.tracing import NodeBegan, StageChanged
 
 from ._clock import boot_time
-from ._collector import collector_lease
-from ._http_server import HttpServer, listen, server_config
 from ._parts import Parts, build_parts
-from ._peer_server import start_peer_server
 from ._settings import Settings
 from ._state import NodeState
+from .http.server import HttpServer, listen, server_config
+from .peers.server import start_peer_server
+from .samples.collector import collector_lease
 
 
 __all__ = ["Daemon"]
--- a/packages/saddledoord/src/saddledoord/_parts.py
+++ b/packages/saddledoord/src/saddledoord/_parts.py
@@ -9,30 +9,30 @@
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 
-from ._backends import Backends
-from ._budgets import RetryBudgets
-from ._burn_feed import BurnFeed
-from ._claim_log import ClaimLog
-from ._collector import Collectors
-from ._control import Control
-from ._dispatch import Dispatcher
-from ._exchange import Exchange
-from ._follower import StreamFollower, follow_config
-from ._http import build_app
-from ._in_flight import InFlight
-from ._lease_keeper import LeaseKeeper
-from ._log_client import LogClient
-from ._metrics import Metrics
-from ._peer_client import PeerClient
-from ._peer_server import PeerService
 from ._pipeline import Pipeline
-from ._sample_runner import SampleRunner
 from ._settings import Settings
 from ._state import NodeState
-from ._status import status_reader
-from ._vm_list import VmListReader
-from ._watcher import Watcher
+from .backends.budgets import RetryBudgets
+from .backends.client import Backends
+from .backends.control import Control
+from .backends.dispatch import Dispatcher
+from .backends.watcher import Watcher
 from .filters.claim import KeyLedger
+from .http.app import build_app
+from .http.in_flight import InFlight
+from .http.status import status_reader
+from .log.claims import ClaimLog
+from .log.client import LogClient
+from .log.follower import StreamFollower, follow_config
+from .log.leases import LeaseKeeper
+from .observability.burn_feed import BurnFeed
+from .observability.daemon_metrics import Metrics
+from .peers.client import PeerClient
+from .peers.exchange import Exchange
+from .peers.server import PeerService
+from .peers.vm_list import VmListReader
+from .samples.collector import Collectors
+from .samples.runner import SampleRunner
 
 
 __all__ = ["Parts", "build_parts"]
--- a/packages/saddledoord/src/saddledoord/_pipeline.py
+++ b/packages/saddledoord/src/saddledoord/_pipeline.py
@@ -26,20 +26,20 @@
 )
 from saddledoor.tracing import Ended
 
-from ._backends import Backends, CallAnswer
-from ._budgets import RetryBudgets
-from ._claim_log import ClaimLog
 from ._clock import boot_time
-from ._dispatch import Dispatcher
-from ._metrics import Metrics
-from ._peer_client import PeerAwayError, PeerClient
 from ._state import NodeState
-from ._wire_types import call_from_wire, call_to_wire
+from .backends.budgets import RetryBudgets
+from .backends.client import Backends, CallAnswer
+from .backends.dispatch import Dispatcher
 from .filters.attempt import CompletionJob, attempt_completion
 from .filters.call import ServiceJob, attempt_call
 from .filters.claim import KeyLedger, claimed_call
 from .filters.decode import CompletionBody, decode_completion
 from .filters.identify import Caller, identify
+from .log.claims import ClaimLog
+from .observability.daemon_metrics import Metrics
+from .peers.client import PeerAwayError, PeerClient
+from .peers.wire_types import call_from_wire, call_to_wire
 from .wire import peer_pb2 as pb
 
 
--- a/packages/saddledoord/src/saddledoord/_state.py
+++ b/packages/saddledoord/src/saddledoord/_state.py
@@ -32,7 +32,7 @@
 
 from ._clock import boot_time
 from ._settings import Settings
-from ._tracing import Emit, open_trace
+from .observability.tracing import Emit, open_trace
 
 
 __all__ = ["LogHealth", "NodeState"]
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/backends/__init__.py
@@ -0,0 +1,5 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Engines and services of the own deployment.
+"""
--- a/packages/saddledoord/src/saddledoord/_budgets.py
+++ b/packages/saddledoord/src/saddledoord/backends/budgets.py
@@ -8,7 +8,7 @@
 
 from saddledoor import RetryBudget
 
-from ._state import NodeState
+from .._state import NodeState
 
 
 __all__ = ["RetryBudgets"]
--- a/packages/saddledoord/src/saddledoord/_backends.py
+++ b/packages/saddledoord/src/saddledoord/backends/client.py
@@ -14,7 +14,7 @@
 
 from saddledoor import NotRun, OutcomeUnknown, Part, ResultCode
 
-from ._send_once import send_once
+from .send_once import send_once
 
 
 __all__ = [
--- a/packages/saddledoord/src/saddledoord/_control.py
+++ b/packages/saddledoord/src/saddledoord/backends/control.py
@@ -24,13 +24,13 @@
     rendezvous_order,
 )
 
-from ._backends import Backends, LoadReading
-from ._clock import boot_time
-from ._follower import CONFIG_STREAM
-from ._lease_keeper import LeaseKeeper
-from ._log_client import LogAwayError, LogClient
-from ._metrics import Metrics
-from ._state import NodeState
+from .._clock import boot_time
+from .._state import NodeState
+from ..log.client import LogAwayError, LogClient
+from ..log.follower import CONFIG_STREAM
+from ..log.leases import LeaseKeeper
+from ..observability.daemon_metrics import Metrics
+from .client import Backends, LoadReading
 
 
 __all__ = ["Control", "control_lease"]
--- a/packages/saddledoord/src/saddledoord/_dispatch.py
+++ b/packages/saddledoord/src/saddledoord/backends/dispatch.py
@@ -31,9 +31,9 @@
 )
 from saddledoor.tracing import Granted
 
-from ._clock import boot_time
-from ._state import NodeState
-from ._tracing import Emit
+from .._clock import boot_time
+from .._state import NodeState
+from ..observability.tracing import Emit
 
 
 __all__ = ["Dispatcher", "Grant", "Wanted"]
--- a/packages/saddledoord/src/saddledoord/_watcher.py
+++ b/packages/saddledoord/src/saddledoord/backends/watcher.py
@@ -12,9 +12,9 @@
 
 from saddledoor import BackendReport, Engine, Instance, rendezvous
 
-from ._backends import Backends
-from ._clock import boot_time
-from ._state import NodeState
+from .._clock import boot_time
+from .._state import NodeState
+from .client import Backends
 
 
 __all__ = ["Watcher", "backends_here"]
--- a/packages/saddledoord/src/saddledoord/cluster/follow.py
+++ b/packages/saddledoord/src/saddledoord/cluster/follow.py
@@ -143,7 +143,8 @@
             return await self._log.read(self._stream, self._next, wait)
         except LogGoneError as error:
             _log.warning("records_gone", stream=self._stream, first=error.first)
-            self._next = error.first
+            # Another read may have gone on meanwhile.
+            self._next = max(self._next, error.first)
             return await self._log.read(self._stream, self._next, 0.0)
 
     def _take(self, page: LogPage) -> None:
--- a/packages/saddledoord/src/saddledoord/filters/attempt.py
+++ b/packages/saddledoord/src/saddledoord/filters/attempt.py
@@ -21,9 +21,9 @@
     WorkClass,
 )
 
-from .._backends import Backends, CompletionBrokenError
-from .._dispatch import Dispatcher, Grant, Wanted
-from .._metrics import Metrics
+from ..backends.client import Backends, CompletionBrokenError
+from ..backends.dispatch import Dispatcher, Grant, Wanted
+from ..observability.daemon_metrics import Metrics
 
 
 __all__ = ["CompletionJob", "attempt_completion"]
--- a/packages/saddledoord/src/saddledoord/filters/call.py
+++ b/packages/saddledoord/src/saddledoord/filters/call.py
@@ -18,10 +18,10 @@
 )
 from saddledoor.tracing import HandedOver
 
-from .._backends import Backends, CallAnswer
 from .._clock import boot_time
-from .._dispatch import Dispatcher, Wanted
-from .._metrics import Metrics
+from ..backends.client import Backends, CallAnswer
+from ..backends.dispatch import Dispatcher, Wanted
+from ..observability.daemon_metrics import Metrics
 
 
 __all__ = ["ServiceJob", "attempt_call"]
--- a/packages/saddledoord/src/saddledoord/filters/claim.py
+++ b/packages/saddledoord/src/saddledoord/filters/claim.py
@@ -22,11 +22,11 @@
     rendezvous,
 )
 
-from .._backends import CallAnswer
-from .._claim_log import ClaimLog
 from .._clock import boot_time
-from .._peer_client import PeerAwayError, PeerClient
 from .._state import NodeState
+from ..backends.client import CallAnswer
+from ..log.claims import ClaimLog
+from ..peers.client import PeerAwayError, PeerClient
 from .call import ServiceJob
 
 
--- a/packages/saddledoord/src/saddledoord/filters/collect.py
+++ b/packages/saddledoord/src/saddledoord/filters/collect.py
@@ -18,7 +18,7 @@
 )
 from saddledoor.tracing import Streamed
 
-from .._tracing import Emit
+from ..observability.tracing import Emit
 
 
 __all__ = ["collect_whole"]
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/http/__init__.py
@@ -0,0 +1,5 @@
+# SPDX-License-Identifier: MIT
+
+"""
+The HTTP face of the daemon's own interface.
+"""
--- a/packages/saddledoord/src/saddledoord/_http.py
+++ b/packages/saddledoord/src/saddledoord/http/app.py
@@ -12,11 +12,16 @@
 
 from saddledoor import Answer, NotRun, OutcomeUnknown, Part, ResultCode
 
-from ._backends import CallAnswer
-from ._burn_feed import BurnFeed
-from ._clock import boot_time
-from ._collector import Collectors
-from ._http_bodies import (
+from .._clock import boot_time
+from .._pipeline import Pipeline, ServiceRequest
+from .._state import NodeState
+from ..backends.client import CallAnswer
+from ..filters.collect import collect_whole
+from ..filters.identify import Caller
+from ..observability.burn_feed import BurnFeed
+from ..observability.daemon_metrics import Metrics
+from ..samples.collector import Collectors
+from .bodies import (
     JSON,
     completion_media,
     encode_refusal,
@@ -25,13 +30,8 @@
     part_media,
     read_body,
 )
-from ._http_operators import Operators
-from ._in_flight import InFlight
-from ._metrics import Metrics
-from ._pipeline import Pipeline, ServiceRequest
-from ._state import NodeState
-from .filters.collect import collect_whole
-from .filters.identify import Caller
+from .in_flight import InFlight
+from .operators import Operators
 
 
 __all__ = ["build_app"]
--- a/packages/saddledoord/src/saddledoord/_http_bodies.py
+++ b/packages/saddledoord/src/saddledoord/http/bodies.py
@@ -12,7 +12,7 @@
 
 from saddledoor import Answer, NotRun, OutcomeUnknown, Part, ResultCode
 
-from ._state import NodeState
+from .._state import NodeState
 
 
 __all__ = [
--- a/packages/saddledoord/src/saddledoord/_in_flight.py
+++ b/packages/saddledoord/src/saddledoord/http/in_flight.py
@@ -11,7 +11,7 @@
 
 from saddledoor.tracing import RequestIn, RequestOut
 
-from ._tracing import Emit
+from ..observability.tracing import Emit
 
 
 __all__ = ["InFlight"]
--- a/packages/saddledoord/src/saddledoord/_http_operators.py
+++ b/packages/saddledoord/src/saddledoord/http/operators.py
@@ -8,8 +8,8 @@
 
 from collections.abc import Callable
 
-from ._metrics import Metrics
-from ._state import NodeState
+from .._state import NodeState
+from ..observability.daemon_metrics import Metrics
 
 
 __all__ = ["Operators"]
--- a/packages/saddledoord/src/saddledoord/_status.py
+++ b/packages/saddledoord/src/saddledoord/http/status.py
@@ -8,10 +8,10 @@
 
 from collections.abc import Callable
 
-from ._clock import boot_time
-from ._collector import Collectors
-from ._dispatch import Dispatcher
-from ._state import NodeState
+from .._clock import boot_time
+from .._state import NodeState
+from ..backends.dispatch import Dispatcher
+from ..samples.collector import Collectors
 
 
 __all__ = ["status_reader"]
--- a/packages/saddledoord/src/saddledoord/jobs/runner.py
+++ b/packages/saddledoord/src/saddledoord/jobs/runner.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import math
+import random
 import time
 from collections.abc import Callable
 
@@ -45,8 +46,9 @@
 _KEEP_EVERY = 0.5
 #: Fewest new events of an item that are worth a record, a count.
 _KEEP_LEAST = 8
-#: An item is given up so much later than the route allows, in seconds: clocks differ.
-_CLOCK_MARGIN = 1.0
+#: An item is given up so much later than the route allows, in seconds: clocks differ,
+#: and the time of day may jump by two.
+_CLOCK_MARGIN = 3.0
 #: Items start only if the log's end was known so lately, in seconds; an item must not
 #: reach an engine 3 s after its job's end was acknowledged.
 _FRESH = 2.0
@@ -194,8 +196,7 @@
             if self._too_old(run, route):
                 self._list(run, ItemResult(run.item.item_id, done=False))
                 continue
-            service = route.shares[0].service
-            needs = (service, job.model, job.oldest_version)
+            needs = (route.name, job.model, job.oldest_version)
             if needs in no_room and not run.unfit:
                 continue
             engine = self._choose(run, route, run.unfit)
@@ -251,7 +252,7 @@
         Return an engine with room: the fastest, and of like ones the least busy.
         """
         now = boot_time()
-        service = route.shares[0].service
+        service = route.service(random.random())
         ids = [e.engine_id for e in self._view.directory.usable(service, now)]
         best = self._paces.best_gap(ids, now)
 
--- a/packages/saddledoord/src/saddledoord/_claim_log.py
+++ b/packages/saddledoord/src/saddledoord/log/claims.py
@@ -18,10 +18,10 @@
 )
 from saddledoor.tracing import ClaimDecided, Folded
 
-from ._log_client import LogAwayError, LogClient, LogPage
-from ._metrics import Metrics
-from ._state import NodeState
-from ._tracing import Emit
+from .._state import NodeState
+from ..observability.daemon_metrics import Metrics
+from ..observability.tracing import Emit
+from .client import LogAwayError, LogClient, LogPage
 
 
 __all__ = ["ClaimLog"]
--- a/packages/saddledoord/src/saddledoord/_log_client.py
+++ b/packages/saddledoord/src/saddledoord/log/client.py
@@ -14,7 +14,7 @@
 from saddledoor import Record, decode_record, encode_record
 from saddledoor.exceptions import UndecodableRecordError
 
-from ._metrics import Metrics
+from ..observability.daemon_metrics import Metrics
 
 
 __all__ = ["LogAwayError", "LogClient", "LogPage", "LoggedRecord"]
--- a/packages/saddledoord/src/saddledoord/_follower.py
+++ b/packages/saddledoord/src/saddledoord/log/follower.py
@@ -25,8 +25,8 @@
 from saddledoor.exceptions import InvalidDocumentError, UndecodableRecordError
 from saddledoor.tracing import Folded
 
-from ._log_client import LogAwayError, LogClient, LogPage
-from ._state import NodeState
+from .._state import NodeState
+from .client import LogAwayError, LogClient, LogPage
 
 
 __all__ = ["CONFIG_STREAM", "CONTROL_STREAM", "StreamFollower", "follow_config"]
--- a/packages/saddledoord/src/saddledoord/_lease_keeper.py
+++ b/packages/saddledoord/src/saddledoord/log/leases.py
@@ -12,10 +12,10 @@
 
 from saddledoor import HeldLease, LeaseClaim, LeaseRelease, LeaseRenewal
 
-from ._clock import boot_time
-from ._follower import CONTROL_STREAM, StreamFollower, new_record_id
-from ._log_client import LogAwayError, LogClient
-from ._state import NodeState
+from .._clock import boot_time
+from .._state import NodeState
+from .client import LogAwayError, LogClient
+from .follower import CONTROL_STREAM, StreamFollower, new_record_id
 
 
 __all__ = ["LeaseKeeper"]
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/observability/__init__.py
@@ -0,0 +1,5 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Logs, metrics, traces and the burn report.
+"""
--- a/packages/saddledoord/src/saddledoord/_burn_feed.py
+++ b/packages/saddledoord/src/saddledoord/observability/burn_feed.py
@@ -10,8 +10,8 @@
 
 from saddledoor import BurnMeter, BurnTotals, Observation, ResultCode
 
-from ._log_client import LogAwayError, LogClient
-from ._state import NodeState
+from .._state import NodeState
+from ..log.client import LogAwayError, LogClient
 
 
 __all__ = ["BURN_STREAM", "BurnFeed"]
--- a/packages/saddledoord/src/saddledoord/_structured_log.py
+++ b/packages/saddledoord/src/saddledoord/observability/logs.py
@@ -13,7 +13,7 @@
 
 import structlog
 
-from ._clock import boot_time
+from .._clock import boot_time
 
 
 __all__ = ["BoundedEvents", "NonBlockingLines", "set_up_json_logs"]
--- a/packages/saddledoord/src/saddledoord/_tracing.py
+++ b/packages/saddledoord/src/saddledoord/observability/tracing.py
@@ -11,7 +11,7 @@
 
 from saddledoor.tracing import Event, Traced, encode_traced
 
-from ._clock import boot_time
+from .._clock import boot_time
 
 
 __all__ = ["Emit", "open_trace"]
--- a/packages/saddledoord/src/saddledoord/_peer_client.py
+++ b/packages/saddledoord/src/saddledoord/peers/client.py
@@ -13,16 +13,16 @@
 
 from saddledoor import KeyClaim, NotRun, OutcomeUnknown, Part, ResultCode
 
-from ._backends import CallAnswer
-from ._wire_types import (
+from ..backends.client import CallAnswer
+from ..filters.attempt import CompletionJob
+from ..wire import peer_pb2 as pb
+from ..wire.peer_pb2_grpc import PeerStub
+from .wire_types import (
     answer_from_wire,
     outcome_from_code,
     part_from_wire,
     work_to_wire,
 )
-from .filters.attempt import CompletionJob
-from .wire import peer_pb2 as pb
-from .wire.peer_pb2_grpc import PeerStub
 
 
 __all__ = ["MAX_MESSAGE", "PeerAwayError", "PeerClient"]
--- a/packages/saddledoord/src/saddledoord/_exchange.py
+++ b/packages/saddledoord/src/saddledoord/peers/exchange.py
@@ -20,18 +20,18 @@
 )
 from saddledoor.tracing import HeardConfig
 
-from ._clock import boot_time
-from ._metrics import Metrics
-from ._peer_client import PeerAwayError, PeerClient
-from ._state import NodeState
-from ._watcher import Watcher
-from ._wire_types import (
+from .._clock import boot_time
+from .._state import NodeState
+from ..backends.watcher import Watcher
+from ..observability.daemon_metrics import Metrics
+from ..wire import peer_pb2 as pb
+from .client import PeerAwayError, PeerClient
+from .wire_types import (
     entry_from_wire,
     entry_to_wire,
     site_from_wire,
     site_to_wire,
 )
-from .wire import peer_pb2 as pb
 
 
 __all__ = ["Exchange"]
--- a/packages/saddledoord/src/saddledoord/_peer_server.py
+++ b/packages/saddledoord/src/saddledoord/peers/server.py
@@ -14,21 +14,21 @@
 
 from saddledoor import KeyClaim, NotRun, ResultCode
 
-from ._backends import Backends
-from ._budgets import RetryBudgets
-from ._claim_log import ClaimLog
-from ._collector import Collected, Collectors
-from ._dispatch import Dispatcher
-from ._exchange import Exchange
-from ._in_flight import InFlight
-from ._metrics import Metrics
-from ._peer_client import MAX_MESSAGE, SECRET_KEY
-from ._state import NodeState
-from ._wire_types import answer_to_wire, part_to_wire, work_from_wire
-from .filters.attempt import attempt_completion
-from .filters.claim import KeyLedger
-from .wire import peer_pb2 as pb
-from .wire.peer_pb2_grpc import PeerServicer, add_PeerServicer_to_server
+from .._state import NodeState
+from ..backends.budgets import RetryBudgets
+from ..backends.client import Backends
+from ..backends.dispatch import Dispatcher
+from ..filters.attempt import attempt_completion
+from ..filters.claim import KeyLedger
+from ..http.in_flight import InFlight
+from ..log.claims import ClaimLog
+from ..observability.daemon_metrics import Metrics
+from ..samples.collector import Collected, Collectors
+from ..wire import peer_pb2 as pb
+from ..wire.peer_pb2_grpc import PeerServicer, add_PeerServicer_to_server
+from .client import MAX_MESSAGE, SECRET_KEY
+from .exchange import Exchange
+from .wire_types import answer_to_wire, part_to_wire, work_from_wire
 
 
 __all__ = ["PeerService", "start_peer_server"]
--- a/packages/saddledoord/src/saddledoord/_vm_list.py
+++ b/packages/saddledoord/src/saddledoord/peers/vm_list.py
@@ -10,9 +10,9 @@
 
 import aiohttp
 
-from ._clock import boot_time
-from ._peer_client import PeerClient
-from ._state import NodeState
+from .._clock import boot_time
+from .._state import NodeState
+from .client import PeerClient
 
 
 __all__ = ["VmListReader"]
--- a/packages/saddledoord/src/saddledoord/_wire_types.py
+++ b/packages/saddledoord/src/saddledoord/peers/wire_types.py
@@ -19,11 +19,11 @@
     WorkClass,
 )
 
-from ._backends import CallAnswer
-from ._clock import boot_time
-from .filters.attempt import CompletionJob
-from .filters.call import ServiceJob
-from .wire import peer_pb2 as pb
+from .._clock import boot_time
+from ..backends.client import CallAnswer
+from ..filters.attempt import CompletionJob
+from ..filters.call import ServiceJob
+from ..wire import peer_pb2 as pb
 
 
 __all__ = [
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/samples/__init__.py
@@ -0,0 +1,5 @@
+# SPDX-License-Identifier: MIT
+
+"""
+A trainer's step: collector and runners.
+"""
--- a/packages/saddledoord/src/saddledoord/_collector.py
+++ b/packages/saddledoord/src/saddledoord/samples/collector.py
@@ -27,16 +27,16 @@
 )
 from saddledoor.tracing import Fetched, StepOpened
 
-from ._burn_feed import BurnFeed
-from ._clock import boot_time
-from ._lease_keeper import LeaseKeeper
-from ._metrics import Metrics
-from ._peer_client import PeerAwayError, PeerClient
-from ._sample_runner import SampleRunner, StepRun
-from ._state import NodeState
-from ._wire_types import outcome_from_code
-from .filters.decode import FetchBody, StepBody, decode_fetch, decode_step
-from .wire import peer_pb2 as pb
+from .._clock import boot_time
+from .._state import NodeState
+from ..filters.decode import FetchBody, StepBody, decode_fetch, decode_step
+from ..log.leases import LeaseKeeper
+from ..observability.burn_feed import BurnFeed
+from ..observability.daemon_metrics import Metrics
+from ..peers.client import PeerAwayError, PeerClient
+from ..peers.wire_types import outcome_from_code
+from ..wire import peer_pb2 as pb
+from .runner import SampleRunner, StepRun
 
 
 __all__ = ["Collected", "Collectors", "collector_lease"]
--- a/packages/saddledoord/src/saddledoord/_sample_runner.py
+++ b/packages/saddledoord/src/saddledoord/samples/runner.py
@@ -24,16 +24,16 @@
 )
 from saddledoor.tracing import SampleAdded, StaleDropped
 
-from ._backends import Backends
-from ._budgets import RetryBudgets
-from ._clock import boot_time
-from ._dispatch import Dispatcher
-from ._metrics import Metrics
-from ._peer_client import PeerClient
-from ._state import NodeState
-from ._watcher import backends_here
-from .filters.attempt import CompletionJob, attempt_completion
-from .filters.collect import collect_whole
+from .._clock import boot_time
+from .._state import NodeState
+from ..backends.budgets import RetryBudgets
+from ..backends.client import Backends
+from ..backends.dispatch import Dispatcher
+from ..backends.watcher import backends_here
+from ..filters.attempt import CompletionJob, attempt_completion
+from ..filters.collect import collect_whole
+from ..observability.daemon_metrics import Metrics
+from ..peers.client import PeerClient
 
 
 __all__ = ["SampleRunner", "StepRun"]
--- a/tests/adapter/platform_bed.py
+++ b/tests/adapter/platform_bed.py
@@ -32,9 +32,8 @@
 MODEL = "model-a"
 #: Partitions that divide the work, a count.
 PARTS = 4
-_FIRST_PORT = 20_000
-_PORTS_A_WORKER = 1_000
-_port_numbers = itertools.count()
+#: Ports of the tests; each process of a test run takes a range of so many.
+_FIRST_PORT, _LAST_PORT, _PORTS = 20_000, 32_000, 500
 
 
 @dataclass(frozen=True)
@@ -52,21 +51,37 @@
         return json.loads(self.body)
 
 
+def _claim_range() -> tuple[socket.socket, int]:
+    """
+    Take a range of ports for this process, by its first one, which stays bound.
+
+    Below the ports that the system gives to outgoing connections.
+    """
+    for base in range(_FIRST_PORT, _LAST_PORT, _PORTS):
+        claim = socket.socket()
+        try:
+            claim.bind(("127.0.0.1", base))
+        except OSError:
+            claim.close()
+        else:
+            return claim, base
+    raise AssertionError("every range of ports is taken")
+
+
+_claim, _base = _claim_range()
+_port_numbers = itertools.count()
+
+
 def free_port() -> int:
     """
     Return a port that nobody else takes before it is used.
-
-    Below the ports that the system gives to outgoing connections, and of a range of
-    this test worker's own.
     """
-    worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
-    base = _FIRST_PORT + worker * _PORTS_A_WORKER
-    for _ in range(_PORTS_A_WORKER):
-        port = base + next(_port_numbers) % _PORTS_A_WORKER
+    for _ in range(_PORTS):
+        port = _base + 1 + next(_port_numbers) % (_PORTS - 1)
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind(("127.0.0.1", port))
             return port
-    raise AssertionError(f"no free port from {base} on")
+    raise AssertionError(f"no free port from {_base} on")
 
 
 def until(check: Callable[[], object], timeout: float = 10.0) -> object:
--- a/tests/adapter/test_boundary.py
+++ b/tests/adapter/test_boundary.py
@@ -52,6 +52,22 @@
         assert done.returncode == 0
 
 
+def test_settings_can_be_checked_without_running(tmp_path):
+    """
+    Exit status 0 and one line.
+    """
+    path = tmp_path / "boot.toml"
+    path.write_text(_settings())
+    done = subprocess.run(
+        [sys.executable, str(_ROOT / "platform" / "edge.py"), "--check"],
+        env={**os.environ, "SADDLEDOOR_BOOT": str(path)},
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert (done.returncode, done.stdout) == (0, "the settings can be used\n")
+
+
 def _settings() -> str:
     return _SETTINGS.format("edge-0", 1001, 1002, 1003, 4)
 
--- a/tests/adapter/test_edge_jobs.py
+++ b/tests/adapter/test_edge_jobs.py
@@ -10,7 +10,7 @@
 import time
 from concurrent.futures import ThreadPoolExecutor
 
-from platform_bed import MODEL, make_job, until
+from platform_bed import MODEL, make_config, make_job, until
 
 
 ITEMS = 6
@@ -244,6 +244,30 @@
     assert len(platform_bed.runs()) == began
 
 
+def test_items_go_to_no_service_that_their_route_gives_nothing(platform_bed):
+    """
+    Also where such a service stands first in the split.
+    """
+    config = make_config(2)
+    del config["routes"][2]["service"]
+    config["routes"][2]["backends"] = [
+        {"service": "desk", "weight": 0},
+        {"service": "pool", "weight": 5},
+    ]
+    platform_bed.configure(config)
+    until(lambda: _versions_in_force(platform_bed) == [1, 2])
+    assert platform_bed.submit("job-1", make_job()).status == 202
+    assert _texts(platform_bed.finished("job-1", ITEMS)) == _whole_texts()
+    for desk in ("desk-0", "desk-1"):
+        bodies = {run["body"] for run in platform_bed.fake_engine(desk)["runs"]}
+        assert bodies <= {"score"}
+
+
+def _versions_in_force(bed) -> list[int]:
+    lines = bed.log("edge-0")
+    return [line["version"] for line in lines if "routes" in line]
+
+
 def test_the_body_of_an_item_that_is_not_listed_can_be_read(two_edges):
     """
     At any edge; an unknown item has none.
--- a/tests/adapter/test_edge_requests.py
+++ b/tests/adapter/test_edge_requests.py
@@ -26,6 +26,15 @@
     assert run["body"] == "\x00body"
 
 
+def test_an_answer_to_head_has_no_body_and_is_whole(platform_bed):
+    """
+    It needs no length to be complete.
+    """
+    answer = platform_bed.ask("HEAD", "/look/x", request_id="r-1")
+    assert (answer.status, answer.body) == (200, b"")
+    assert len(platform_bed.runs()) == 1
+
+
 def test_without_a_route_the_answer_is_404(platform_bed):
     """
     Neither another host nor another path has a route.
--- a/tests/test_structured_log.py
+++ b/tests/test_structured_log.py
@@ -15,7 +15,7 @@
 import pytest
 import structlog
 
-from saddledoord._structured_log import BoundedEvents, NonBlockingLines
+from saddledoord.observability.logs import BoundedEvents, NonBlockingLines
 
 
 def test_a_flood_of_one_kind_is_cut_and_counted():
@@ -63,7 +63,7 @@
     """
     code = (
         "import structlog\n"
-        "from saddledoord._structured_log import set_up_json_logs\n"
+        "from saddledoord.observability.logs import set_up_json_logs\n"
         "set_up_json_logs('vm')\n"
         "log = structlog.get_logger()\n"
         "for n in range(3000): log.info('kind-%d' % (n % 50), text='x' * 300)\n"
