--- a/packages/saddledoor/src/saddledoor/_weight_waves.py
+++ b/packages/saddledoor/src/saddledoor/_weight_waves.py
@@ -36,6 +36,7 @@
     )
     urgent = [name for version, name in behind if version < oldest_allowed]
     newest = len(versions) - len(behind)
-    missing = math.ceil(len(versions) * _FOLLOWING) - newest - len(urgent)
+    half = max(1, math.floor(len(versions) * _FOLLOWING))
+    missing = half - newest - len(urgent)
     rest = [name for version, name in behind if version >= oldest_allowed]
     return urgent + rest[: max(0, missing)]
