Take bounds from the settings; cut a large job into several appends

Cause, found by reading: the time for which a missing engine is still used (1.5 s) and the age of the log's end up to which items start (2 s) were constants that fit these two deployments' drain_ms and cancel_ms; they are shares of those settings now, with the same values here. A job of more than one append's limit (2 MB) could never be accepted.

Change: the last append makes a job count; pieces that come again before it are passed over. New test: a job of 60 small appends, refused in between, then taken whole.

Also: test_a_job_submitted_again_is_taken_once failed once: the two edges' shares changed 50 ms after the submission (share_changed in both logs), so the second edge went on with it.

--- a/packages/saddledoor/src/saddledoor/_engine_directory.py
+++ b/packages/saddledoor/src/saddledoor/_engine_directory.py
@@ -12,9 +12,9 @@
 
 __all__ = ["EngineDirectory", "EngineEntry"]
 
-#: How long an entry that went missing around an outage of the store is still used, in
-#: seconds. Below the shortest drain time (2 s), since the engine may really be gone.
-_BRIDGE = 1.5
+#: How long an entry that went missing around an outage of the store is still used, as
+#: a share of the drain time: the engine may be leaving, and serves that long at least.
+_BRIDGE = 0.75
 #: How long after the store's return a missing entry may still come back, in seconds;
 #: the users' letter says about two.
 _RETURN_WINDOW = 3.0
@@ -43,9 +43,13 @@
 class EngineDirectory:
     """
     The entries as last read, and what became of those that went missing.
+
+    :param drain_time: How long an engine serves at least after its entry is gone, in
+        seconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, drain_time: float) -> None:
+        self._bridge = _BRIDGE * drain_time
         self._entries: dict[str, EngineEntry] = {}
         self._missing: dict[str, tuple[EngineEntry, float]] = {}
         self._store_away = False
@@ -71,7 +75,7 @@
         if entry is None or entry.draining:
             return
         if self._store_away or now - self._store_back_at < _RETURN_WINDOW:
-            self._missing[engine_id] = (entry, now + _BRIDGE)
+            self._missing[engine_id] = (entry, now + self._bridge)
 
     def store_lost(self) -> None:
         """
--- a/packages/saddledoor/src/saddledoor/_jobs.py
+++ b/packages/saddledoor/src/saddledoor/_jobs.py
@@ -116,9 +116,9 @@
 @dataclass(frozen=True)
 class JobChunk:
     """
-    A piece of an accepted job; all pieces stand in one append, one after the other.
+    A piece of a job, which is accepted with its last one.
 
-    :param writer: Names one append among several of the same job.
+    :param writer: Names one submission among several of the same job.
     """
 
     job_id: str
@@ -286,7 +286,10 @@
             return
         key = (chunk.job_id, chunk.writer)
         pieces = self._pieces.setdefault(key, [])
-        if chunk.index != len(pieces):
+        if chunk.index < len(pieces):
+            # The same again: its first append had lost its answer.
+            return
+        if chunk.index > len(pieces):
             # The beginning is gone from the log, so the job cannot be put together.
             del self._pieces[key]
             return
--- a/packages/saddledoord/src/saddledoord/cluster/view.py
+++ b/packages/saddledoord/src/saddledoord/cluster/view.py
@@ -30,10 +30,13 @@
 class ClusterView:
     """
     Folded from the operator's registry and the engines' entries.
+
+    :param drain_time: How long an engine serves at least after its entry is gone, in
+        seconds.
     """
 
-    def __init__(self) -> None:
-        self.directory = EngineDirectory()
+    def __init__(self, drain_time: float) -> None:
+        self.directory = EngineDirectory(drain_time)
         self.changed = asyncio.Event()
         self._config: GatewayConfig | None = None
         self._table = RouteTable()
--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -51,13 +51,21 @@
     :param vm: Name of the VM.
     :param parts: Into how many shares the jobs are divided.
     :param lease_term: Of the lease for orders, in seconds.
-    :param chunk_bytes: Largest piece of a job in one record, in bytes.
+    :param largest_record: Largest record of the log, in bytes.
+    :param largest_append: Largest append to the log, in bytes.
+    :param drain_time: How long an engine serves at least after its entry is gone, in
+        seconds.
+    :param cancel_time: After this long no item of an ended job may reach an engine, in
+        seconds.
     """
 
     vm: str
     parts: int
     lease_term: float
-    chunk_bytes: int
+    largest_record: int
+    largest_append: int
+    drain_time: float
+    cancel_time: float
 
 
 @dataclass(frozen=True)
@@ -91,11 +99,13 @@
         self._stopping = False
         self._tasks: list[asyncio.Task] = []
         incarnation = f"{settings.vm}#{secrets.token_hex(4)}"
-        self.view = ClusterView()
+        self.view = ClusterView(settings.drain_time)
         pool = EnginePool(self.view, least_outstanding(random.random))
         self.pass_through = PassThrough(self.view, pool, ports.engines, count)
         book = JobBook(decode_job)
-        self.jobs = JobService(ports.log, book, Changes(), settings.chunk_bytes)
+        self.jobs = JobService(
+            ports.log, book, Changes(), settings.largest_record, settings.largest_append
+        )
         self._writer = RecordWriter(ports.log)
         self._membership = Membership(ports.group, settings.parts, self._wake)
         self._runner = JobRunner(
@@ -106,6 +116,7 @@
             self._writer,
             Scorer(self.view, self.pass_through),
             self._membership.owns,
+            settings.cancel_time,
         )
         self.jobs.on_change(self._wake)
         self._lease = OrderLease(ports.log, incarnation, settings.lease_term)
--- a/packages/saddledoord/src/saddledoord/jobs/runner.py
+++ b/packages/saddledoord/src/saddledoord/jobs/runner.py
@@ -49,9 +49,9 @@
 #: An item is given up so much later than the route allows, in seconds: clocks differ,
 #: and the time of day may jump by two.
 _CLOCK_MARGIN = 3.0
-#: Items start only if the log's end was known so lately, in seconds; an item must not
-#: reach an engine 3 s after its job's end was acknowledged.
-_FRESH = 2.0
+#: Items start only if the log's end was known so lately, as a share of the time after
+#: which no item of an ended job may reach an engine.
+_FRESH = 2 / 3
 #: How long items still start while the store cannot be reached, in seconds: nobody
 #: can end a job then, but another node may have taken this one's share.
 _ALONE = 6.0
@@ -69,6 +69,8 @@
     Keeps every engine's slots filled with items that still count.
 
     :param owns: Whether this node runs a series of jobs.
+    :param cancel_time: After this long no item of an ended job may reach an engine, in
+        seconds.
     """
 
     def __init__(
@@ -80,6 +82,7 @@
         writer: RecordWriter,
         scorer: Scorer,
         owns: Callable[[str], bool],
+        cancel_time: float,
     ) -> None:
         self._jobs = jobs
         self._view = view
@@ -87,6 +90,7 @@
         self._writer = writer
         self._scorer = scorer
         self._owns = owns
+        self._fresh = _FRESH * cancel_time
         self._paces = EnginePaces()
         self._attempts = Attempts(engines, self._paces, self._elsewhere, self._saw)
         self._runs: dict[Key, ItemRun] = {}
@@ -142,7 +146,7 @@
         """
         age = self._jobs.age_of_view()
         if self._jobs.store_reached:
-            return age < _FRESH
+            return age < self._fresh
         return age < _ALONE
 
     def _reconcile(self) -> None:
--- a/packages/saddledoord/src/saddledoord/jobs/service.py
+++ b/packages/saddledoord/src/saddledoord/jobs/service.py
@@ -47,6 +47,8 @@
 _ACCEPT_PAUSE = 0.05
 #: When a refused submitter should come back, in seconds.
 _COME_BACK = 0.2
+#: Room for a record's own fields beside a piece of a job, in bytes.
+_RECORD_MARGIN = 1024
 #: How long ended jobs are kept for readers, in seconds; longer than the platform lets
 #: them be read (120 s).
 _KEEP_ENDED = 200.0
@@ -90,16 +92,23 @@
     """
     Answers from the fold of the log, read on where the fold alone is not sure.
 
-    :param chunk_bytes: Largest piece of a job in one record, in bytes.
+    :param largest_record: Largest record of the log, in bytes.
+    :param largest_append: Largest append to the log, in bytes.
     """
 
     def __init__(
-        self, log: SharedLog, book: JobBook, changes: Changes, chunk_bytes: int
+        self,
+        log: SharedLog,
+        book: JobBook,
+        changes: Changes,
+        largest_record: int,
+        largest_append: int,
     ) -> None:
         self._log = log
         self._book = book
         self._changes = changes
-        self._chunk_bytes = chunk_bytes
+        self._piece_bytes = largest_record - _RECORD_MARGIN
+        self._records_at_once = max(1, largest_append // largest_record)
         self._changed = lambda: None
         self._follower = LogFollower(log, JOBS_STREAM, self._apply)
 
@@ -147,8 +156,8 @@
         """
         if self._book.get(job.job_id) is not None:
             return Accepted()
-        chunks = job_chunks(job, secrets.token_hex(4), self._chunk_bytes)
-        outcome = await self._append_surely([encode_job_record(c) for c in chunks])
+        chunks = job_chunks(job, secrets.token_hex(4), self._piece_bytes)
+        outcome = await self._append_pieces([encode_job_record(c) for c in chunks])
         code = ResultCode.DONE if isinstance(outcome, Accepted) else outcome.code
         _log.info(
             "job_submitted",
@@ -218,6 +227,21 @@
             return Unsure()
         return self._book.get(job_id) or NoSuchJob()
 
+    async def _append_pieces(
+        self, records: list[bytes]
+    ) -> Accepted | NotRun | OutcomeUnknown:
+        """
+        Append a job's pieces; only the last one makes it count.
+        """
+        room = self._records_at_once
+        groups = [records[i : i + room] for i in range(0, len(records), room)]
+        for group in groups[:-1]:
+            outcome = await self._append_surely(group)
+            if not isinstance(outcome, Accepted):
+                # Without the last piece nothing of the job can ever run.
+                return NotRun(ResultCode.LOG_AWAY, outcome.detail, _COME_BACK)
+        return await self._append_surely(groups[-1])
+
     async def _append_surely(
         self, records: list[bytes]
     ) -> Accepted | NotRun | OutcomeUnknown:
--- a/tests/adapter/platform_bed.py
+++ b/tests/adapter/platform_bed.py
@@ -218,6 +218,7 @@
                 bed.start_edge(f"edge-{index}")
             for name in bed.ready_ports:
                 until(lambda name=name: bed.ready(name))
+            until(bed._shares_are_settled)
             yield bed
         finally:
             for process in bed.processes.values():
@@ -361,6 +362,17 @@
         until(lambda: len(self.results(job_id, edge)) == items, 20.0)
         return self.results(job_id, edge)
 
+    def _shares_are_settled(self) -> bool:
+        """
+        Whether each part of the work is held by one edge, and each edge holds some.
+        """
+        shares = []
+        for name in self.front_ports:
+            told = [e["parts"] for e in self.log(name) if e["event"] == "share_changed"]
+            shares.append(told[-1] if told else [])
+        held = sorted(part for share in shares for part in share)
+        return all(shares) and held == list(range(PARTS))
+
     def _run(self, name: str, *arguments: str) -> None:
         out = self.folder / f"{name}.out"
         with out.open("ab") as stream:
@@ -416,9 +428,12 @@
 [platform]
 address = "127.0.0.1:{3}"
 parts = {4}
-record_bytes = 262144
+record_bytes = 2048
+call_bytes = 4100
 ttl_min_ms = 1000
 [timing_bounds]
 lease_ms = 1000
 grace_s = 8
+drain_ms = 2000
+cancel_ms = 3000
 """
--- a/tests/adapter/standin_store.py
+++ b/tests/adapter/standin_store.py
@@ -47,6 +47,7 @@
     :ivar deal_all: Every member is dealt every part, as if each thought it were the
         owner.
     :ivar page: Records in one answer to a read, a count.
+    :ivar busy_after: After so many appends to ``jobs`` every call fails; 0 for never.
     :ivar slow_by: Time that each read takes, in seconds.
     """
 
@@ -66,6 +67,7 @@
         self.deal_all = False
         self.page = 500
         self.slow_by = 0.0
+        self.busy_after = 0
 
     def topic(self, name: str) -> _Topic:
         return self._topics.setdefault(name, _Topic())
@@ -87,6 +89,10 @@
         await self._fail(request)
         name = request.query["topic"]
         records = list(_split(await request.read()))
+        if self.busy_after and name == "jobs":
+            self.busy_after -= 1
+            if not self.busy_after:
+                self.mode = "busy"
         if self.lose_undone > 0:
             self.lose_undone -= 1
             if self.late_by:
@@ -214,6 +220,7 @@
             "deal_all",
             "page",
             "slow_by",
+            "busy_after",
         ):
             setattr(self, name, body.get(name, getattr(self, name)))
         for name, key, value in body.get("put", ()):
--- a/tests/adapter/test_edge_jobs.py
+++ b/tests/adapter/test_edge_jobs.py
@@ -87,6 +87,22 @@
     assert _texts(platform_bed.finished("job-1", ITEMS)) == _whole_texts()
 
 
+def test_a_job_of_several_appends_is_taken_whole_or_not_at_all(platform_bed):
+    """
+    The store turns busy between two of them: refused, and nothing of it ever runs.
+    """
+    job = make_job(60)
+    platform_bed.fake_store(busy_after=2)
+    assert platform_bed.submit("job-1", job).status == 503
+    platform_bed.fake_store(mode="ok", busy_after=0)
+    time.sleep(1.0)
+    assert platform_bed.ask("GET", "/v1/lots/job-1").status == 404
+    assert platform_bed.runs() == []
+    platform_bed.fake_store(lose_done=1)
+    assert platform_bed.submit("job-1", job).status == 202
+    assert _texts(platform_bed.finished("job-1", 60)) == _whole_texts(60)
+
+
 def test_a_job_refused_while_the_store_is_busy_never_runs(platform_bed):
     """
     The store vouches that nothing was done, so the refusal may promise it.
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -129,7 +129,7 @@
     Guard(
         "entries that lapse with the store are bridged",
         f"{_LIBRARY}/_engine_directory.py",
-        "            self._missing[engine_id] = (entry, now + _BRIDGE)",
+        "            self._missing[engine_id] = (entry, now + self._bridge)",
         "            pass",
         (_REQUESTS, "are_bridged"),
     ),
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -59,7 +59,7 @@
     """
     In calm times a missing entry means that the engine is leaving.
     """
-    directory = EngineDirectory()
+    directory = EngineDirectory(2.0)
     directory.put(_entry("e-1"))
     directory.remove("e-1", 10.0)
     assert directory.usable("desk", 10.0) == []
@@ -69,7 +69,7 @@
     """
     But not one of an engine that had said that it drains.
     """
-    directory = EngineDirectory()
+    directory = EngineDirectory(2.0)
     directory.put(_entry("e-1"))
     directory.put(_entry("e-2", draining=True))
     directory.store_lost()
@@ -118,10 +118,11 @@
 
 def test_a_job_is_put_together_from_its_pieces():
     """
-    A second series of pieces changes nothing.
+    A second series of pieces, or the same pieces again before the last, change nothing.
     """
     book = JobBook(decode_job)
-    for record in make_job_records(make_job()) * 2:
+    pieces = make_job_records(make_job())
+    for record in [*pieces[:2], *pieces[:2], *pieces[2:], *pieces]:
         book.apply(record)
     assert book.get("job-a").job == make_job()
     assert len(book.open_jobs()) == 1
