--- a/tests/adapter/platform_bed.py
+++ b/tests/adapter/platform_bed.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import base64
 import contextlib
 import itertools
 import json
@@ -23,15 +22,13 @@
 from email.message import Message
 from pathlib import Path
 
+from platform_documents import HOST, MODEL, PARTS, SETTINGS, make_config
 
-__all__ = ["HOST", "MODEL", "Answer", "PlatformBed", "make_config", "make_job", "until"]
+
+__all__ = ["Answer", "PlatformBed", "until"]
 
 _HERE = Path(__file__).parent
 _ROOT = _HERE.parent.parent
-HOST = "desk.example"
-MODEL = "model-a"
-#: Partitions that divide the work, a count.
-PARTS = 4
 #: Ports of the tests; each process of a test run takes a range of so many.
 _FIRST_PORT, _LAST_PORT, _PORTS = 20_000, 32_000, 500
 
@@ -96,85 +93,6 @@
     raise AssertionError(f"not within {timeout} s")
 
 
-def make_config(version: int = 1, **changes: object) -> dict:
-    """
-    Return a configuration with a look-up, a booking and a trainer's route.
-    """
-    plain = {"host": HOST, "timeout_ms": 2000, "slo_ms": 200, "priority": 2}
-    routes = [
-        {
-            "name": "look-up",
-            "path_prefix": "/look/",
-            "route_type": "safe",
-            "service": "desk",
-            "max_attempts": 3,
-            **plain,
-        },
-        {
-            "name": "book",
-            "path_prefix": "/book/",
-            "route_type": "unsafe",
-            "service": "desk",
-            "max_attempts": 3,
-            **plain,
-        },
-        {
-            "name": "train",
-            "path_prefix": "/train/",
-            "route_type": "rollout",
-            "service": "pool",
-            "max_attempts": 3,
-            "max_queue_s": 40,
-            **plain,
-        },
-    ]
-    return {
-        "version": version,
-        "routes": routes,
-        "services": [
-            {"name": "desk", "health_path": "/health", "max_conns": 50},
-            {
-                "name": "pool",
-                "health_path": "/health",
-                "max_conns": 50,
-                "engine": {"models": [{"name": MODEL}]},
-            },
-        ],
-        "limits": {
-            "max_header_bytes": 16384,
-            "max_body_bytes": 100_000,
-            "header_timeout_ms": 3000,
-            "idle_timeout_ms": 15000,
-        },
-        **changes,
-    }
-
-
-def make_job(items: int = 6, **changes: object) -> dict:
-    """
-    Return a job as a trainer submits it; two items a group.
-    """
-    requests = [
-        {
-            "id": f"item-{index}",
-            "path": f"/train/{index}",
-            "headers": {"Saddledoor-Model-Name": MODEL},
-            "body": base64.b64encode(b"prompt").decode(),
-            "tokens": 10,
-            "group_size": f"group-{index // 2}",
-            "scorer": {
-                "id": f"score-{index}",
-                "host": HOST,
-                "path": "/look/score",
-                "body": base64.b64encode(b"score").decode(),
-            },
-        }
-        for index in range(items)
-    ]
-    fields = {"step": 1, "model": MODEL, "min_version": 1, "desired": 2}
-    return {**fields, "requests": requests, **changes}
-
-
 @dataclass
 class _Process:
     handle: subprocess.Popen
@@ -295,7 +213,7 @@
         front = self.front_ports.setdefault(name, free_port())
         ready = self.ready_ports.setdefault(name, free_port())
         path = self.folder / f"{name}.toml"
-        path.write_text(_SETTINGS.format(name, front, ready, self.store_port, PARTS))
+        path.write_text(SETTINGS.format(name, front, ready, self.store_port, PARTS))
         out = self.folder / f"{name}.out"
         with out.open("ab") as stream:
             handle = subprocess.Popen(
@@ -415,25 +333,3 @@
 
 def _answer(status: int, headers: Message, body: bytes) -> Answer:
     return Answer(status, {k.lower(): v for k, v in headers.items()}, body)
-
-
-_SETTINGS = """
-node_name = "{0}"
-ip = "127.0.0.1"
-zone = "dc-a"
-a_field_of_later = true
-[listen]
-front = "127.0.0.1:{1}"
-ready = "127.0.0.1:{2}"
-[platform]
-address = "127.0.0.1:{3}"
-parts = {4}
-record_bytes = 2048
-call_bytes = 4100
-ttl_min_ms = 1000
-[timing_bounds]
-lease_ms = 1000
-grace_s = 8
-drain_ms = 2000
-cancel_ms = 3000
-"""
--- a/tests/adapter/test_boundary.py
+++ b/tests/adapter/test_boundary.py
@@ -15,7 +15,7 @@
 import pytest
 
 from boot import UnusableSettingsError, load_boot_settings
-from platform_bed import _SETTINGS
+from platform_documents import SETTINGS
 
 
 _ROOT = Path(__file__).parent.parent.parent
@@ -69,7 +69,7 @@
 
 
 def _settings() -> str:
-    return _SETTINGS.format("edge-0", 1001, 1002, 1003, 4)
+    return SETTINGS.format("edge-0", 1001, 1002, 1003, 4)
 
 
 def test_settings_are_read_and_unknown_fields_passed_over(tmp_path):
--- a/tests/adapter/test_edge_jobs.py
+++ b/tests/adapter/test_edge_jobs.py
@@ -10,21 +10,8 @@
 import time
 from concurrent.futures import ThreadPoolExecutor
 
-from platform_bed import MODEL, make_config, make_job, until
-
-
-ITEMS = 6
-
-
-def _texts(results: list[dict]) -> dict[str, str]:
-    return {result["id"]: result["message"] for result in results}
-
-
-def _whole_texts(items: int = ITEMS, events: int = 5) -> dict[str, str]:
-    return {
-        f"item-{i}": "\n".join(f"item-{i}-{n}" for n in range(1, events + 1))
-        for i in range(items)
-    }
+from platform_bed import until
+from platform_documents import ITEMS, make_config, make_job, texts, whole_texts
 
 
 def test_a_job_is_run_scored_and_read_at_any_edge(two_edges):
@@ -33,7 +20,7 @@
     """
     assert two_edges.submit("job-1", make_job()).status == 202
     results = two_edges.finished("job-1", ITEMS)
-    assert _texts(results) == _whole_texts()
+    assert texts(results) == whole_texts()
     for result in results:
         assert result["state"] == "completed"
         assert result["versions"] == [1]
@@ -73,8 +60,8 @@
     assert platform_bed.submit("job-1", make_job()).status == 202
     platform_bed.fake_store(lose_undone=1)
     assert platform_bed.submit("job-2", make_job()).status == 202
-    assert _texts(platform_bed.finished("job-1", ITEMS)) == _whole_texts()
-    assert _texts(platform_bed.finished("job-2", ITEMS)) == _whole_texts()
+    assert texts(platform_bed.finished("job-1", ITEMS)) == whole_texts()
+    assert texts(platform_bed.finished("job-2", ITEMS)) == whole_texts()
 
 
 def test_a_job_that_may_come_into_the_log_later_is_not_called_not_run(platform_bed):
@@ -84,7 +71,7 @@
     platform_bed.fake_store(lose_undone=1000, late_by=2.5)
     assert platform_bed.submit("job-1", make_job()).status == 502
     platform_bed.fake_store(lose_undone=0)
-    assert _texts(platform_bed.finished("job-1", ITEMS)) == _whole_texts()
+    assert texts(platform_bed.finished("job-1", ITEMS)) == whole_texts()
 
 
 def test_a_job_of_several_appends_is_taken_whole_or_not_at_all(platform_bed):
@@ -100,7 +87,7 @@
     assert platform_bed.runs() == []
     platform_bed.fake_store(lose_done=1)
     assert platform_bed.submit("job-1", job).status == 202
-    assert _texts(platform_bed.finished("job-1", 60)) == _whole_texts(60)
+    assert texts(platform_bed.finished("job-1", 60)) == whole_texts(60)
 
 
 def test_a_job_refused_while_the_store_is_busy_never_runs(platform_bed):
@@ -128,7 +115,7 @@
     for edge in ("edge-0", "edge-1"):
         two_edges.start_edge(edge)
     until(lambda: two_edges.ready("edge-1"))
-    assert _texts(two_edges.finished("job-1", ITEMS, "edge-1")) == _whole_texts()
+    assert texts(two_edges.finished("job-1", ITEMS, "edge-1")) == whole_texts()
 
 
 def test_two_edges_that_both_believe_to_own_a_job_list_each_item_once(two_edges):
@@ -158,7 +145,7 @@
     """
     platform_bed.fake_engine("engine-0", cut_after=2)
     assert platform_bed.submit("job-1", make_job()).status == 202
-    assert _texts(platform_bed.finished("job-1", ITEMS)) == _whole_texts()
+    assert texts(platform_bed.finished("job-1", ITEMS)) == whole_texts()
     resumed = [run for run in platform_bed.runs() if run["resume_after"]]
     assert resumed
     assert {run["resume_after"] for run in resumed} <= {2}
@@ -171,7 +158,7 @@
     platform_bed.fake_engine("engine-0", hang_after=2)
     began = time.monotonic()
     assert platform_bed.submit("job-1", make_job()).status == 202
-    assert _texts(platform_bed.finished("job-1", ITEMS)) == _whole_texts()
+    assert texts(platform_bed.finished("job-1", ITEMS)) == whole_texts()
     assert time.monotonic() - began < 1.9
     resumed = [run["resume_after"] for run in platform_bed.runs()]
     assert 2 in resumed
@@ -184,7 +171,7 @@
     for engine in ("engine-0", "engine-1"):
         platform_bed.fake_engine(engine, pace=0.8)
     assert platform_bed.submit("job-1", make_job(2)).status == 202
-    assert _texts(platform_bed.finished("job-1", 2)) == _whole_texts(2)
+    assert texts(platform_bed.finished("job-1", 2)) == whole_texts(2)
 
 
 def test_a_stream_without_its_end_marker_is_not_taken_as_whole(platform_bed):
@@ -198,7 +185,7 @@
     assert platform_bed.results("job-1") == []
     for engine in ("engine-0", "engine-1"):
         platform_bed.fake_engine(engine, no_end=False)
-    assert _texts(platform_bed.finished("job-1", 2)) == _whole_texts(2)
+    assert texts(platform_bed.finished("job-1", 2)) == whole_texts(2)
 
 
 def test_an_item_that_always_fails_is_given_up_after_its_attempts(platform_bed):
@@ -273,7 +260,7 @@
     platform_bed.configure(config)
     until(lambda: _versions_in_force(platform_bed) == [1, 2])
     assert platform_bed.submit("job-1", make_job()).status == 202
-    assert _texts(platform_bed.finished("job-1", ITEMS)) == _whole_texts()
+    assert texts(platform_bed.finished("job-1", ITEMS)) == whole_texts()
     for desk in ("desk-0", "desk-1"):
         bodies = {run["body"] for run in platform_bed.fake_engine(desk)["runs"]}
         assert bodies <= {"score"}
@@ -309,121 +296,6 @@
     assert platform_bed.runs() == []
 
 
-def _bring(bed, version: int, edge: str = "edge-0") -> None:
-    """
-    Name a version and ask for nothing older, so that every engine has to follow.
-    """
-    bed.name_version(version)
-    job = make_job(0, min_version=version)
-    item = make_job(1)["requests"][0]
-    job["requests"] = [{**item, "id": f"needs-{version}"}]
-    assert bed.submit(f"needs-{version}", job, edge).status == 202
-
-
-def test_half_of_the_engines_follow_a_version_that_no_job_needs_yet(platform_bed):
-    """
-    The other one goes on serving what the jobs still allow.
-    """
-    platform_bed.name_version(2)
-    engines = ("engine-0", "engine-1")
-    until(lambda: 2 in [platform_bed.fake_engine(e)["version"] for e in engines])
-    time.sleep(1.0)
-    assert sorted(platform_bed.fake_engine(e)["version"] for e in engines) == [1, 2]
-
-
-def test_texts_say_which_weights_made_them(platform_bed):
-    """
-    New weights within a run: both versions stand in the result.
-    """
-    for engine in ("engine-0", "engine-1"):
-        platform_bed.fake_engine(engine, pace=0.2)
-    assert platform_bed.submit("job-1", make_job(2)).status == 202
-    until(lambda: len(platform_bed.runs()) == 2)
-    _bring(platform_bed, 2)
-    for result in platform_bed.finished("job-1", 2):
-        assert result["versions"] == [1, 2]
-        assert _texts([result]) == {result["id"]: _whole_texts(2)[result["id"]]}
-
-
-def test_no_token_is_older_than_the_job_allows(platform_bed):
-    """
-    A job that needs version 2 waits until an engine reports it.
-    """
-    assert platform_bed.submit("job-1", make_job(2, min_version=2)).status == 202
-    time.sleep(0.5)
-    assert platform_bed.results("job-1") == []
-    platform_bed.name_version(2)
-    results = platform_bed.finished("job-1", 2)
-    assert {tuple(result["versions"]) for result in results} == {(2,)}
-
-
-def test_an_order_carried_out_late_changes_nothing(platform_bed):
-    """
-    A newer order has been taken meanwhile, so the engine refuses the late one.
-    """
-    platform_bed.fake_engine("engine-0", late_orders=1)
-    _bring(platform_bed, 2)
-    until(lambda: platform_bed.fake_engine("engine-0")["version"] == 2)
-    _bring(platform_bed, 3)
-    until(lambda: platform_bed.fake_engine("engine-0")["version"] == 3)
-    assert until(lambda: _late(platform_bed)) == 409
-    time.sleep(0.5)
-    assert platform_bed.fake_engine("engine-0")["history"] == [2, 3]
-
-
-def _late(bed) -> int | None:
-    return bed.fake_engine("engine-0")["orders"][0].get("late_status")
-
-
-def test_orders_come_from_one_holder_with_rising_fences(two_edges):
-    """
-    After the holder's death the next one uses a higher fencing number.
-    """
-    _bring(two_edges, 2)
-    until(lambda: two_edges.fake_engine("engine-0")["version"] == 2)
-    first = two_edges.fake_engine("engine-0")["orders"][-1]
-    two_edges.signal(first["holder"], signal.SIGKILL)
-    left = "edge-1" if first["holder"] == "edge-0" else "edge-0"
-    _bring(two_edges, 3, left)
-    until(lambda: two_edges.fake_engine("engine-0")["version"] == 3)
-    second = two_edges.fake_engine("engine-0")["orders"][-1]
-    assert second["holder"] != first["holder"]
-    assert second["fence_token"] > first["fence_token"]
-    assert second["model"] == MODEL
-
-
-def test_a_planned_stop_hands_the_texts_over(two_edges):
-    """
-    The next owner goes on after the events that the stopping one has kept.
-    """
-    for engine in ("engine-0", "engine-1"):
-        two_edges.fake_engine(engine, pace=0.4)
-    assert two_edges.submit("job-1", make_job(2), "edge-1").status == 202
-    until(lambda: len(two_edges.runs()) == 2)
-    time.sleep(1.0)
-    owner = _runner(two_edges)
-    other = "edge-1" if owner == "edge-0" else "edge-0"
-    two_edges.signal(owner, signal.SIGTERM)
-    assert _texts(two_edges.finished("job-1", 2, other)) == _whole_texts(2)
-    resumed = [run for run in two_edges.runs() if run["resume_after"] >= 1]
-    assert len(resumed) == 2
-    assert two_edges.wait_end(owner) == 0
-
-
-def _runner(bed) -> str:
-    """
-    Return the edge whose connections the engines serve, by its share of the jobs.
-    """
-    from saddledoord.cluster.membership import part_of
-
-    part = part_of(f"desk.example/{MODEL}", 4)
-    for edge in ("edge-0", "edge-1"):
-        lines = [line for line in bed.log(edge) if line["event"] == "share_changed"]
-        if lines and part in lines[-1]["parts"]:
-            return edge
-    raise AssertionError("nobody owns the job")
-
-
 def test_reading_while_results_come_waits_for_the_next(platform_bed):
     """
     A reader at the end is held until a result exists.
--- a/tests/adapter/test_edge_requests.py
+++ b/tests/adapter/test_edge_requests.py
@@ -10,7 +10,8 @@
 import time
 from concurrent.futures import ThreadPoolExecutor
 
-from platform_bed import HOST, make_config, until
+from platform_bed import until
+from platform_documents import HOST, make_config
 
 
 def test_a_request_reaches_the_engine_unchanged(platform_bed):
--- /dev/null
+++ b/tests/adapter/test_edge_weights.py
@@ -0,0 +1,127 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Weights, orders and the handing over of texts through the edge program.
+"""
+
+from __future__ import annotations
+
+import signal
+import time
+
+from platform_bed import until
+from platform_documents import MODEL, make_job, texts, whole_texts
+from saddledoord.cluster.membership import part_of
+
+
+def _bring(bed, version: int, edge: str = "edge-0") -> None:
+    """
+    Name a version and ask for nothing older, so that every engine has to follow.
+    """
+    bed.name_version(version)
+    job = make_job(0, min_version=version)
+    item = make_job(1)["requests"][0]
+    job["requests"] = [{**item, "id": f"needs-{version}"}]
+    assert bed.submit(f"needs-{version}", job, edge).status == 202
+
+
+def test_half_of_the_engines_follow_a_version_that_no_job_needs_yet(platform_bed):
+    """
+    The other one goes on serving what the jobs still allow.
+    """
+    platform_bed.name_version(2)
+    engines = ("engine-0", "engine-1")
+    until(lambda: 2 in [platform_bed.fake_engine(e)["version"] for e in engines])
+    time.sleep(1.0)
+    assert sorted(platform_bed.fake_engine(e)["version"] for e in engines) == [1, 2]
+
+
+def test_texts_say_which_weights_made_them(platform_bed):
+    """
+    New weights within a run: both versions stand in the result.
+    """
+    for engine in ("engine-0", "engine-1"):
+        platform_bed.fake_engine(engine, pace=0.2)
+    assert platform_bed.submit("job-1", make_job(2)).status == 202
+    until(lambda: len(platform_bed.runs()) == 2)
+    _bring(platform_bed, 2)
+    for result in platform_bed.finished("job-1", 2):
+        assert result["versions"] == [1, 2]
+        assert texts([result]) == {result["id"]: whole_texts(2)[result["id"]]}
+
+
+def test_no_token_is_older_than_the_job_allows(platform_bed):
+    """
+    A job that needs version 2 waits until an engine reports it.
+    """
+    assert platform_bed.submit("job-1", make_job(2, min_version=2)).status == 202
+    time.sleep(0.5)
+    assert platform_bed.results("job-1") == []
+    platform_bed.name_version(2)
+    results = platform_bed.finished("job-1", 2)
+    assert {tuple(result["versions"]) for result in results} == {(2,)}
+
+
+def test_an_order_carried_out_late_changes_nothing(platform_bed):
+    """
+    A newer order has been taken meanwhile, so the engine refuses the late one.
+    """
+    platform_bed.fake_engine("engine-0", late_orders=1)
+    _bring(platform_bed, 2)
+    until(lambda: platform_bed.fake_engine("engine-0")["version"] == 2)
+    _bring(platform_bed, 3)
+    until(lambda: platform_bed.fake_engine("engine-0")["version"] == 3)
+    assert until(lambda: _late(platform_bed)) == 409
+    time.sleep(0.5)
+    assert platform_bed.fake_engine("engine-0")["history"] == [2, 3]
+
+
+def _late(bed) -> int | None:
+    return bed.fake_engine("engine-0")["orders"][0].get("late_status")
+
+
+def test_orders_come_from_one_holder_with_rising_fences(two_edges):
+    """
+    After the holder's death the next one uses a higher fencing number.
+    """
+    _bring(two_edges, 2)
+    until(lambda: two_edges.fake_engine("engine-0")["version"] == 2)
+    first = two_edges.fake_engine("engine-0")["orders"][-1]
+    two_edges.signal(first["holder"], signal.SIGKILL)
+    left = "edge-1" if first["holder"] == "edge-0" else "edge-0"
+    _bring(two_edges, 3, left)
+    until(lambda: two_edges.fake_engine("engine-0")["version"] == 3)
+    second = two_edges.fake_engine("engine-0")["orders"][-1]
+    assert second["holder"] != first["holder"]
+    assert second["fence_token"] > first["fence_token"]
+    assert second["model"] == MODEL
+
+
+def test_a_planned_stop_hands_the_texts_over(two_edges):
+    """
+    The next owner goes on after the events that the stopping one has kept.
+    """
+    for engine in ("engine-0", "engine-1"):
+        two_edges.fake_engine(engine, pace=0.4)
+    assert two_edges.submit("job-1", make_job(2), "edge-1").status == 202
+    until(lambda: len(two_edges.runs()) == 2)
+    time.sleep(1.0)
+    owner = _runner(two_edges)
+    other = "edge-1" if owner == "edge-0" else "edge-0"
+    two_edges.signal(owner, signal.SIGTERM)
+    assert texts(two_edges.finished("job-1", 2, other)) == whole_texts(2)
+    resumed = [run for run in two_edges.runs() if run["resume_after"] >= 1]
+    assert len(resumed) == 2
+    assert two_edges.wait_end(owner) == 0
+
+
+def _runner(bed) -> str:
+    """
+    Return the edge whose connections the engines serve, by its share of the jobs.
+    """
+    part = part_of(f"desk.example/{MODEL}", 4)
+    for edge in ("edge-0", "edge-1"):
+        lines = [line for line in bed.log(edge) if line["event"] == "share_changed"]
+        if lines and part in lines[-1]["parts"]:
+            return edge
+    raise AssertionError("nobody owns the job")
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -24,6 +24,7 @@
 _LIBRARY = "packages/saddledoor/src/saddledoor"
 _DAEMON = "packages/saddledoord/src/saddledoord"
 _JOBS = "tests/adapter/test_edge_jobs.py"
+_WEIGHTS = "tests/adapter/test_edge_weights.py"
 _REQUESTS = "tests/adapter/test_edge_requests.py"
 _PROOFS = "tests/test_proofs.py"
 
@@ -56,7 +57,7 @@
         f"{_DAEMON}/cluster/membership.py",
         "while not self._left:",
         "while True:",
-        (_JOBS, "hands_the_texts_over"),
+        (_WEIGHTS, "hands_the_texts_over"),
     ),
     Guard(
         "failed runs are counted before the log has them",
@@ -87,7 +88,7 @@
         "platform/engines.py",
         '            "if_rev": order.orders_taken,\n',
         "",
-        (_JOBS, "carried_out_late"),
+        (_WEIGHTS, "carried_out_late"),
     ),
     Guard(
         "a request names the incarnation",
