--- a/packages/saddledoord/src/saddledoord/cluster/follow.py
+++ b/packages/saddledoord/src/saddledoord/cluster/follow.py
@@ -114,6 +114,7 @@
         Follow until cancelled.
         """
         while True:
+            began = boot_time()
             try:
                 page = await self._read(_WAIT if self.caught_up else 0.0)
             except StoreAwayError as error:
@@ -121,7 +122,7 @@
                 await asyncio.sleep(_PAUSE)
                 continue
             self._reach.answered()
-            self._take(page)
+            self._take(page, began)
 
     async def sync(self) -> bool:
         """
@@ -131,8 +132,9 @@
         """
         try:
             while True:
+                began = boot_time()
                 page = await self._read(0.0)
-                self._take(page)
+                self._take(page, began)
                 if self._next >= page.end:
                     return True
         except StoreAwayError:
@@ -147,7 +149,7 @@
             self._next = max(self._next, error.first)
             return await self._log.read(self._stream, self._next, 0.0)
 
-    def _take(self, page: LogPage) -> None:
+    def _take(self, page: LogPage, began: float) -> None:
         for index, record in enumerate(page.records):
             offset = page.start + index
             # A second read may have brought it meanwhile.
@@ -156,7 +158,8 @@
                 self._apply(offset, record)
         if self._next >= page.end:
             self._caught_up.set()
-            self._confirmed_at = boot_time()
+            # The answer may have been held up on its way, the question not.
+            self._confirmed_at = max(self._confirmed_at, began)
 
 
 class RegistryFollower:
