Join kept events only within their chain; list a test that failed once

Ruled out: a wrong Last-Event-Id: each run was asked after what its VM held. The proof did not see it since both nodes' events looked alike; they carry their run now.

Change: kept events name their chain and the one they follow; the fold joins only within.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	@$(BIN)/python -m saddledoor_standins demo deployments/$(DEPLOYMENT).yaml
 
 test: $(VENV)/.made
-	@$(BIN)/python -m pytest -n $(WORKERS)
+	@$(BIN)/python -m pytest -n $(WORKERS) $(PYTEST_ARGS)
 
 prove: $(VENV)/.made
 	@$(BIN)/python tests/prove.py -n $(WORKERS)
--- a/packages/saddledoor/src/saddledoor/_event_text.py
+++ b/packages/saddledoor/src/saddledoor/_event_text.py
@@ -31,6 +31,9 @@
 class EventText:
     """
     Takes events in order; a later run goes on after the last one taken.
+
+    :param chain: Names what this node takes, among all nodes that run the item.
+    :param kept: What others have made of the text.
     """
 
     @property
@@ -54,7 +57,8 @@
         """
         return "\n".join(self._events)
 
-    def __init__(self, kept: KeptText | None = None) -> None:
+    def __init__(self, chain: str, kept: KeptText | None = None) -> None:
+        self._chain = chain
         self._events: list[str] = list(kept.events) if kept else []
         self._versions: list[int] = list(kept.versions) if kept else []
 
@@ -78,4 +82,5 @@
         """
         Return the events after one, with the versions that made any of the text.
         """
-        return KeptText(tuple(self._events[number:]), tuple(self._versions))
+        events = tuple(self._events[number:])
+        return KeptText(events, tuple(self._versions), self._chain)
--- a/packages/saddledoor/src/saddledoor/_job_records.py
+++ b/packages/saddledoor/src/saddledoor/_job_records.py
@@ -43,8 +43,8 @@
         case ItemFailed():
             return msgpack.packb(["f", record.job_id, record.item_id, record.scoring])
         case ItemKept(kept=kept):
-            fields = [record.item_id, record.first]
-            texts = [list(kept.events), list(kept.versions)]
+            fields = [record.item_id, record.first, record.follows]
+            texts = [list(kept.events), list(kept.versions), kept.chain]
             return msgpack.packb(["k", record.job_id, *fields, *texts])
         case JobEnded():
             return msgpack.packb(["e", record.job_id])
@@ -67,8 +67,9 @@
     return ItemListed(job_id, ItemResult(item_id, done, text, tuple(versions), score))
 
 
-def _kept(job_id, item_id, first, events, versions) -> ItemKept:
-    return ItemKept(job_id, item_id, first, KeptText(tuple(events), tuple(versions)))
+def _kept(job_id, item_id, first, follows, events, versions, chain) -> ItemKept:
+    kept = KeptText(tuple(events), tuple(versions), chain)
+    return ItemKept(job_id, item_id, first, follows, kept)
 
 
 _DECODERS = {
--- a/packages/saddledoor/src/saddledoor/_jobs.py
+++ b/packages/saddledoor/src/saddledoor/_jobs.py
@@ -158,10 +158,12 @@
 
     :param events: Data of the events, in order from the first.
     :param versions: Weight versions that made them, in order of appearance.
+    :param chain: Names the run of the last of them; empty for no events.
     """
 
     events: tuple[str, ...]
     versions: tuple[int, ...]
+    chain: str = ""
 
 
 @dataclass(frozen=True)
@@ -170,11 +172,13 @@
     Events that the next node to run an item may go on from.
 
     :param first: Number of the first of them.
+    :param follows: The chain that the event before them belongs to.
     """
 
     job_id: str
     item_id: str
     first: int
+    follows: str
     kept: KeptText
 
 
@@ -325,14 +329,20 @@
 
 def _keep(state: JobState, record: ItemKept) -> None:
     """
-    Add events that go on exactly where the kept ones end; others belong to another run.
+    Add events that go on exactly where the kept ones end, in the same chain.
+
+    Two nodes may run an item at once, from the same kept events: what the second one
+    appends must not be joined to what the first one has, even where the numbers fit.
     """
     before = state.kept.get(record.item_id, KeptText((), ()))
     if state.ended or record.item_id in state.listed:
         return
-    if record.first != len(before.events) + 1:
+    fits = record.first == len(before.events) + 1 and record.follows == before.chain
+    if not fits:
         return
     new = [v for v in record.kept.versions if v not in before.versions]
     state.kept[record.item_id] = KeptText(
-        before.events + record.kept.events, (*before.versions, *new)
+        before.events + record.kept.events,
+        (*before.versions, *new),
+        record.kept.chain,
     )
--- a/packages/saddledoord/src/saddledoord/jobs/item_run.py
+++ b/packages/saddledoord/src/saddledoord/jobs/item_run.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 import asyncio
+import secrets
 from dataclasses import dataclass, field
 
-from saddledoor import EventText, ItemKept, JobItem, JobState
+from saddledoor import EventText, ItemKept, JobItem, JobState, KeptText
 
 from ..ports import ForwardedRequest
 
@@ -26,6 +27,7 @@
     :param listing: Whether its result is on its way into the log.
     :param failures: Failed runs, a count; the log's own lags behind this node's.
     :param kept: Events that were given to the log, a count.
+    :param kept_chain: The chain that the last of them belongs to.
     :param moves: Moves away from silent engines, a count.
     :param unfit: Engines that cannot run it now, by id.
     """
@@ -37,6 +39,7 @@
     listing: bool = False
     failures: int = 0
     kept: int = 0
+    kept_chain: str = ""
     moves: int = 0
     unfit: set[str] = field(default_factory=set)
 
@@ -45,10 +48,17 @@
         """
         Take an item up where the log says that others left it.
         """
-        kept = state.kept.get(item.item_id)
-        text = EventText(kept)
+        kept = state.kept.get(item.item_id, KeptText((), ()))
+        text = EventText(_new_chain(), kept)
         failures = state.failures.get(item.item_id, 0)
-        return cls(state, item, text, failures=failures, kept=text.last)
+        return cls(
+            state,
+            item,
+            text,
+            failures=failures,
+            kept=text.last,
+            kept_chain=kept.chain,
+        )
 
     @property
     def is_idle(self) -> bool:
@@ -72,8 +82,9 @@
         """
         Drop the text made so far.
         """
-        self.text = EventText()
+        self.text = EventText(_new_chain())
         self.kept = 0
+        self.kept_chain = ""
 
     def unkept(self) -> ItemKept | None:
         """
@@ -85,7 +96,13 @@
             self.state.job.job_id,
             self.item.item_id,
             self.kept + 1,
+            self.kept_chain,
             self.text.since(self.kept),
         )
         self.kept = self.text.last
+        self.kept_chain = record.kept.chain
         return record
+
+
+def _new_chain() -> str:
+    return secrets.token_hex(4)
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -156,10 +156,10 @@
         (_PROOFS, "holds_with_its_mechanism and job_positions"),
     ),
     Guard(
-        "kept events go on where the others end",
+        "kept events go on in the chain where the others end",
         f"{_LIBRARY}/_jobs.py",
-        "if record.first != len(before.events) + 1:",
-        "if False:",
+        "record.first == len(before.events) + 1 and record.follows == before.chain",
+        "record.first == len(before.events) + 1",
         (_PROOFS, "holds_with_its_mechanism and kept_texts"),
     ),
     Guard(
--- a/tests/proofs/kept_texts.py
+++ b/tests/proofs/kept_texts.py
@@ -1,9 +1,10 @@
 # SPDX-License-Identifier: MIT
 
 """
-A text that goes on at another node has no gap and no repeat.
+A text that goes on at another node has no gap and no repeat, and each run in it was
+asked to go on exactly there.
 
-Off: kept events are added wherever they come, whatever they continue.
+Off: kept events are added wherever their numbers fit, whatever run they continue.
 """
 
 from __future__ import annotations
@@ -25,7 +26,7 @@
 
 
 _NODES = 2
-_EVENTS = 8
+_EVENTS = 12
 
 
 def _machine(guard: bool) -> type[RuleBasedStateMachine]:
@@ -41,47 +42,74 @@
             self.book = JobBook(decode_job)
             for record in make_job_records(self.job):
                 self.book.apply(record)
-            self.texts = [EventText() for _ in range(_NODES)]
-            self.told = [0] * _NODES
+            self.asked_after: dict[str, int] = {}
+            self.runs = 0
+            self.texts: list[EventText] = []
+            self.told: list[tuple[int, str]] = []
+            self.run_ids: list[str] = []
+            for node in range(_NODES):
+                self.texts.append(EventText(""))
+                self.told.append((0, ""))
+                self.run_ids.append("")
+                self.take_over(node)
 
         def _kept(self) -> KeptText:
             return self.book.get(self.job.job_id).kept.get(self.item, KeptText((), ()))
 
         @rule(node=st.integers(0, _NODES - 1))
         def take_over(self, node):
-            self.texts[node] = EventText(self._kept())
-            self.told[node] = self.texts[node].last
+            kept = self._kept()
+            self.texts[node] = EventText(f"chain-{self.runs}", kept)
+            self.told[node] = (len(kept.events), kept.chain)
+            self.begin_run(node)
+
+        @rule(node=st.integers(0, _NODES - 1))
+        def begin_run(self, node):
+            """
+            Another engine is asked to go on after the last event.
+            """
+            self.runs += 1
+            self.run_ids[node] = f"run-{self.runs}"
+            self.asked_after[self.run_ids[node]] = self.texts[node].last
 
         @rule(
             node=st.integers(0, _NODES - 1),
-            skip=st.sampled_from([0, 0, 0, 1, -1]),
-            version=st.sampled_from([None, 0, 1, 2]),
+            skip=st.sampled_from([0] * 8 + [1, -1]),
+            version=st.sampled_from([1] * 6 + [2, 2, None, 0]),
         )
         def make_event(self, node, skip, version):
             text = self.texts[node]
             number = text.last + 1 + skip
+            data = f"{number} {self.run_ids[node]}"
             if number <= _EVENTS:
-                text.take(GeneratedEvent(number, str(number), version), 1)
+                text.take(GeneratedEvent(number, data, version), 1)
 
         @rule(node=st.integers(0, _NODES - 1))
         def keep(self, node):
-            text, first = self.texts[node], self.told[node] + 1
-            if text.last < first:
+            text = self.texts[node]
+            last, chain = self.told[node]
+            if text.last <= last:
                 return
-            self.told[node] = text.last
-            if not guard:
-                # As if the record did not say where it goes on.
-                first = len(self._kept().events) + 1
-            kept = text.since(text.last - (text.last - first + 1) if guard else 0)
-            self.book.apply(ItemKept(self.job.job_id, self.item, first, kept))
+            kept = text.since(last)
+            self.told[node] = (text.last, kept.chain)
+            follows = chain if guard else self._kept().chain
+            self.book.apply(
+                ItemKept(self.job.job_id, self.item, last + 1, follows, kept)
+            )
 
         @invariant()
-        def no_gap_no_repeat(self):
+        def no_gap_and_every_run_was_asked_to_go_on_there(self):
             if not hasattr(self, "texts"):
                 return
             for text in (*(t.text for t in self.texts), "\n".join(self._kept().events)):
-                lines = text.split("\n") if text else []
-                assert lines == [str(n + 1) for n in range(len(lines))], lines
+                events = [line.split() for line in text.split("\n")] if text else []
+                numbers = [int(number) for number, _ in events]
+                assert numbers == list(range(1, len(events) + 1)), numbers
+                before = ""
+                for number, run in events:
+                    went_on = run == before or self.asked_after[run] == int(number) - 1
+                    assert went_on, f"{run} goes on at {number} unasked"
+                    before = run
             for text in self.texts:
                 assert all(version >= 1 for version in text.versions)
 
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -86,7 +86,7 @@
         *make_job_records(make_job()),
         ItemListed("j", ItemResult("i", True, "text", (1, 2), "mark")),
         ItemFailed("j", "i", True),
-        ItemKept("j", "i", 3, KeptText(("a", "b"), (1,))),
+        ItemKept("j", "i", 3, "c-1", KeptText(("a", "b"), (1,), "c-2")),
         JobEnded("j"),
     ],
 )
