Count a failed run once, age jobs by the steady clock, bridge entries as told

* A failed run's record is appended again when its answer is lost, and the fold counted both: after a takeover an item, or its scoring call, could be given up before its attempts were used up.
Records of failures carry an id now and are kept as a set.
Ruled out: the other records (a repeat of them does not fit and is passed over).
It is now the time since this process learnt of the job, which is never too long.
The field is gone from the job.
* Jobs were forgotten 200 s after their acceptance if all their items were listed, also before their end was told.
Ended ones are kept for the settings' status_s, others as long as the log keeps records; pieces of jobs that never became whole go as well.
* Entries that lapse with the store were bridged for 1.5 s after they were missed, though a living engine writes its entry again within about 2 s of the store's return: for up to 1 s no engine was left.
They are used until 2.5 s after the return.
The test asked for the old time and now asks for both ends of the new one; in that window the store does not count as stable.

A scoring call that keeps failing is repeated after 50 to 400 ms in place of 50 ms.

--- a/packages/saddledoor/src/saddledoor/_engine_directory.py
+++ b/packages/saddledoor/src/saddledoor/_engine_directory.py
@@ -12,12 +12,9 @@
 
 __all__ = ["EngineDirectory", "EngineEntry"]
 
-#: How long an entry that went missing around an outage of the store is still used, as
-#: a share of the drain time: the engine may be leaving, and serves that long at least.
-_BRIDGE = 0.75
 #: How long after the store's return a missing entry may still come back, in seconds;
 #: the users' letter says about two.
-_RETURN_WINDOW = 3.0
+_RETURN_WINDOW = 2.5
 
 
 @dataclass(frozen=True)
@@ -43,16 +40,11 @@
 class EngineDirectory:
     """
     The entries as last read, and what became of those that went missing.
-
-    :param drain_time: How long an engine serves at least after its entry is gone, in
-        seconds.
     """
 
-    def __init__(self, drain_time: float) -> None:
-        self._bridge = _BRIDGE * drain_time
+    def __init__(self) -> None:
         self._entries: dict[str, EngineEntry] = {}
         self._missing: dict[str, tuple[EngineEntry, float]] = {}
-        self._store_away = False
         self._store_back_at = float("-inf")
 
     def put(self, entry: EngineEntry) -> None:
@@ -66,30 +58,24 @@
         """
         Note that an entry is gone.
 
-        Around an outage of the store entries lapse by themselves, so the engine is
-        used for a little longer; at any other time it is leaving.
+        While the store is away entries lapse by themselves. One that is missing after
+        its return is used until a living engine would have written it again; at any
+        other time the engine is leaving.
 
         :param now: Monotonic, in seconds.
         """
         entry = self._entries.pop(engine_id, None)
         if entry is None or entry.draining:
             return
-        if self._store_away or now - self._store_back_at < _RETURN_WINDOW:
-            self._missing[engine_id] = (entry, now + self._bridge)
-
-    def store_lost(self) -> None:
-        """
-        Note that the store cannot be reached: no news is no information now.
-        """
-        self._store_away = True
+        returns_until = self._store_back_at + _RETURN_WINDOW
+        if now < returns_until:
+            self._missing[engine_id] = (entry, returns_until)
 
     def store_regained(self, now: float) -> None:
         """
         Note that the store answers again.
         """
-        if self._store_away:
-            self._store_away = False
-            self._store_back_at = now
+        self._store_back_at = now
 
     def known_ids(self) -> set[str]:
         """
--- a/packages/saddledoor/src/saddledoor/_job_records.py
+++ b/packages/saddledoor/src/saddledoor/_job_records.py
@@ -41,7 +41,8 @@
                 ["r", record.job_id, *fields, list(result.versions), result.score]
             )
         case ItemFailed():
-            return msgpack.packb(["f", record.job_id, record.item_id, record.scoring])
+            fields = [record.item_id, record.failure_id, record.scoring]
+            return msgpack.packb(["f", record.job_id, *fields])
         case ItemKept(kept=kept):
             fields = [record.item_id, record.first, record.follows]
             texts = [list(kept.events), list(kept.versions), kept.chain]
@@ -99,7 +100,7 @@
 def _encode_job(job: Job) -> bytes:
     head = [job.job_id, job.host, job.path, job.model, job.step, job.oldest_version]
     items = [_item_fields(item) for item in job.items]
-    return msgpack.packb([*head, job.groups_wanted, job.submitted_at, items])
+    return msgpack.packb([*head, job.groups_wanted, items])
 
 
 def _item_fields(item: JobItem) -> list:
--- a/packages/saddledoor/src/saddledoor/_jobs.py
+++ b/packages/saddledoor/src/saddledoor/_jobs.py
@@ -74,7 +74,6 @@
 
     :param oldest_version: Oldest weight version that may make a token.
     :param groups_wanted: Whole groups that the trainer waits for, a count.
-    :param submitted_at: Time of day of the acceptance, in seconds.
     """
 
     job_id: str
@@ -84,7 +83,6 @@
     step: int
     oldest_version: int
     groups_wanted: int
-    submitted_at: float
     items: tuple[JobItem, ...]
 
     @property
@@ -143,11 +141,13 @@
     """
     An engine answered that it failed on an item.
 
+    :param failure_id: Names this answer: an append may be done twice.
     :param scoring: Whether it was the scoring call.
     """
 
     job_id: str
     item_id: str
+    failure_id: str
     scoring: bool = False
 
 
@@ -199,17 +199,17 @@
     """
     A job and what the log says of it.
 
+    :param known_since: When this process learnt of it, monotonic, in seconds; the job
+        is at least as old as that says.
     :param results: In the order of their positions.
-    :param failures: Failed runs of each item, a count.
-    :param score_failures: Failed scoring calls of each item, a count.
     """
 
     job: Job
     order: int
+    known_since: float
     results: list[ItemResult] = field(default_factory=list)
     listed: set[str] = field(default_factory=set)
-    failures: dict[str, int] = field(default_factory=dict)
-    score_failures: dict[str, int] = field(default_factory=dict)
+    failed: set[ItemFailed] = field(default_factory=set)
     kept: dict[str, KeptText] = field(default_factory=dict)
     ended: bool = False
 
@@ -223,6 +223,21 @@
         """
         return not self.ended and len(self.listed) < len(self.items)
 
+    def failures(self, item_id: str) -> int:
+        """
+        Return how many runs of an item have failed, a count.
+        """
+        return self._count(item_id, scoring=False)
+
+    def score_failures(self, item_id: str) -> int:
+        """
+        Return how many scoring calls of an item have failed, a count.
+        """
+        return self._count(item_id, scoring=True)
+
+    def _count(self, item_id: str, scoring: bool) -> int:
+        return sum(f.item_id == item_id and f.scoring == scoring for f in self.failed)
+
     def unlisted(self) -> Iterator[JobItem]:
         """
         Return the items that have no result, in the order of the job.
@@ -230,6 +245,18 @@
         return (i for i in self.job.items if i.item_id not in self.listed)
 
 
+@dataclass
+class _Pieces:
+    """
+    The pieces of a job that is not whole yet.
+
+    :param known_since: When the first was read, monotonic, in seconds.
+    """
+
+    known_since: float
+    data: list[bytes] = field(default_factory=list)
+
+
 class JobBook:
     """
     All jobs, folded from the log's records.
@@ -240,7 +267,7 @@
     def __init__(self, decode) -> None:
         self._decode = decode
         self._jobs: dict[str, JobState] = {}
-        self._pieces: dict[tuple[str, str], list[bytes]] = {}
+        self._pieces: dict[tuple[str, str], _Pieces] = {}
         self._accepted = 0
         self._oldest_allowed: dict[str, int] = {}
 
@@ -262,48 +289,57 @@
         """
         return self._oldest_allowed.get(model, 0)
 
-    def apply(self, record: JobRecord) -> str:
+    def apply(self, record: JobRecord, now: float = 0.0) -> str:
         """
         Fold one record.
 
+        :param now: Monotonic, in seconds; only for the ages of jobs.
         :returns: The job it belongs to.
         :raises ValueError: If a job's pieces cannot be decoded; it is not taken then.
         """
         if isinstance(record, JobChunk):
-            self._apply_chunk(record)
+            self._apply_chunk(record, now)
             return record.job_id
         state = self._jobs.get(record.job_id)
         if state is not None:
             _apply_change(state, record)
         return record.job_id
 
-    def forget(self, before: float) -> None:
+    def forget(self, now: float, ended_for: float, open_for: float) -> None:
         """
-        Drop ended jobs that were submitted before a time of day, in seconds.
+        Drop the jobs that nobody may ask for any more.
+
+        :param now: Monotonic, in seconds.
+        :param ended_for: Age up to which an ended job is kept, in seconds.
+        :param open_for: Age up to which any job is kept, in seconds.
         """
         for job_id, state in list(self._jobs.items()):
-            if not state.is_open and state.job.submitted_at < before:
+            keep = ended_for if state.ended else open_for
+            if now - state.known_since > keep:
                 del self._jobs[job_id]
+        for key, pieces in list(self._pieces.items()):
+            if now - pieces.known_since > open_for:
+                del self._pieces[key]
 
-    def _apply_chunk(self, chunk: JobChunk) -> None:
+    def _apply_chunk(self, chunk: JobChunk, now: float) -> None:
         if chunk.job_id in self._jobs:
             return
         key = (chunk.job_id, chunk.writer)
-        pieces = self._pieces.setdefault(key, [])
-        if chunk.index < len(pieces):
+        pieces = self._pieces.setdefault(key, _Pieces(now))
+        if chunk.index < len(pieces.data):
             # The same again: its first append had lost its answer.
             return
-        if chunk.index > len(pieces):
+        if chunk.index > len(pieces.data):
             # The beginning is gone from the log, so the job cannot be put together.
             del self._pieces[key]
             return
-        pieces.append(chunk.data)
-        if len(pieces) < chunk.count:
+        pieces.data.append(chunk.data)
+        if len(pieces.data) < chunk.count:
             return
         del self._pieces[key]
-        job = self._decode(b"".join(pieces))
+        job = self._decode(b"".join(pieces.data))
         self._accepted += 1
-        self._jobs[chunk.job_id] = JobState(job, self._accepted)
+        self._jobs[chunk.job_id] = JobState(job, self._accepted, now)
         newest = max(job.oldest_version, self.oldest_allowed(job.model))
         self._oldest_allowed[job.model] = newest
 
@@ -317,10 +353,9 @@
                 state.listed.add(result.item_id)
                 state.results.append(result)
                 state.kept.pop(result.item_id, None)
-        case ItemFailed(item_id=item_id, scoring=scoring):
-            counts = state.score_failures if scoring else state.failures
-            counts[item_id] = counts.get(item_id, 0) + 1
-        case ItemKept(item_id=item_id):
+        case ItemFailed():
+            state.failed.add(record)
+        case ItemKept():
             _keep(state, record)
         case JobEnded():
             state.ended = True
--- a/packages/saddledoord/src/saddledoord/cluster/view.py
+++ b/packages/saddledoord/src/saddledoord/cluster/view.py
@@ -30,13 +30,10 @@
 class ClusterView:
     """
     Folded from the operator's registry and the engines' entries.
-
-    :param drain_time: How long an engine serves at least after its entry is gone, in
-        seconds.
     """
 
-    def __init__(self, drain_time: float) -> None:
-        self.directory = EngineDirectory(drain_time)
+    def __init__(self) -> None:
+        self.directory = EngineDirectory()
         self.changed = asyncio.Event()
         self._config: GatewayConfig | None = None
         self._table = RouteTable()
@@ -102,8 +99,6 @@
         """
         if reached:
             self.directory.store_regained(boot_time())
-        else:
-            self.directory.store_lost()
 
     def _accept(self, config: GatewayConfig) -> None:
         if self._config is not None and config.version <= self._config.version:
--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -53,10 +53,10 @@
     :param lease_term: Of the lease for orders, in seconds.
     :param largest_record: Largest record of the log, in bytes.
     :param largest_append: Largest append to the log, in bytes.
-    :param drain_time: How long an engine serves at least after its entry is gone, in
-        seconds.
     :param cancel_time: After this long no item of an ended job may reach an engine, in
         seconds.
+    :param read_for: Age up to which an ended job may be read, in seconds.
+    :param retention: Age up to which the log keeps records, in seconds.
     """
 
     vm: str
@@ -64,8 +64,9 @@
     lease_term: float
     largest_record: int
     largest_append: int
-    drain_time: float
     cancel_time: float
+    read_for: float
+    retention: float
 
 
 @dataclass(frozen=True)
@@ -99,12 +100,18 @@
         self._stopping = False
         self._tasks: list[asyncio.Task] = []
         incarnation = f"{settings.vm}#{secrets.token_hex(4)}"
-        self.view = ClusterView(settings.drain_time)
+        self.view = ClusterView()
         pool = EnginePool(self.view, least_outstanding(random.random))
         self.pass_through = PassThrough(self.view, pool, ports.engines, count)
         book = JobBook(decode_job)
         self.jobs = JobService(
-            ports.log, book, Changes(), settings.largest_record, settings.largest_append
+            ports.log,
+            book,
+            Changes(),
+            settings.largest_record,
+            settings.largest_append,
+            settings.read_for,
+            settings.retention,
         )
         self._writer = RecordWriter(ports.log)
         self._membership = Membership(ports.group, settings.parts, self._wake)
--- a/packages/saddledoord/src/saddledoord/jobs/item_run.py
+++ b/packages/saddledoord/src/saddledoord/jobs/item_run.py
@@ -50,7 +50,7 @@
         """
         kept = state.kept.get(item.item_id, KeptText((), ()))
         text = EventText(_new_chain(), kept)
-        failures = state.failures.get(item.item_id, 0)
+        failures = state.failures(item.item_id)
         return cls(
             state,
             item,
--- a/packages/saddledoord/src/saddledoord/jobs/runner.py
+++ b/packages/saddledoord/src/saddledoord/jobs/runner.py
@@ -9,7 +9,7 @@
 import asyncio
 import math
 import random
-import time
+import secrets
 from collections.abc import Callable
 
 import structlog
@@ -46,9 +46,6 @@
 _KEEP_EVERY = 0.5
 #: Fewest new events of an item that are worth a record, a count.
 _KEEP_LEAST = 8
-#: An item is given up so much later than the route allows, in seconds: clocks differ,
-#: and the time of day may jump by two.
-_CLOCK_MARGIN = 3.0
 #: Items start only if the log's end was known so lately, as a share of the time after
 #: which no item of an ended job may reach an engine.
 _FRESH = 2 / 3
@@ -225,8 +222,9 @@
     def _too_old(self, run: ItemRun, route: GatewayRoute) -> bool:
         if route.give_up_after is None:
             return False
-        age = time.time() - run.state.job.submitted_at
-        return age > route.give_up_after + _CLOCK_MARGIN
+        # Not by a time of day, which may jump and differs between VMs.
+        age = boot_time() - run.state.known_since
+        return age > route.give_up_after
 
     def _fits(self, engine: EngineEntry, run: ItemRun) -> bool:
         """
@@ -319,7 +317,7 @@
 
     def _count_failure(self, run: ItemRun) -> None:
         job, item_id = run.state.job, run.item.item_id
-        self._writer.put(ItemFailed(job.job_id, item_id))
+        self._writer.put(ItemFailed(job.job_id, item_id, _new_failure()))
         run.failures += 1
         route = self._view.route(job.host, run.item.path.partition("?")[0])
         if route is not None and run.failures >= route.max_attempts:
@@ -332,8 +330,10 @@
             try:
                 mark = await self._scorer.score(
                     item.score,
-                    run.state.score_failures.get(item.item_id, 0),
-                    lambda: self._writer.put(ItemFailed(job_id, item.item_id, True)),
+                    run.state.score_failures(item.item_id),
+                    lambda: self._writer.put(
+                        ItemFailed(job_id, item.item_id, _new_failure(), scoring=True)
+                    ),
                 )
             except ScoreImpossibleError:
                 _log.info("item_not_scored", job=job_id, item=item.item_id)
@@ -348,3 +348,7 @@
         """
         run.listing = True
         self._writer.put(ItemListed(run.state.job.job_id, result))
+
+
+def _new_failure() -> str:
+    return secrets.token_hex(4)
--- a/packages/saddledoord/src/saddledoord/jobs/scoring.py
+++ b/packages/saddledoord/src/saddledoord/jobs/scoring.py
@@ -24,8 +24,10 @@
 
 _log = structlog.get_logger()
 
-#: Pause before a scoring call is repeated, in seconds: about its usual work (45 ms).
+#: First and longest pause before a scoring call is repeated, in seconds, doubled each
+#: time: about its usual work (45 ms), and the time to a late repeat's answer.
 _PAUSE = 0.05
+_PAUSE_MOST = 0.4
 #: Pause while the call has no route, in seconds.
 _NO_ROUTE_PAUSE = 0.5
 
@@ -55,6 +57,7 @@
         :param failed: Called after each further one.
         :raises ScoreImpossibleError: After as many failures as the route allows.
         """
+        pause = _PAUSE
         while True:
             route = self._view.route(call.host, call.path.partition("?")[0])
             if route is None:
@@ -73,7 +76,8 @@
                 case EngineAnswer(status=500):
                     failures += 1
                     failed()
-            await asyncio.sleep(_PAUSE)
+            await asyncio.sleep(pause)
+            pause = min(_PAUSE_MOST, 2 * pause)
 
 
 def _request(call: ScoreCall) -> ForwardedRequest:
--- a/packages/saddledoord/src/saddledoord/jobs/service.py
+++ b/packages/saddledoord/src/saddledoord/jobs/service.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import secrets
-import time
 from dataclasses import dataclass
 
 import structlog
@@ -49,9 +48,9 @@
 _COME_BACK = 0.2
 #: Room for a record's own fields beside a piece of a job, in bytes.
 _RECORD_MARGIN = 1024
-#: How long ended jobs are kept for readers, in seconds; longer than the platform lets
-#: them be read (120 s).
-_KEEP_ENDED = 200.0
+#: How much longer ended jobs are kept for readers than callers may ask, in seconds:
+#: what a submission may have been on its way.
+_KEEP_MARGIN = 10.0
 
 
 @dataclass(frozen=True)
@@ -94,6 +93,8 @@
 
     :param largest_record: Largest record of the log, in bytes.
     :param largest_append: Largest append to the log, in bytes.
+    :param read_for: Age up to which an ended job may be read, in seconds.
+    :param retention: Age up to which the log keeps records, in seconds.
     """
 
     def __init__(
@@ -103,9 +104,13 @@
         changes: Changes,
         largest_record: int,
         largest_append: int,
+        read_for: float,
+        retention: float,
     ) -> None:
         self._log = log
         self._book = book
+        self._ended_for = read_for + _KEEP_MARGIN
+        self._open_for = max(self._ended_for, retention)
         self._changes = changes
         self._piece_bytes = largest_record - _RECORD_MARGIN
         self._records_at_once = max(1, largest_append // largest_record)
@@ -267,11 +272,11 @@
 
     def _apply(self, offset: int, data: bytes) -> None:
         try:
-            job_id = self._book.apply(decode_job_record(data))
+            job_id = self._book.apply(decode_job_record(data), boot_time())
         except (UndecodableRecordError, ValueError) as error:
             _log.error("record_skipped", offset=offset, reason=str(error))
             return
-        self._book.forget(time.time() - _KEEP_ENDED)
+        self._book.forget(boot_time(), self._ended_for, self._open_for)
         self._changes.notify(job_id)
         self._changed()
 
--- a/tests/adapter/platform_documents.py
+++ b/tests/adapter/platform_documents.py
@@ -139,9 +139,10 @@
 record_bytes = 2048
 call_bytes = 4100
 ttl_min_ms = 1000
+max_queue_s = 300
 [timing_bounds]
 lease_ms = 1000
 grace_s = 8
-drain_ms = 2000
 cancel_ms = 3000
+status_s = 120
 """
--- a/tests/adapter/test_edge_requests.py
+++ b/tests/adapter/test_edge_requests.py
@@ -157,7 +157,8 @@
 
 def test_entries_that_lapse_with_the_store_are_bridged(platform_bed):
     """
-    Around an outage an engine without an entry is used a little longer, then dropped.
+    Around an outage an engine without an entry is used until it would have written it
+    again, some two seconds after the store's return; then it is dropped.
     """
     platform_bed.fake_store(mode="busy")
     until(lambda: _logged(platform_bed, "store_lost"))
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -11,7 +11,11 @@
 from saddledoor import (
     ConfigProposal,
     Deployment,
+    EngineEntry,
+    GatewayConfig,
+    GatewayLimits,
     GatewayRoute,
+    GatewayService,
     Job,
     JobChunk,
     JobItem,
@@ -27,6 +31,7 @@
     token_digest,
     validate,
 )
+from saddledoord.ports import ForwardedRequest
 
 
 _DOCUMENT = {
@@ -117,7 +122,7 @@
         JobItem(f"item-{n}", f"/train/{n}", (("model", "m"),), b"prompt", 10, "g")
         for n in range(items)
     )
-    return Job(job_id, "desk.example", "/train/x", "model-a", 1, 1, 1, 0.0, made)
+    return Job(job_id, "desk.example", "/train/x", "model-a", 1, 1, 1, made)
 
 
 def make_job_records(job: Job, chunk_bytes: int = 40) -> list[JobChunk]:
@@ -139,3 +144,30 @@
         "max_attempts": 3,
     }
     return GatewayRoute(**(fields | changes))
+
+
+def make_engine_entry(engine_id: str, **changes: object) -> EngineEntry:
+    """
+    Return an instance of the service ``desk``.
+    """
+    fields = {
+        "service": "desk",
+        "address": "127.0.0.1:1",
+        "data_centre": "dc-a",
+        "slots": 4,
+    }
+    return EngineEntry(engine_id, **(fields | changes))
+
+
+def make_gateway_config(version: int, routes: list[GatewayRoute]) -> GatewayConfig:
+    """
+    Return a configuration with the service ``desk``.
+    """
+    services = {"desk": GatewayService("desk", 50)}
+    return GatewayConfig(
+        version, tuple(routes), services, GatewayLimits(16_384, 100_000, 15.0)
+    )
+
+
+def make_request(target: str) -> ForwardedRequest:
+    return ForwardedRequest("POST", "desk.example", target, (), b"body", "r-1")
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -8,10 +8,9 @@
 
 import pytest
 
-from builders import make_job, make_job_records, make_route
+from builders import make_engine_entry, make_job, make_job_records, make_route
 from saddledoor import (
     EngineDirectory,
-    EngineEntry,
     ItemFailed,
     ItemKept,
     ItemListed,
@@ -51,33 +50,40 @@
     assert (drawn.count("a"), drawn.count("b"), drawn.count("c")) == (90, 0, 10)
 
 
-def _entry(name: str, draining: bool = False) -> EngineEntry:
-    return EngineEntry(name, "desk", "127.0.0.1:1", "dc-a", 4, draining)
-
-
 def test_an_engine_whose_entry_goes_is_left_at_once():
     """
     In calm times a missing entry means that the engine is leaving.
     """
-    directory = EngineDirectory(2.0)
-    directory.put(_entry("e-1"))
+    directory = EngineDirectory()
+    directory.put(make_engine_entry("e-1"))
     directory.remove("e-1", 10.0)
     assert directory.usable("desk", 10.0) == []
 
 
 def test_an_entry_that_lapses_around_an_outage_is_bridged_for_a_while():
     """
-    But not one of an engine that had said that it drains.
+    Until a living engine would have written it again; but not one of an engine that
+    had said that it drains.
     """
-    directory = EngineDirectory(2.0)
-    directory.put(_entry("e-1"))
-    directory.put(_entry("e-2", draining=True))
-    directory.store_lost()
+    directory = EngineDirectory()
+    directory.put(make_engine_entry("e-1"))
+    directory.put(make_engine_entry("e-2", draining=True))
     directory.store_regained(10.0)
     directory.remove("e-1", 10.1)
     directory.remove("e-2", 10.1)
-    assert [e.engine_id for e in directory.usable("desk", 11.5)] == ["e-1"]
-    assert directory.usable("desk", 11.7) == []
+    assert [e.engine_id for e in directory.usable("desk", 12.4)] == ["e-1"]
+    assert directory.usable("desk", 12.6) == []
+
+
+def test_an_entry_that_goes_late_after_an_outage_is_bridged_briefly():
+    """
+    A living engine has written its entry again by then; this one leaves.
+    """
+    directory = EngineDirectory()
+    directory.put(make_engine_entry("e-1"))
+    directory.store_regained(10.0)
+    directory.remove("e-1", 12.4)
+    assert directory.usable("desk", 12.6) == []
 
 
 @pytest.mark.parametrize(
@@ -85,7 +91,7 @@
     [
         *make_job_records(make_job()),
         ItemListed("j", ItemResult("i", True, "text", (1, 2), "mark")),
-        ItemFailed("j", "i", True),
+        ItemFailed("j", "i", "f-1", True),
         ItemKept("j", "i", 3, "c-1", KeptText(("a", "b"), (1,), "c-2")),
         JobEnded("j"),
     ],
@@ -147,3 +153,59 @@
     Version 5 has been named.
     """
     assert engines_to_update(versions, 5, oldest) == wanted
+
+
+def _book_with(*records) -> JobBook:
+    book = JobBook(decode_job)
+    for record in [*make_job_records(make_job()), *records]:
+        book.apply(record)
+    return book
+
+
+def test_a_failure_that_is_appended_twice_counts_once():
+    """
+    An append without an answer is made again, though it may have been done.
+    """
+    once = ItemFailed("job-a", "item-0", "f-1")
+    scoring = ItemFailed("job-a", "item-0", "f-2", True)
+    other = ItemFailed("job-a", "item-0", "f-3")
+    state = _book_with(once, once, scoring, scoring, other).get("job-a")
+    assert state.failures("item-0") == 2
+    assert state.score_failures("item-0") == 1
+
+
+def test_a_job_is_kept_while_it_is_open_and_for_its_readers_after():
+    """
+    One whose items are all listed is open until its end is told.
+    """
+    listed = [ItemListed("job-a", ItemResult(f"item-{n}", True)) for n in range(2)]
+    book = _book_with(*listed)
+    book.forget(now=299.0, ended_for=120.0, open_for=300.0)
+    assert book.get("job-a") is not None
+    book.apply(JobEnded("job-a"), now=299.0)
+    book.forget(now=299.0, ended_for=120.0, open_for=300.0)
+    assert book.get("job-a") is None
+
+
+def test_an_ended_job_can_still_be_read_for_a_while():
+    """
+    Its readers come back until so long after it was accepted.
+    """
+    book = _book_with(JobEnded("job-a"))
+    book.forget(now=119.0, ended_for=120.0, open_for=300.0)
+    assert book.get("job-a") is not None
+    book.forget(now=121.0, ended_for=120.0, open_for=300.0)
+    assert book.get("job-a") is None
+
+
+def test_pieces_of_a_job_that_never_became_whole_are_dropped():
+    """
+    Its submitter has given up long ago.
+    """
+    book = JobBook(decode_job)
+    pieces = make_job_records(make_job())
+    book.apply(pieces[0], now=0.0)
+    book.forget(now=301.0, ended_for=120.0, open_for=300.0)
+    for piece in pieces[1:]:
+        book.apply(piece, now=302.0)
+    assert book.get("job-a") is None
