Never call a request "not run" that an engine still has; ask paused engines

* When a caller's time passed, the loop over attempts could wake before the attempt itself did, and answered 503 ("not run") for a request that an engine was working on.
* If every engine of a service was paused after failures, a request was refused at once without being offered to any.
Pauses are guesses, so such a request goes to a paused engine.
Items of jobs, which can wait, still heed pauses.

--- a/packages/saddledoord/src/saddledoord/serving/pass_through.py
+++ b/packages/saddledoord/src/saddledoord/serving/pass_through.py
@@ -129,6 +129,10 @@
             # Closes their connections, so those engines stop.
             for task in pending:
                 task.cancel()
+        if pending and current.last is None:
+            # An engine still has it, so it may have run.
+            code = ResultCode.OUTCOME_UNKNOWN
+            current.last = OutcomeUnknown(code, "no answer in time")
         return self._give_up(current)
 
     def _start(self, current: _Try, service: str) -> set[asyncio.Task[Outcome]]:
--- a/packages/saddledoord/src/saddledoord/serving/pool.py
+++ b/packages/saddledoord/src/saddledoord/serving/pool.py
@@ -77,22 +77,28 @@
         """
         Return an engine for one request, or none.
 
+        A request that cannot wait (without ``room_only``) goes to an engine that is
+        paused rather than to none: a pause is a guess, a refusal is certain.
+
         :param exclude: Engines that were tried already, by id.
         :param fits: Whether an engine may run this request.
         :param room_only: Whether to leave out engines whose slots this node has filled.
         """
         now = boot_time()
         tried = set(exclude)
-        engines = {
-            engine.engine_id: engine
+        fitting = [
+            engine
             for engine in self._view.directory.usable(service, now)
             if engine.engine_id not in tried
-            and self._paused.get(engine.engine_id, 0.0) <= now
             and (not room_only or self._has_room(engine))
             and fits(engine)
-        }
-        if not engines:
+        ]
+        rested = [e for e in fitting if self._paused.get(e.engine_id, 0.0) <= now]
+        if not rested and not room_only:
+            rested = fitting
+        if not rested:
             return None
+        engines = {engine.engine_id: engine for engine in rested}
         candidates = [
             Candidate(engine_id, max(1, engine.slots), self._own[engine_id])
             for engine_id, engine in engines.items()
--- a/tests/adapter/standin_engine.py
+++ b/tests/adapter/standin_engine.py
@@ -41,6 +41,7 @@
     :ivar no_end: Streams break off after their last event, before the end marker.
     :ivar extra: A second, foreign answer follows each plain one.
     :ivar wrong_id: Plain answers carry the id of another request.
+    :ivar unsigned: Plain answers lack the engine's signature.
     :ivar delay: Work of a plain request, in seconds.
     :ivar fail: Status of every answer; 0 for none.
     :ivar late_orders: So many orders get no answer and are carried out later.
@@ -51,6 +52,7 @@
     no_end: bool = False
     extra: bool = False
     wrong_id: bool = False
+    unsigned: bool = False
     delay: float = 0.0
     fail: int = 0
     late_orders: int = 0
@@ -112,6 +114,8 @@
             "Saddledoor-Attempt-Id": said,
             "Saddledoor-Server-Seal": f"seal-{name}",
         }
+        if self.faults.unsigned:
+            del headers["Saddledoor-Server-Seal"]
         if self.faults.extra:
             return await _with_extra(request, headers, body)
         return web.Response(body=body, headers=headers)
--- /dev/null
+++ b/tests/test_pass_through.py
@@ -0,0 +1,74 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Requests that are passed through, before engines that are functions.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from builders import make_engine_entry, make_gateway_config, make_request, make_route
+from saddledoor import OutcomeUnknown, RouteKind, least_outstanding
+from saddledoord.cluster.view import ClusterView
+from saddledoord.ports import EngineAnswer, KeyedEntry
+from saddledoord.serving.pass_through import PassThrough
+from saddledoord.serving.pool import EnginePool
+
+
+class _Engines:
+    """
+    Engines that answer as a function says.
+    """
+
+    def __init__(self, answer) -> None:
+        self.asked: list[str] = []
+        self._answer = answer
+
+    async def call(self, engine, request, deadline):
+        self.asked.append(engine.engine_id)
+        return await self._answer(engine, request)
+
+
+def _pass_through(engines: _Engines, route, count: int = 2):
+    view = ClusterView()
+    view.apply_operator(KeyedEntry("config", 0, make_gateway_config(1, [route])))
+    for index in range(count):
+        entry = make_engine_entry(f"desk-{index}")
+        view.apply_engine(KeyedEntry(entry.engine_id, index, entry))
+    pool = EnginePool(view, least_outstanding(lambda: 0.0))
+    return PassThrough(view, pool, engines, lambda route, code, seconds: None), pool
+
+
+def test_a_request_that_an_engine_still_has_is_not_called_not_run():
+    """
+    Also if the attempt takes a moment to notice that the time is up.
+    """
+
+    async def answer(engine, request):
+        try:
+            await asyncio.sleep(10)
+        finally:
+            await asyncio.sleep(0.05)
+
+    route = make_route("/book/", kind=RouteKind.UNSAFE)
+    serving, _ = _pass_through(_Engines(answer), route)
+    outcome = asyncio.run(serving.serve(make_request("/book/x"), 0.1))
+    assert isinstance(outcome, OutcomeUnknown)
+
+
+def test_a_paused_engine_is_asked_rather_than_none():
+    """
+    All engines have failed lately; the next request still gets its chance.
+    """
+
+    async def answer(engine, request):
+        return EngineAnswer(200, (), b"", "mark")
+
+    engines = _Engines(answer)
+    serving, pool = _pass_through(engines, make_route("/look/"))
+    for index in range(2):
+        pool.failed(make_engine_entry(f"desk-{index}"))
+    outcome = asyncio.run(serving.serve(make_request("/look/x"), 1.0))
+    assert isinstance(outcome, EngineAnswer)
+    assert len(engines.asked) == 1
