Keep texts apart from the records that every node reads; share replays

Applying a page took 2 ms, so decoding was ruled out. Readers that came meanwhile started replays of their own, page by page beside the first, and jobs that had long ended were taken up and dropped again because their end lay in a later page.

Change: * texts go into a stream of their own (`jobs/texts.py`); a record of a result or of kept events names their offsets and size. They are read only for a reader, or by the node that goes on with an item. What a node wrote or read lately is remembered (2 MB). * a text larger than a record of the store is cut.

Adapter's tests and the new unit tests pass. Lost: readers at another node than the owner's get 503 for texts while the store is away; before they had them in memory.

--- a/packages/saddledoor/src/saddledoor/__init__.py
+++ b/packages/saddledoor/src/saddledoor/__init__.py
@@ -46,10 +46,12 @@
 )
 from ._drain import Drain, Stage
 from ._engine_directory import EngineDirectory, EngineEntry
-from ._event_text import EventText, GeneratedEvent
+from ._event_text import EventText, GeneratedEvent, KeptText
 from ._job_records import (
+    decode_events,
     decode_job,
     decode_job_record,
+    encode_events,
     encode_job_record,
     job_chunks,
 )
@@ -65,8 +67,9 @@
     JobItem,
     JobRecord,
     JobState,
-    KeptText,
+    KeptParts,
     ScoreCall,
+    StoredText,
 )
 from ._labels import VersionRun, append_part, is_fresh, is_wholly_labelled
 from ._leases import TAKEOVER_FACTOR, HeldLease, Lease, LeaseFold, LeaseWatch
@@ -142,13 +145,16 @@
     "JobItem",
     "JobRecord",
     "JobState",
+    "KeptParts",
     "KeptText",
     "RouteKind",
     "RouteTable",
     "ScoreCall",
     "ServiceShare",
+    "decode_events",
     "decode_job",
     "decode_job_record",
+    "encode_events",
     "encode_job_record",
     "job_chunks",
     "StepOrder",
@@ -228,6 +234,7 @@
     "SiteSummary",
     "Slot",
     "StepBook",
+    "StoredText",
     "Trainer",
     "VersionRun",
     "WorkClass",
--- a/packages/saddledoor/src/saddledoor/_event_text.py
+++ b/packages/saddledoor/src/saddledoor/_event_text.py
@@ -8,10 +8,8 @@
 
 from dataclasses import dataclass
 
-from ._jobs import KeptText
 
-
-__all__ = ["EventText", "GeneratedEvent"]
+__all__ = ["EventText", "GeneratedEvent", "KeptText"]
 
 
 @dataclass(frozen=True)
@@ -28,6 +26,21 @@
     version: int | None
 
 
+@dataclass(frozen=True)
+class KeptText:
+    """
+    A part of a text, and what is known of the whole up to its end.
+
+    :param events: Data of its events, in order.
+    :param versions: Weight versions that made the text so far, in order of appearance.
+    :param chain: Names the run of the last of them; empty for no events.
+    """
+
+    events: tuple[str, ...] = ()
+    versions: tuple[int, ...] = ()
+    chain: str = ""
+
+
 class EventText:
     """
     Takes events in order; a later run goes on after the last one taken.
--- a/packages/saddledoor/src/saddledoor/_job_records.py
+++ b/packages/saddledoor/src/saddledoor/_job_records.py
@@ -18,13 +18,20 @@
     JobEnded,
     JobItem,
     JobRecord,
-    KeptText,
     ScoreCall,
+    StoredText,
 )
 from .exceptions import UndecodableRecordError
 
 
-__all__ = ["decode_job", "decode_job_record", "encode_job_record", "job_chunks"]
+__all__ = [
+    "decode_events",
+    "decode_job",
+    "decode_job_record",
+    "encode_events",
+    "encode_job_record",
+    "job_chunks",
+]
 
 
 def encode_job_record(record: JobRecord) -> bytes:
@@ -36,17 +43,16 @@
             fields = [record.writer, record.index, record.count, record.data]
             return msgpack.packb(["c", record.job_id, *fields])
         case ItemListed(result=result):
-            fields = [result.item_id, result.done, result.text]
-            return msgpack.packb(
-                ["r", record.job_id, *fields, list(result.versions), result.score]
-            )
+            fields = [result.item_id, result.done, list(result.versions), result.score]
+            return msgpack.packb(["r", record.job_id, *fields, *_place(result.text)])
         case ItemFailed():
             fields = [record.item_id, record.failure_id, record.scoring]
             return msgpack.packb(["f", record.job_id, *fields])
-        case ItemKept(kept=kept):
-            fields = [record.item_id, record.first, record.follows]
-            texts = [list(kept.events), list(kept.versions), kept.chain]
-            return msgpack.packb(["k", record.job_id, *fields, *texts])
+        case ItemKept():
+            fields = [record.item_id, record.first, record.count, record.follows]
+            made = [record.chain, list(record.versions)]
+            place = _place(record.text)
+            return msgpack.packb(["k", record.job_id, *fields, *made, *place])
         case JobEnded():
             return msgpack.packb(["e", record.job_id])
 
@@ -64,13 +70,20 @@
         raise UndecodableRecordError(f"job record: {error!r}") from None
 
 
-def _listed(job_id, item_id, done, text, versions, score) -> ItemListed:
+def _place(text: StoredText) -> list:
+    return [list(text.offsets), text.size]
+
+
+def _listed(job_id, item_id, done, versions, score, offsets, size) -> ItemListed:
+    text = StoredText(tuple(offsets), size)
     return ItemListed(job_id, ItemResult(item_id, done, text, tuple(versions), score))
 
 
-def _kept(job_id, item_id, first, follows, events, versions, chain) -> ItemKept:
-    kept = KeptText(tuple(events), tuple(versions), chain)
-    return ItemKept(job_id, item_id, first, follows, kept)
+def _kept(job_id, item_id, first, count, follows, chain, versions, *place) -> ItemKept:
+    offsets, size = place
+    text = StoredText(tuple(offsets), size)
+    made = (chain, tuple(versions))
+    return ItemKept(job_id, item_id, first, count, follows, *made, text)
 
 
 _DECODERS = {
@@ -82,6 +95,25 @@
 }
 
 
+def encode_events(events: tuple[str, ...]) -> bytes:
+    """
+    Return the bytes of a kept part of a text.
+    """
+    return msgpack.packb(list(events))
+
+
+def decode_events(data: bytes) -> tuple[str, ...]:
+    """
+    Read a kept part of a text.
+
+    :raises UndecodableRecordError: If it is none.
+    """
+    try:
+        return tuple(str(event) for event in msgpack.unpackb(data))
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        raise UndecodableRecordError(f"kept events: {error!r}") from None
+
+
 def job_chunks(job: Job, writer: str, chunk_bytes: int) -> list[JobChunk]:
     """
     Cut a job into records that the log takes.
--- a/packages/saddledoor/src/saddledoor/_jobs.py
+++ b/packages/saddledoor/src/saddledoor/_jobs.py
@@ -26,8 +26,9 @@
     "JobItem",
     "JobRecord",
     "JobState",
-    "KeptText",
+    "KeptParts",
     "ScoreCall",
+    "StoredText",
 ]
 
 
@@ -94,6 +95,19 @@
         return f"{self.host}/{self.model}"
 
 
+@dataclass(frozen=True)
+class StoredText:
+    """
+    Where a text is, apart from the records that every node reads.
+
+    :param offsets: Its records in the stream of texts, in order.
+    :param size: Of all of them, in bytes.
+    """
+
+    offsets: tuple[int, ...] = ()
+    size: int = 0
+
+
 @dataclass(frozen=True)
 class ItemResult:
     """
@@ -106,7 +120,7 @@
 
     item_id: str
     done: bool
-    text: str = ""
+    text: StoredText = StoredText()
     versions: tuple[int, ...] = ()
     score: str = ""
 
@@ -151,35 +165,44 @@
     scoring: bool = False
 
 
-@dataclass(frozen=True)
-class KeptText:
-    """
-    The part of an item's text that was made before its run was given up.
-
-    :param events: Data of the events, in order from the first.
-    :param versions: Weight versions that made them, in order of appearance.
-    :param chain: Names the run of the last of them; empty for no events.
-    """
-
-    events: tuple[str, ...]
-    versions: tuple[int, ...]
-    chain: str = ""
-
-
 @dataclass(frozen=True)
 class ItemKept:
     """
     Events that the next node to run an item may go on from.
 
     :param first: Number of the first of them.
+    :param count: Of the events.
     :param follows: The chain that the event before them belongs to.
+    :param chain: Names the run that made them.
+    :param versions: Weight versions that made any of the text so far.
+    :param text: The events as `encode_events` gives them.
     """
 
     job_id: str
     item_id: str
     first: int
+    count: int
     follows: str
-    kept: KeptText
+    chain: str
+    versions: tuple[int, ...]
+    text: StoredText
+
+
+@dataclass(frozen=True)
+class KeptParts:
+    """
+    What the log holds of a text whose run was given up.
+
+    :param count: Of the events, from the first one on without gaps.
+    :param versions: Weight versions that made them, in order of appearance.
+    :param chain: Names the run of the last of them; empty for no events.
+    :param parts: Their texts, in order.
+    """
+
+    count: int = 0
+    versions: tuple[int, ...] = ()
+    chain: str = ""
+    parts: tuple[StoredText, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -210,7 +233,7 @@
     results: list[ItemResult] = field(default_factory=list)
     listed: set[str] = field(default_factory=set)
     failed: set[ItemFailed] = field(default_factory=set)
-    kept: dict[str, KeptText] = field(default_factory=dict)
+    kept: dict[str, KeptParts] = field(default_factory=dict)
     ended: bool = False
 
     def __post_init__(self) -> None:
@@ -369,15 +392,16 @@
     Two nodes may run an item at once, from the same kept events: what the second one
     appends must not be joined to what the first one has, even where the numbers fit.
     """
-    before = state.kept.get(record.item_id, KeptText((), ()))
+    before = state.kept.get(record.item_id, KeptParts())
     if state.ended or record.item_id in state.listed:
         return
-    fits = record.first == len(before.events) + 1 and record.follows == before.chain
+    fits = record.first == before.count + 1 and record.follows == before.chain
     if not fits:
         return
-    new = [v for v in record.kept.versions if v not in before.versions]
-    state.kept[record.item_id] = KeptText(
-        before.events + record.kept.events,
+    new = [version for version in record.versions if version not in before.versions]
+    state.kept[record.item_id] = KeptParts(
+        before.count + record.count,
         (*before.versions, *new),
-        record.kept.chain,
+        record.chain,
+        (*before.parts, record.text),
     )
--- a/packages/saddledoord/src/saddledoord/cluster/follow.py
+++ b/packages/saddledoord/src/saddledoord/cluster/follow.py
@@ -30,6 +30,9 @@
 #: How long a read waits at the store for news, in seconds. Short, since a silent store
 #: is only noticed when the answer is overdue.
 _WAIT = 1.0
+#: How long a caller waits for the first replay of a stream, in seconds: a caller's
+#: own patience for an answer is a second or two.
+_REPLAY_PATIENCE = 1.0
 #: Pause after a read that failed, in seconds.
 _PAUSE = 0.1
 
@@ -86,7 +89,9 @@
         self._next = 0
         self._reach = _Reachable(stream, reachable)
         self._caught_up = asyncio.Event()
+        self._syncing = asyncio.Lock()
         self._confirmed_at = float("-inf")
+        self._answered_at = float("-inf")
 
     @property
     def reached(self) -> bool:
@@ -102,6 +107,13 @@
         """
         return self._confirmed_at
 
+    @property
+    def answered_at(self) -> float:
+        """
+        When the store last answered a read, monotonic, in seconds.
+        """
+        return self._answered_at
+
     @property
     def caught_up(self) -> bool:
         """
@@ -128,17 +140,33 @@
         """
         Apply everything that was in the log when this was called.
 
+        Callers that wait for each other share reads: one that began after a call
+        answers it as well.
+
         :returns: False if the store did not answer; then nothing is sure.
         """
+        asked = boot_time()
+        if not await self._replayed():
+            return False
+        async with self._syncing:
+            while self._confirmed_at < asked:
+                try:
+                    began = boot_time()
+                    self._take(await self._read(0.0), began)
+                except StoreAwayError:
+                    return False
+        return True
+
+    async def _replayed(self) -> bool:
+        """
+        Wait a while for the first replay, which `run` makes.
+        """
         try:
-            while True:
-                began = boot_time()
-                page = await self._read(0.0)
-                self._take(page, began)
-                if self._next >= page.end:
-                    return True
-        except StoreAwayError:
+            async with asyncio.timeout(_REPLAY_PATIENCE):
+                await self._caught_up.wait()
+        except TimeoutError:
             return False
+        return True
 
     async def _read(self, wait: float) -> LogPage:
         try:
@@ -150,6 +178,7 @@
             return await self._log.read(self._stream, self._next, 0.0)
 
     def _take(self, page: LogPage, began: float) -> None:
+        self._answered_at = boot_time()
         for index, record in enumerate(page.records):
             offset = page.start + index
             # A second read may have brought it meanwhile.
--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -25,6 +25,7 @@
 from .jobs.runner import JobRunner
 from .jobs.scoring import Scorer
 from .jobs.service import JobService
+from .jobs.texts import TextStore
 from .orders.lease import OrderLease
 from .orders.weights import WeightKeeper
 from .ports import Engines, Registry, SharedLog, WorkGroup
@@ -36,9 +37,10 @@
 
 _log = structlog.get_logger()
 
-#: How long a node without the store still asks for callers, in seconds: it could take
-#: no job and would have to send its readers away.
-_ALONE = 3.0
+#: Silence of the store after which a node asks for no more callers, in seconds: it can
+#: take no job and has to send its readers away. In calm times there is an answer each
+#: second; a store that is slowed down 60 times adds 0.24 s.
+_ALONE = 1.5
 #: How long a stopping node gives its last records to reach the log, in seconds.
 _FLUSH_LIMIT = 1.5
 
@@ -104,16 +106,18 @@
         pool = EnginePool(self.view, least_outstanding(random.random))
         self.pass_through = PassThrough(self.view, pool, ports.engines, count)
         book = JobBook(decode_job)
+        texts = TextStore(ports.log, settings.largest_record, settings.largest_append)
         self.jobs = JobService(
             ports.log,
             book,
+            texts,
             Changes(),
             settings.largest_record,
             settings.largest_append,
             settings.read_for,
             settings.retention,
         )
-        self._writer = RecordWriter(ports.log)
+        self._writer = RecordWriter(ports.log, texts)
         self._membership = Membership(ports.group, settings.parts, self._wake)
         self._runner = JobRunner(
             self.jobs,
@@ -121,6 +125,7 @@
             pool,
             ports.engines,
             self._writer,
+            texts,
             Scorer(self.view, self.pass_through),
             self._membership.owns,
             settings.cancel_time,
@@ -142,8 +147,7 @@
         Whether this node should get callers.
         """
         known = self.view.config is not None and self.jobs.caught_up
-        in_touch = self.jobs.store_reached or self.jobs.age_of_view() < _ALONE
-        return known and in_touch and not self._stopping
+        return known and self.jobs.silence() < _ALONE and not self._stopping
 
     @property
     def stopping(self) -> bool:
--- a/packages/saddledoord/src/saddledoord/jobs/item_run.py
+++ b/packages/saddledoord/src/saddledoord/jobs/item_run.py
@@ -9,10 +9,22 @@
 import asyncio
 import secrets
 from dataclasses import dataclass, field
-
-from saddledoor import EventText, ItemKept, JobItem, JobState, KeptText
+from functools import partial
+
+from saddledoor import (
+    EventText,
+    ItemKept,
+    JobItem,
+    JobState,
+    KeptParts,
+    KeptText,
+    decode_events,
+    encode_events,
+)
 
 from ..ports import ForwardedRequest
+from .record_writer import RecordWriter
+from .texts import TextStore
 
 
 __all__ = ["ItemRun"]
@@ -26,8 +38,10 @@
     :param task: None while no engine works on it.
     :param listing: Whether its result is on its way into the log.
     :param failures: Failed runs, a count; the log's own lags behind this node's.
+    :param text: Without the kept events until they are loaded.
     :param kept: Events that were given to the log, a count.
     :param kept_chain: The chain that the last of them belongs to.
+    :param to_load: Where the log holds the events that others made; none once loaded.
     :param moves: Moves away from silent engines, a count.
     :param unfit: Engines that cannot run it now, by id.
     """
@@ -40,6 +54,7 @@
     failures: int = 0
     kept: int = 0
     kept_chain: str = ""
+    to_load: KeptParts | None = None
     moves: int = 0
     unfit: set[str] = field(default_factory=set)
 
@@ -48,18 +63,32 @@
         """
         Take an item up where the log says that others left it.
         """
-        kept = state.kept.get(item.item_id, KeptText((), ()))
-        text = EventText(_new_chain(), kept)
-        failures = state.failures(item.item_id)
+        kept = state.kept.get(item.item_id, KeptParts())
         return cls(
             state,
             item,
-            text,
-            failures=failures,
-            kept=text.last,
+            EventText(_new_chain()),
+            failures=state.failures(item.item_id),
+            kept=kept.count,
             kept_chain=kept.chain,
+            to_load=kept if kept.count else None,
         )
 
+    async def load(self, texts: TextStore) -> None:
+        """
+        Read what others made of the text, so that the next run goes on there.
+
+        :raises StoreAwayError: If it cannot be had now.
+        :raises UndecodableRecordError: If it is not what a node writes.
+        """
+        if self.to_load is None:
+            return
+        kept = self.to_load
+        data = await texts.read(kept.parts)
+        events = tuple(event for part in data for event in decode_events(part))
+        self.text = EventText(_new_chain(), KeptText(events, kept.versions, kept.chain))
+        self.to_load = None
+
     @property
     def is_idle(self) -> bool:
         """
@@ -85,23 +114,35 @@
         self.text = EventText(_new_chain())
         self.kept = 0
         self.kept_chain = ""
+        self.to_load = None
+
+    @property
+    def unkept(self) -> int:
+        """
+        Events that the log has not been given, a count.
+        """
+        return self.text.last - self.kept
 
-    def unkept(self) -> ItemKept | None:
+    def keep(self, writer: RecordWriter) -> None:
         """
-        Return the events that the log has not been given, and count them as given.
+        Give the log the events that it has not been given.
         """
-        if self.text.last <= self.kept:
-            return None
-        record = ItemKept(
+        if self.unkept <= 0:
+            return
+        part = self.text.since(self.kept)
+        record = partial(
+            ItemKept,
             self.state.job.job_id,
             self.item.item_id,
             self.kept + 1,
+            len(part.events),
             self.kept_chain,
-            self.text.since(self.kept),
+            part.chain,
+            part.versions,
         )
+        writer.put_with_text(encode_events(part.events), record)
         self.kept = self.text.last
-        self.kept_chain = record.kept.chain
-        return record
+        self.kept_chain = part.chain
 
 
 def _new_chain() -> str:
--- a/packages/saddledoord/src/saddledoord/jobs/record_writer.py
+++ b/packages/saddledoord/src/saddledoord/jobs/record_writer.py
@@ -7,27 +7,41 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
 
-import structlog
+from saddledoor import JobRecord, StoredText, encode_job_record
 
-from saddledoor import JobRecord, encode_job_record
-
-from ..ports import Appended, SharedLog
+from ..ports import SharedLog
+from .appending import append_until_done
+from .texts import TextStore
 
 
 __all__ = ["JOBS_STREAM", "RecordWriter"]
 
-_log = structlog.get_logger()
-
 #: The stream that holds every job.
 JOBS_STREAM = "jobs"
-#: Largest append, in bytes; the platform takes 2 MB.
-_MOST_BYTES = 1_000_000
 #: How long records are gathered for one append, in seconds: a tenth of the least time
 #: that a trainer's read takes to come back (0.5 s), and then some.
 _GATHER = 0.02
-#: Pause after an append that was not done for sure, in seconds.
-_PAUSE = 0.1
+#: Most records in one append, a count: one without its text takes about 100 bytes, or
+#: some hundred more for each piece of a long text.
+_MOST_RECORDS = 1000
+#: Most bytes of texts in one batch, so that the first results need not wait for all.
+_MOST_TEXT = 1_000_000
+
+
+@dataclass(frozen=True)
+class _Waiting:
+    """
+    A record to be written.
+
+    :param text: Written first; empty for a record without one.
+    :param record_of: Makes the record from the place of its text.
+    """
+
+    text: bytes
+    record_of: Callable[[StoredText], JobRecord]
 
 
 class RecordWriter:
@@ -35,9 +49,10 @@
     Appends until the log has acknowledged; the fold ignores what comes twice.
     """
 
-    def __init__(self, log: SharedLog) -> None:
+    def __init__(self, log: SharedLog, texts: TextStore) -> None:
         self._log = log
-        self._waiting: list[bytes] = []
+        self._texts = texts
+        self._waiting: list[_Waiting] = []
         self._some = asyncio.Event()
         self._idle = asyncio.Event()
         self._idle.set()
@@ -46,7 +61,15 @@
         """
         Queue a record; bounded by the open jobs, since an item has one result.
         """
-        self._waiting.append(encode_job_record(record))
+        self.put_with_text(b"", lambda _: record)
+
+    def put_with_text(
+        self, text: bytes, record_of: Callable[[StoredText], JobRecord]
+    ) -> None:
+        """
+        Queue a text, and the record that tells where it is.
+        """
+        self._waiting.append(_Waiting(text, record_of))
         self._idle.clear()
         self._some.set()
 
@@ -69,22 +92,21 @@
             await self._some.wait()
             await asyncio.sleep(_GATHER)
             batch = self._take()
-            outcome = await self._log.append(JOBS_STREAM, batch)
-            while not isinstance(outcome, Appended):
-                _log.warning(
-                    "records_not_written", records=len(batch), reason=outcome.reason
-                )
-                await asyncio.sleep(_PAUSE)
-                outcome = await self._log.append(JOBS_STREAM, batch)
+            places = await self._texts.write([waiting.text for waiting in batch])
+            records = [
+                encode_job_record(waiting.record_of(place))
+                for waiting, place in zip(batch, places, strict=True)
+            ]
+            await append_until_done(self._log, JOBS_STREAM, records)
             if not self._waiting:
                 self._idle.set()
 
-    def _take(self) -> list[bytes]:
-        batch: list[bytes] = []
-        size = 0
-        while self._waiting and size < _MOST_BYTES:
-            size += len(self._waiting[0])
-            batch.append(self._waiting.pop(0))
+    def _take(self) -> list[_Waiting]:
+        count, size = 0, 0
+        while count < min(len(self._waiting), _MOST_RECORDS) and size < _MOST_TEXT:
+            size += len(self._waiting[count].text)
+            count += 1
+        batch, self._waiting = self._waiting[:count], self._waiting[count:]
         if not self._waiting:
             self._some.clear()
         return batch
--- a/packages/saddledoord/src/saddledoord/jobs/runner.py
+++ b/packages/saddledoord/src/saddledoord/jobs/runner.py
@@ -23,10 +23,11 @@
     JobItem,
     JobState,
 )
+from saddledoor.exceptions import UndecodableRecordError
 
 from .._clock import boot_time
 from ..cluster.view import ClusterView
-from ..ports import Engines, GenerationFailedError
+from ..ports import Engines, GenerationFailedError, StoreAwayError
 from ..serving.pace import EnginePaces
 from ..serving.pool import EnginePool, Place
 from .attempt import Attempts
@@ -34,6 +35,7 @@
 from .record_writer import RecordWriter
 from .scoring import ScoreImpossibleError, Scorer
 from .service import JobService
+from .texts import TextStore
 
 
 __all__ = ["JobRunner"]
@@ -77,6 +79,7 @@
         pool: EnginePool,
         engines: Engines,
         writer: RecordWriter,
+        texts: TextStore,
         scorer: Scorer,
         owns: Callable[[str], bool],
         cancel_time: float,
@@ -85,6 +88,7 @@
         self._view = view
         self._pool = pool
         self._writer = writer
+        self._texts = texts
         self._scorer = scorer
         self._owns = owns
         self._fresh = _FRESH * cancel_time
@@ -107,7 +111,9 @@
         """
         while True:
             self._wake.clear()
-            self._reconcile()
+            # Until then a job may seem open whose end is in the log already.
+            if self._jobs.caught_up:
+                self._reconcile()
             if self._knows_ends():
                 self._dispatch()
             try:
@@ -131,8 +137,8 @@
         while True:
             await asyncio.sleep(_KEEP_EVERY)
             for run in self._runs.values():
-                if run.text.last - run.kept >= _KEEP_LEAST and not run.listing:
-                    self._writer.put(run.unkept())
+                if run.unkept >= _KEEP_LEAST and not run.listing:
+                    run.keep(self._writer)
 
     def _waiting(self) -> bool:
         return any(run.is_idle for run in self._runs.values())
@@ -181,8 +187,7 @@
             reason=reason,
             events=run.text.last,
         )
-        if record := run.unkept():
-            self._writer.put(record)
+        run.keep(self._writer)
 
     def _dispatch(self) -> None:
         no_room: set[tuple[str, str, int]] = set()
@@ -195,7 +200,7 @@
             if route is None:
                 continue
             if self._too_old(run, route):
-                self._list(run, ItemResult(run.item.item_id, done=False))
+                self._give_up(run)
                 continue
             needs = (route.name, job.model, job.oldest_version)
             if needs in no_room and not run.unfit:
@@ -277,6 +282,7 @@
     ) -> None:
         with place:
             try:
+                await self._load(run)
                 await self._attempts.run(run, route, engine)
                 whole = True
             except GenerationFailedError as error:
@@ -289,6 +295,22 @@
         else:
             run.task = None
 
+    async def _load(self, run: ItemRun) -> None:
+        """
+        Go on from what others made of the text, or begin anew if it cannot be had.
+        """
+        try:
+            await run.load(self._texts)
+        except (StoreAwayError, UndecodableRecordError) as error:
+            _log.warning(
+                "kept_text_not_loaded",
+                job=run.state.job.job_id,
+                item=run.item.item_id,
+                events=run.kept,
+                reason=str(error),
+            )
+            run.start_over()
+
     def _failed(
         self, run: ItemRun, engine: EngineEntry, outcome: str, reason: str
     ) -> None:
@@ -311,7 +333,7 @@
                 run.unfit.add(engine.engine_id)
                 self._count_failure(run)
             case GenerationFailedError.IMPOSSIBLE:
-                self._list(run, ItemResult(item_id, done=False))
+                self._give_up(run)
             case _:
                 self._pool.failed(engine)
 
@@ -321,7 +343,7 @@
         run.failures += 1
         route = self._view.route(job.host, run.item.path.partition("?")[0])
         if route is not None and run.failures >= route.max_attempts:
-            self._list(run, ItemResult(item_id, done=False))
+            self._give_up(run)
 
     async def _finish(self, run: ItemRun) -> None:
         job_id, item = run.state.job.job_id, run.item
@@ -337,16 +359,23 @@
                 )
             except ScoreImpossibleError:
                 _log.info("item_not_scored", job=job_id, item=item.item_id)
-                self._list(run, ItemResult(item.item_id, done=False))
+                self._give_up(run)
                 return
-        text = run.text
-        self._list(run, ItemResult(item.item_id, True, text.text, text.versions, mark))
+        versions = run.text.versions
+        run.listing = True
+        self._writer.put_with_text(
+            run.text.text.encode(),
+            lambda text: ItemListed(
+                job_id, ItemResult(item.item_id, True, text, versions, mark)
+            ),
+        )
 
-    def _list(self, run: ItemRun, result: ItemResult) -> None:
+    def _give_up(self, run: ItemRun) -> None:
         """
-        Have a result listed; the run stays until the log holds it.
+        Have an item listed as given up; the run stays until the log holds it.
         """
         run.listing = True
+        result = ItemResult(run.item.item_id, done=False)
         self._writer.put(ItemListed(run.state.job.job_id, result))
 
 
--- a/packages/saddledoord/src/saddledoord/jobs/service.py
+++ b/packages/saddledoord/src/saddledoord/jobs/service.py
@@ -29,12 +29,26 @@
 
 from .._clock import boot_time
 from ..cluster.follow import LogFollower
-from ..ports import Appended, NotAppended, SharedLog, UnknownAppend
+from ..ports import (
+    Appended,
+    NotAppended,
+    SharedLog,
+    StoreAwayError,
+    UnknownAppend,
+)
 from .changes import Changes
 from .record_writer import JOBS_STREAM
+from .texts import TextStore
 
 
-__all__ = ["Accepted", "JobReading", "JobService", "NoSuchJob", "Unsure"]
+__all__ = [
+    "Accepted",
+    "JobReading",
+    "JobService",
+    "NoSuchJob",
+    "ReadResult",
+    "Unsure",
+]
 
 _log = structlog.get_logger()
 
@@ -60,6 +74,16 @@
     """
 
 
+@dataclass(frozen=True)
+class ReadResult:
+    """
+    A result with its text.
+    """
+
+    result: ItemResult
+    text: str
+
+
 @dataclass(frozen=True)
 class JobReading:
     """
@@ -68,7 +92,7 @@
 
     total: int
     next_position: int
-    results: tuple[ItemResult, ...]
+    results: tuple[ReadResult, ...]
 
 
 @dataclass(frozen=True)
@@ -101,6 +125,7 @@
         self,
         log: SharedLog,
         book: JobBook,
+        texts: TextStore,
         changes: Changes,
         largest_record: int,
         largest_append: int,
@@ -109,6 +134,7 @@
     ) -> None:
         self._log = log
         self._book = book
+        self._texts = texts
         self._ended_for = read_for + _KEEP_MARGIN
         self._open_for = max(self._ended_for, retention)
         self._changes = changes
@@ -137,6 +163,12 @@
         """
         return boot_time() - self._follower.confirmed_at
 
+    def silence(self) -> float:
+        """
+        Return how long ago the store last answered this node, in seconds.
+        """
+        return boot_time() - self._follower.answered_at
+
     def open_jobs(self) -> list[JobState]:
         """
         Return the jobs that have something to run, oldest first.
@@ -193,7 +225,16 @@
         if position >= len(state.results) and not await self._follower.sync():
             return Unsure()
         results = _from_position(state.results, position)
-        return JobReading(len(state.items), position + len(results), results)
+        try:
+            texts = await self._texts.read([result.text for result in results])
+        except StoreAwayError as error:
+            _log.info("texts_not_read", job=job_id, reason=str(error))
+            return Unsure()
+        read = tuple(
+            ReadResult(result, text.decode())
+            for result, text in zip(results, texts, strict=True)
+        )
+        return JobReading(len(state.items), position + len(results), read)
 
     async def body(self, job_id: str, item_id: str) -> bytes | NoSuchJob | Unsure:
         """
@@ -285,7 +326,7 @@
     chosen: list[ItemResult] = []
     size = 0
     for result in results[position:]:
-        size += len(result.text)
+        size += result.text.size
         if chosen and size > _MOST_READ:
             break
         chosen.append(result)
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/jobs/texts.py
@@ -0,0 +1,130 @@
+# SPDX-License-Identifier: MIT
+
+"""
+The texts of results, kept apart from the records that every node reads.
+
+A node reads a text only if it is asked for it or goes on with it. Otherwise every node
+would read all texts, and after a loss of all nodes they would do so at once.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Sequence
+from itertools import chain
+
+import structlog
+
+from saddledoor import StoredText
+
+from .._clock import boot_time
+from ..ports import LogGoneError, SharedLog, StoreAwayError
+from .appending import append_until_done
+
+
+__all__ = ["TextStore"]
+
+_log = structlog.get_logger()
+
+#: The stream that holds the texts.
+TEXTS_STREAM = "texts"
+#: Most that one read brings, in bytes: a second's texts of one trainer are 200 KB.
+_PAGE = 262_144
+#: Most bytes of texts that are remembered: what a trainer's last two steps made.
+_REMEMBERED = 2_000_000
+
+
+class TextStore:
+    """
+    Writes texts, and reads them back for those who ask.
+
+    :param largest_record: Largest record of the log, in bytes.
+    :param largest_append: Largest append to the log, in bytes.
+    """
+
+    def __init__(
+        self, log: SharedLog, largest_record: int, largest_append: int
+    ) -> None:
+        self._log = log
+        self._largest_record = largest_record
+        self._records_at_once = max(1, largest_append // largest_record - 1)
+        self._remembered: OrderedDict[int, bytes] = OrderedDict()
+        self._size = 0
+        self._reading = asyncio.Lock()
+        self._failed_at = float("-inf")
+
+    async def write(self, texts: Sequence[bytes]) -> list[StoredText]:
+        """
+        Write texts, again and again until the log has them.
+        """
+        cut = [self._cut(text) for text in texts]
+        offsets = iter(await self._append(list(chain.from_iterable(cut))))
+        return [
+            StoredText(tuple(next(offsets) for _ in pieces), len(text))
+            for text, pieces in zip(texts, cut, strict=True)
+        ]
+
+    async def read(self, texts: Sequence[StoredText]) -> list[bytes]:
+        """
+        Read texts back.
+
+        :raises StoreAwayError: If one cannot be had now.
+        """
+        wanted = sorted({offset for text in texts for offset in text.offsets})
+        found = {o: self._remembered[o] for o in wanted if o in self._remembered}
+        asked = boot_time()
+        for offset in wanted:
+            if offset not in found:
+                await self._read_from(offset, asked, found)
+        return [b"".join(found[o] for o in text.offsets) for text in texts]
+
+    def _cut(self, text: bytes) -> list[bytes]:
+        size = self._largest_record
+        return [text[i : i + size] for i in range(0, len(text), size)]
+
+    async def _append(self, pieces: list[bytes]) -> list[int]:
+        offsets: list[int] = []
+        for begin in range(0, len(pieces), self._records_at_once):
+            group = pieces[begin : begin + self._records_at_once]
+            done = await append_until_done(self._log, TEXTS_STREAM, group)
+            for index, piece in enumerate(group):
+                self._remember(done.offset + index, piece)
+                offsets.append(done.offset + index)
+        return offsets
+
+    async def _read_from(
+        self, offset: int, asked: float, found: dict[int, bytes]
+    ) -> None:
+        """
+        Read a page of records, the first of which is wanted.
+        """
+        async with self._reading:
+            # Another reader may have brought it, or may have waited in vain.
+            if offset in self._remembered:
+                found[offset] = self._remembered[offset]
+                return
+            if self._failed_at > asked:
+                raise StoreAwayError("another read of texts failed just now")
+            try:
+                page = await self._log.read(TEXTS_STREAM, offset, largest=_PAGE)
+            except LogGoneError as error:
+                _log.error("text_gone", offset=offset, first=error.first)
+                raise StoreAwayError(f"text {offset} is gone") from None
+            except StoreAwayError:
+                self._failed_at = boot_time()
+                raise
+        for index, record in enumerate(page.records):
+            found[offset + index] = record
+            self._remember(offset + index, record)
+        if offset not in found:
+            raise StoreAwayError(f"no text at offset {offset}")
+
+    def _remember(self, offset: int, record: bytes) -> None:
+        if offset in self._remembered:
+            return
+        self._remembered[offset] = record
+        self._size += len(record)
+        while self._size > _REMEMBERED:
+            _, oldest = self._remembered.popitem(last=False)
+            self._size -= len(oldest)
--- a/packages/saddledoord/src/saddledoord/ports.py
+++ b/packages/saddledoord/src/saddledoord/ports.py
@@ -23,6 +23,7 @@
 
 
 __all__ = [
+    "LARGEST_PAGE",
     "Appended",
     "Assignment",
     "Engines",
@@ -47,6 +48,10 @@
 ]
 
 
+#: Most that one read brings unless the reader says otherwise, in bytes.
+LARGEST_PAGE = 1_048_576
+
+
 class StoreAwayError(Exception):
     """
     The store gave no usable answer in time.
@@ -120,17 +125,26 @@
     """
 
     async def append(
-        self, stream: str, records: Sequence[bytes]
+        self, stream: str, records: Sequence[bytes], patience: float = 1.5
     ) -> Appended | NotAppended | UnknownAppend:
         """
         Append all the records in one piece, or none of them.
+
+        :param patience: Longest wait for the answer, in seconds.
         """
 
-    async def read(self, stream: str, start: int, wait: float = 0.0) -> LogPage:
+    async def read(
+        self,
+        stream: str,
+        start: int,
+        wait: float = 0.0,
+        largest: int = LARGEST_PAGE,
+    ) -> LogPage:
         """
         Read records from an offset on.
 
         :param wait: How long the log may wait for one, in seconds.
+        :param largest: Most that the answer may hold, in bytes, but for one record.
         :raises StoreAwayError: If there was no usable answer.
         :raises LogGoneError: If the records at the offset were dropped.
         """
--- a/tests/adapter/standin_store.py
+++ b/tests/adapter/standin_store.py
@@ -11,6 +11,7 @@
 import contextlib
 import struct
 import time
+from collections import Counter
 from dataclasses import dataclass, field
 
 from aiohttp import web
@@ -18,6 +19,9 @@
 
 __all__ = ["store_app"]
 
+#: Largest record, in bytes; the tests' settings say the same.
+_RECORD_BYTES = 2048
+
 
 @dataclass
 class _Topic:
@@ -49,6 +53,7 @@
     :ivar page: Records in one answer to a read, a count.
     :ivar busy_after: After so many appends to ``jobs`` every call fails; 0 for never.
     :ivar slow_by: Time that each read takes, in seconds.
+    :ivar reads: Records read of each topic, a count.
     """
 
     def __init__(self, parts: int) -> None:
@@ -68,6 +73,7 @@
         self.page = 500
         self.slow_by = 0.0
         self.busy_after = 0
+        self.reads: Counter[str] = Counter()
 
     def topic(self, name: str) -> _Topic:
         return self._topics.setdefault(name, _Topic())
@@ -89,6 +95,8 @@
         await self._fail(request)
         name = request.query["topic"]
         records = list(_split(await request.read()))
+        if any(len(record) > _RECORD_BYTES for record in records):
+            return web.json_response({}, status=413)
         if self.busy_after and name == "jobs":
             self.busy_after -= 1
             if not self.busy_after:
@@ -128,6 +136,7 @@
         await self._fail(request)
         begin = max(0, start - topic.first)
         records = topic.records[begin : begin + self.page]
+        self.reads[request.query["topic"]] += len(records)
         body = struct.pack(">QQ", topic.end, topic.first)
         body += b"".join(struct.pack(">I", len(r)) + r for r in records)
         return web.Response(body=body)
@@ -232,7 +241,9 @@
         async with self._grown:
             self._grown.notify_all()
         ends = {name: topic.end for name, topic in self._topics.items()}
-        return web.json_response({"ends": ends, "members": sorted(self._members)})
+        return web.json_response(
+            {"ends": ends, "members": sorted(self._members), "reads": self.reads}
+        )
 
 
 async def _no_answer(request: web.Request) -> web.Response:
--- a/tests/adapter/test_edge_jobs.py
+++ b/tests/adapter/test_edge_jobs.py
@@ -118,6 +118,33 @@
     assert texts(two_edges.finished("job-1", ITEMS, "edge-1")) == whole_texts()
 
 
+def test_a_text_larger_than_a_record_of_the_store_is_listed_whole(two_edges):
+    """
+    And read whole at an edge that did not make it.
+    """
+    for engine in ("engine-0", "engine-1"):
+        two_edges.fake_engine(engine, events=400, pace=0.001)
+    assert two_edges.submit("job-1", make_job(2)).status == 202
+    for edge in ("edge-0", "edge-1"):
+        assert texts(two_edges.finished("job-1", 2, edge)) == whole_texts(2, 400)
+
+
+def test_an_edge_that_starts_anew_reads_no_texts(platform_bed):
+    """
+    Only where they are, so that all edges can start at once; readers get them then.
+    """
+    assert platform_bed.submit("job-1", make_job()).status == 202
+    results = platform_bed.finished("job-1", ITEMS)
+    platform_bed.signal("edge-0", signal.SIGKILL)
+    platform_bed.wait_end("edge-0")
+    before = platform_bed.fake_store()["reads"].get("texts", 0)
+    platform_bed.start_edge("edge-0")
+    until(lambda: platform_bed.ready("edge-0"))
+    assert platform_bed.fake_store()["reads"].get("texts", 0) == before
+    assert platform_bed.results("job-1") == results
+    assert platform_bed.fake_store()["reads"]["texts"] > before
+
+
 def test_two_edges_that_both_believe_to_own_a_job_list_each_item_once(two_edges):
     """
     The log's order decides; positions are the same at both, whoever wrote first.
--- a/tests/adapter/test_edge_requests.py
+++ b/tests/adapter/test_edge_requests.py
@@ -199,6 +199,16 @@
     assert platform_bed.ask("POST", "/look/x", b"b", "r-3").status == 503
 
 
+def test_an_edge_without_an_answer_of_the_store_asks_for_no_callers(platform_bed):
+    """
+    Soon, since trainers wait at its door; and it is ready again once the store answers.
+    """
+    platform_bed.fake_store(mode="silent")
+    until(lambda: not platform_bed.ready("edge-0"), 2.2)
+    platform_bed.fake_store(mode="ok")
+    until(lambda: platform_bed.ready("edge-0"), 4.0)
+
+
 def test_the_configuration_never_goes_back(platform_bed):
     """
     An older record that comes later, and a history that is forgotten, change nothing.
--- /dev/null
+++ b/tests/fake_log.py
@@ -0,0 +1,72 @@
+# SPDX-License-Identifier: MIT
+
+"""
+A log in memory, for tests of what reads and writes one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Sequence
+
+from saddledoord.ports import (
+    LARGEST_PAGE,
+    Appended,
+    LogPage,
+    StoreAwayError,
+    UnknownAppend,
+)
+
+
+__all__ = ["FakeLog"]
+
+
+class FakeLog:
+    """
+    Streams of records, and what a test wants to go wrong.
+
+    :ivar lose: So many appends are done and get no answer.
+    :ivar away: Whether reads fail.
+    :ivar reads: Reads of each stream, a count.
+    """
+
+    def __init__(self, largest_record: int = 1000) -> None:
+        self.records: defaultdict[str, list[bytes]] = defaultdict(list)
+        self.reads: defaultdict[str, int] = defaultdict(int)
+        self.lose = 0
+        self.away = False
+        self._largest_record = largest_record
+
+    async def append(
+        self, stream: str, records: Sequence[bytes], patience: float = 1.5
+    ) -> Appended | UnknownAppend:
+        assert records
+        assert all(len(record) <= self._largest_record for record in records)
+        await asyncio.sleep(0)
+        offset = len(self.records[stream])
+        self.records[stream] += records
+        if self.lose > 0:
+            self.lose -= 1
+            return UnknownAppend("no answer")
+        return Appended(offset)
+
+    async def read(
+        self,
+        stream: str,
+        start: int,
+        wait: float = 0.0,
+        largest: int = LARGEST_PAGE,
+    ) -> LogPage:
+        self.reads[stream] += 1
+        # With a wait the newest records come at once; without news the wait passes.
+        end = len(self.records[stream])
+        await asyncio.sleep(wait if start >= end else 0)
+        if self.away:
+            raise StoreAwayError("away")
+        chosen: list[bytes] = []
+        for record in self.records[stream][start:]:
+            if chosen and sum(map(len, chosen)) + len(record) > largest:
+                break
+            chosen.append(record)
+        return LogPage(start, tuple(chosen), len(self.records[stream]))
--- a/tests/proofs/job_positions.py
+++ b/tests/proofs/job_positions.py
@@ -12,7 +12,14 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from builders import make_job, make_job_records
-from saddledoor import ItemListed, ItemResult, JobBook, JobEnded, decode_job
+from saddledoor import (
+    ItemListed,
+    ItemResult,
+    JobBook,
+    JobEnded,
+    StoredText,
+    decode_job,
+)
 
 from ._proof import Proof
 
@@ -43,7 +50,7 @@
             fate=st.sampled_from(["done", "lost", "late"]),
         )
         def finish_item(self, node, item, done, fate):
-            text = f"text of node {node}" if done else ""
+            text = StoredText((node,), 1) if done else StoredText()
             result = ItemResult(self.job.items[item].item_id, done, text)
             record = ItemListed(self.job.job_id, result)
             if fate == "done":
--- a/tests/proofs/kept_texts.py
+++ b/tests/proofs/kept_texts.py
@@ -18,7 +18,9 @@
     GeneratedEvent,
     ItemKept,
     JobBook,
+    KeptParts,
     KeptText,
+    StoredText,
     decode_job,
 )
 
@@ -42,6 +44,7 @@
             self.book = JobBook(decode_job)
             for record in make_job_records(self.job):
                 self.book.apply(record)
+            self.written: list[tuple[str, ...]] = []
             self.asked_after: dict[str, int] = {}
             self.runs = 0
             self.texts: list[EventText] = []
@@ -54,7 +57,11 @@
                 self.take_over(node)
 
         def _kept(self) -> KeptText:
-            return self.book.get(self.job.job_id).kept.get(self.item, KeptText((), ()))
+            kept = self.book.get(self.job.job_id).kept.get(self.item, KeptParts())
+            written = [self.written[part.offsets[0]] for part in kept.parts]
+            events = tuple(event for part in written for event in part)
+            assert len(events) == kept.count
+            return KeptText(events, kept.versions, kept.chain)
 
         @rule(node=st.integers(0, _NODES - 1))
         def take_over(self, node):
@@ -93,8 +100,18 @@
             kept = text.since(last)
             self.told[node] = (text.last, kept.chain)
             follows = chain if guard else self._kept().chain
+            self.written.append(kept.events)
             self.book.apply(
-                ItemKept(self.job.job_id, self.item, last + 1, follows, kept)
+                ItemKept(
+                    self.job.job_id,
+                    self.item,
+                    last + 1,
+                    len(kept.events),
+                    follows,
+                    kept.chain,
+                    kept.versions,
+                    StoredText((len(self.written) - 1,), 1),
+                )
             )
 
         @invariant()
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -17,9 +17,9 @@
     ItemResult,
     JobBook,
     JobEnded,
-    KeptText,
     RouteTable,
     ServiceShare,
+    StoredText,
     decode_job,
     decode_job_record,
     encode_job_record,
@@ -90,9 +90,9 @@
     "record",
     [
         *make_job_records(make_job()),
-        ItemListed("j", ItemResult("i", True, "text", (1, 2), "mark")),
+        ItemListed("j", ItemResult("i", True, StoredText((7, 9), 30), (1, 2), "mark")),
         ItemFailed("j", "i", "f-1", True),
-        ItemKept("j", "i", 3, "c-1", KeptText(("a", "b"), (1,), "c-2")),
+        ItemKept("j", "i", 3, 2, "c-1", "c-2", (1,), StoredText((8,), 20)),
         JobEnded("j"),
     ],
 )
