Place items by what is about to load; score at a second instance; split the runner

The engines were loading weights: a load pauses every stream for 0.9 s, which went into the mean of the pace, so items fled from engines that had just loaded to those that were about to. A gap of more than 0.5 s is a pause now, engines that the holder of the orders is about to bring to new weights (`engines_to_update`, which every node can evaluate) are chosen after the others, and no item moves there for its pace alone. * A fault of ours in an item's task left the item waiting for ever; it is tried again.

Which engine an item goes to has a module of its own (`jobs/placement.py`).

--- a/packages/saddledoord/src/saddledoord/cluster/view.py
+++ b/packages/saddledoord/src/saddledoord/cluster/view.py
@@ -59,6 +59,20 @@
         """
         return self._table.find(host, path)
 
+    def engines_of(self, model: str, now: float) -> list[EngineEntry]:
+        """
+        Return the engines that hold a model and may get work.
+
+        :param now: Monotonic, in seconds.
+        """
+        services = self._config.services.values() if self._config else ()
+        return [
+            engine
+            for service in services
+            if model in service.models
+            for engine in self.directory.usable(service.name, now)
+        ]
+
     def apply_operator(self, entry: KeyedEntry) -> None:
         """
         Take a configuration or a named version; never an older one.
--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -20,7 +20,9 @@
 from .cluster.follow import RegistryFollower
 from .cluster.membership import Membership
 from .cluster.view import ClusterView
+from .jobs.attempt import Attempts
 from .jobs.changes import Changes
+from .jobs.placement import Placement
 from .jobs.record_writer import RecordWriter
 from .jobs.runner import JobRunner
 from .jobs.scoring import Scorer
@@ -29,6 +31,7 @@
 from .orders.lease import OrderLease
 from .orders.weights import WeightKeeper
 from .ports import Engines, Registry, SharedLog, WorkGroup
+from .serving.pace import EnginePaces
 from .serving.pass_through import PassThrough
 from .serving.pool import EnginePool
 
@@ -119,11 +122,14 @@
         )
         self._writer = RecordWriter(ports.log, texts)
         self._membership = Membership(ports.group, settings.parts, self._wake)
+        paces = EnginePaces()
+        placement = Placement(self.view, pool, paces, book.oldest_allowed)
         self._runner = JobRunner(
             self.jobs,
             self.view,
             pool,
-            ports.engines,
+            placement,
+            Attempts(ports.engines, paces, placement),
             self._writer,
             texts,
             Scorer(self.view, self.pass_through),
--- a/packages/saddledoord/src/saddledoord/jobs/attempt.py
+++ b/packages/saddledoord/src/saddledoord/jobs/attempt.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 
 from saddledoor import EngineEntry, GatewayRoute, GeneratedEvent
 
@@ -15,6 +14,7 @@
 from ..ports import Engines, Generation, GenerationFailedError
 from ..serving.pace import EnginePaces
 from .item_run import ItemRun
+from .placement import Placement
 
 
 __all__ = ["Attempts"]
@@ -47,22 +47,17 @@
 class Attempts:
     """
     Runs items at engines.
-
-    :param elsewhere: Returns another engine with room that an item may move to.
-    :param seen: Told of each event's weight version, by engine and model.
     """
 
     def __init__(
         self,
         engines: Engines,
         paces: EnginePaces,
-        elsewhere: Callable[[ItemRun, EngineEntry], EngineEntry | None],
-        seen: Callable[[EngineEntry, str, int], None],
+        placement: Placement,
     ) -> None:
         self._engines = engines
         self._paces = paces
-        self._elsewhere = elsewhere
-        self._seen = seen
+        self._placement = placement
 
     async def run(self, run: ItemRun, route: GatewayRoute, engine: EngineEntry) -> None:
         """
@@ -111,7 +106,9 @@
             raise GenerationFailedError(GenerationFailedError.BROKEN, "silent")
         now = boot_time()
         silent = min(silent, self._paces.silent_for(engine.engine_id, now))
-        if silent > self._stall(run, engine, now) and self._elsewhere(run, engine):
+        if silent <= self._stall(run, engine, now):
+            return
+        if self._placement.elsewhere(run, engine, settled=False):
             run.moves += 1
             raise GenerationFailedError(GenerationFailedError.STALLED, "engine silent")
 
@@ -128,7 +125,7 @@
 
     def _check_pace(self, run: ItemRun, engine: EngineEntry, now: float) -> None:
         gap = self._paces.gap(engine.engine_id, now)
-        other = self._elsewhere(run, engine)
+        other = self._placement.elsewhere(run, engine, settled=True)
         if gap is None or other is None:
             return
         faster = self._paces.gap(other.engine_id, now)
@@ -147,7 +144,7 @@
     ) -> None:
         job = run.state.job
         if event.version is not None:
-            self._seen(engine, job.model, event.version)
+            self._placement.saw(engine, job.model, event.version)
         mixed = run.text.versions and event.version not in run.text.versions
         if route.single_version and mixed:
             run.start_over()
--- a/packages/saddledoord/src/saddledoord/jobs/runner.py
+++ b/packages/saddledoord/src/saddledoord/jobs/runner.py
@@ -7,8 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
-import random
 import secrets
 from collections.abc import Callable
 
@@ -27,11 +25,11 @@
 
 from .._clock import boot_time
 from ..cluster.view import ClusterView
-from ..ports import Engines, GenerationFailedError, StoreAwayError
-from ..serving.pace import EnginePaces
+from ..ports import GenerationFailedError, StoreAwayError
 from ..serving.pool import EnginePool, Place
 from .attempt import Attempts
 from .item_run import ItemRun
+from .placement import Placement
 from .record_writer import RecordWriter
 from .scoring import ScoreImpossibleError, Scorer
 from .service import JobService
@@ -54,11 +52,6 @@
 #: How long items still start while the store cannot be reached, in seconds: nobody
 #: can end a job then, but another node may have taken this one's share.
 _ALONE = 6.0
-#: Engines count as equally fast up to so many times the best one's gap.
-_LIKE = 1.15
-#: An engine counts as slow beyond so many times the best one's gap between events;
-#: the platform's engines differ by 1.3 when they are well.
-_SLOW_ENGINE = 1.5
 
 Key = tuple[str, str]
 
@@ -77,7 +70,8 @@
         jobs: JobService,
         view: ClusterView,
         pool: EnginePool,
-        engines: Engines,
+        placement: Placement,
+        attempts: Attempts,
         writer: RecordWriter,
         texts: TextStore,
         scorer: Scorer,
@@ -92,11 +86,10 @@
         self._scorer = scorer
         self._owns = owns
         self._fresh = _FRESH * cancel_time
-        self._paces = EnginePaces()
-        self._attempts = Attempts(engines, self._paces, self._elsewhere, self._saw)
+        self._attempts = attempts
+        self._placement = placement
         self._runs: dict[Key, ItemRun] = {}
         self._wake = asyncio.Event()
-        self._seen_versions: dict[tuple[str, str], int] = {}
         self._stopped = False
 
     def wake(self) -> None:
@@ -205,7 +198,7 @@
             needs = (route.name, job.model, job.oldest_version)
             if needs in no_room and not run.unfit:
                 continue
-            engine = self._choose(run, route, run.unfit)
+            engine = self._placement.choose(run, route, run.unfit)
             if engine is None:
                 no_room.add(needs)
                 run.unfit.clear()
@@ -215,13 +208,20 @@
     def _begin(self, run: ItemRun, route: GatewayRoute, engine: EngineEntry) -> None:
         place = self._pool.take(engine)
         run.task = asyncio.create_task(self._work(run, route, engine, place))
-        run.task.add_done_callback(lambda task: self._ended(task, place))
+        run.task.add_done_callback(lambda task: self._ended(run, task, place))
 
-    def _ended(self, task: asyncio.Task, place: Place) -> None:
+    def _ended(self, run: ItemRun, task: asyncio.Task, place: Place) -> None:
         # A task that is cancelled before it began has not given its place back.
         place.release()
         if not task.cancelled() and task.exception() is not None:
-            _log.error("item_task_failed", exc_info=task.exception())
+            _log.error(
+                "item_task_failed",
+                job=run.state.job.job_id,
+                item=run.item.item_id,
+                exc_info=task.exception(),
+            )
+            # By a fault of ours, not of the item: it must not wait for ever.
+            run.task = None
         self.wake()
 
     def _too_old(self, run: ItemRun, route: GatewayRoute) -> bool:
@@ -231,52 +231,6 @@
         age = boot_time() - run.state.known_since
         return age > route.give_up_after
 
-    def _fits(self, engine: EngineEntry, run: ItemRun) -> bool:
-        """
-        Whether an engine's weights are new enough, as far as this node knows.
-        """
-        model = run.state.job.model
-        known = engine.versions.get(model)
-        if known is None:
-            return not engine.versions
-        seen = self._seen_versions.get((engine.engine_id, model), 0)
-        return max(known, seen) >= run.state.job.oldest_version
-
-    def _elsewhere(self, run: ItemRun, engine: EngineEntry) -> EngineEntry | None:
-        """
-        Return another engine with room that could go on with an item.
-        """
-        job = run.state.job
-        route = self._view.route(job.host, run.item.path.partition("?")[0])
-        if route is None:
-            return None
-        return self._choose(run, route, {*run.unfit, engine.engine_id})
-
-    def _choose(
-        self, run: ItemRun, route: GatewayRoute, exclude: set[str]
-    ) -> EngineEntry | None:
-        """
-        Return an engine with room: the fastest, and of like ones the least busy.
-        """
-        now = boot_time()
-        service = route.service(random.random())
-        ids = [e.engine_id for e in self._view.directory.usable(service, now)]
-        best = self._paces.best_gap(ids, now)
-
-        def among(bound: float) -> EngineEntry | None:
-            def fits(engine: EngineEntry) -> bool:
-                gap = self._paces.gap(engine.engine_id, now)
-                fast = best is None or gap is None or gap <= best * bound
-                return fast and self._fits(engine, run)
-
-            return self._pool.choose(service, exclude, fits, room_only=True)
-
-        return among(_LIKE) or among(_SLOW_ENGINE) or among(math.inf)
-
-    def _saw(self, engine: EngineEntry, model: str, version: int) -> None:
-        self._pool.answered(engine)
-        self._seen_versions[engine.engine_id, model] = version
-
     async def _work(
         self, run: ItemRun, route: GatewayRoute, engine: EngineEntry, place: Place
     ) -> None:
--- a/packages/saddledoord/src/saddledoord/jobs/scoring.py
+++ b/packages/saddledoord/src/saddledoord/jobs/scoring.py
@@ -17,7 +17,7 @@
 from .._clock import boot_time
 from ..cluster.view import ClusterView
 from ..ports import EngineAnswer, ForwardedRequest
-from ..serving.pass_through import PassThrough
+from ..serving.pass_through import Outcome, PassThrough
 
 
 __all__ = ["ScoreImpossibleError", "Scorer"]
@@ -28,6 +28,10 @@
 #: time: about its usual work (45 ms), and the time to a late repeat's answer.
 _PAUSE = 0.05
 _PAUSE_MOST = 0.4
+#: Instances that one call may be sent to before it is repeated, a count.
+_AT_ONCE = 2
+#: Status by which an instance says that it failed; counts as an attempt.
+_FAILED = 500
 #: Pause while the call has no route, in seconds.
 _NO_ROUTE_PAUSE = 0.5
 
@@ -58,6 +62,13 @@
         :raises ScoreImpossibleError: After as many failures as the route allows.
         """
         pause = _PAUSE
+
+        def heard(outcome: Outcome) -> None:
+            nonlocal failures
+            if isinstance(outcome, EngineAnswer) and outcome.status == _FAILED:
+                failures += 1
+                failed()
+
         while True:
             route = self._view.route(call.host, call.path.partition("?")[0])
             if route is None:
@@ -66,16 +77,18 @@
                 continue
             if failures >= route.max_attempts:
                 raise ScoreImpossibleError(call.request_id)
-            once = replace(route, max_attempts=1)
+            # Never more failures than the route allows, and a second instance beside
+            # one that is late: the whole step may be waiting for this answer.
+            left = min(_AT_ONCE, route.max_attempts - failures)
             outcome = await self._pass_through.run(
-                once, _request(call), boot_time() + route.timeout
+                replace(route, max_attempts=left),
+                _request(call),
+                boot_time() + route.timeout,
+                heard,
             )
             match outcome:
                 case EngineAnswer(status=status, mark=mark) if status < 300 and mark:
                     return mark
-                case EngineAnswer(status=500):
-                    failures += 1
-                    failed()
             await asyncio.sleep(pause)
             pause = min(_PAUSE_MOST, 2 * pause)
 
--- a/packages/saddledoord/src/saddledoord/orders/weights.py
+++ b/packages/saddledoord/src/saddledoord/orders/weights.py
@@ -84,7 +84,8 @@
 
     def _begin_loads(self, model: str, version: int) -> None:
         now = boot_time()
-        engines = {engine.engine_id: engine for engine in self._engines_of(model, now)}
+        found = self._view.engines_of(model, now)
+        engines = {engine.engine_id: engine for engine in found}
         versions = {
             name: self._version_of(engine, model) for name, engine in engines.items()
         }
@@ -105,15 +106,6 @@
             _log.error("order_task_failed", engine=name, exc_info=task.exception())
             self._paused[name] = boot_time() + _RETRY_PAUSE
 
-    def _engines_of(self, model: str, now: float) -> list[EngineEntry]:
-        services = self._view.config.services.values() if self._view.config else ()
-        return [
-            engine
-            for service in services
-            if model in service.models
-            for engine in self._view.directory.usable(service.name, now)
-        ]
-
     def _version_of(self, engine: EngineEntry, model: str) -> int:
         reached = self._reached.get((engine.engine_id, model), 0)
         return max(reached, engine.versions.get(model, 0))
--- a/packages/saddledoord/src/saddledoord/serving/pace.py
+++ b/packages/saddledoord/src/saddledoord/serving/pace.py
@@ -16,6 +16,9 @@
 #: Age after which a mean says nothing any more, in seconds: a slow engine that is left
 #: alone gets another chance.
 _FORGET = 3.0
+#: A longer gap is a pause and says nothing of the pace, in seconds: an engine that
+#: loads weights pauses for 0.9 s; the slowest pace seen is 0.15 s.
+_PAUSE = 0.5
 
 
 @dataclass(frozen=True)
@@ -41,7 +44,7 @@
         :param now: Monotonic, in seconds.
         """
         self._last_event[engine_id] = now
-        if gap is None:
+        if gap is None or gap > _PAUSE:
             return
         before = self.gap(engine_id, now)
         mean = gap if before is None else before + _NEWEST * (gap - before)
--- a/packages/saddledoord/src/saddledoord/serving/pass_through.py
+++ b/packages/saddledoord/src/saddledoord/serving/pass_through.py
@@ -9,7 +9,7 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 import structlog
 
@@ -28,7 +28,7 @@
 from .pool import EnginePool
 
 
-__all__ = ["PassThrough"]
+__all__ = ["Outcome", "PassThrough"]
 
 _log = structlog.get_logger()
 
@@ -43,16 +43,23 @@
 Outcome = EngineAnswer | NotRun | OutcomeUnknown
 
 
+def _ignore(_: Outcome) -> None:
+    pass
+
+
 @dataclass
 class _Try:
     """
     One request on its way: who had it, until when, and the worst that was seen.
+
+    :param heard: Told of each attempt's outcome.
     """
 
     route: GatewayRoute
     request: ForwardedRequest
     deadline: float
-    tried: list[str]
+    heard: Callable[[Outcome], None]
+    tried: list[str] = field(default_factory=list)
     last: Outcome | None = None
 
     @property
@@ -103,12 +110,18 @@
         return outcome
 
     async def run(
-        self, route: GatewayRoute, request: ForwardedRequest, deadline: float
+        self,
+        route: GatewayRoute,
+        request: ForwardedRequest,
+        deadline: float,
+        heard: Callable[[Outcome], None] = _ignore,
     ) -> Outcome:
         """
         Run a request of a known route until a monotonic time.
+
+        :param heard: Told of each attempt's outcome.
         """
-        current = _Try(route, request, deadline, [])
+        current = _Try(route, request, deadline, heard)
         service = route.service(random.random())
         pending: set[asyncio.Task[Outcome]] = set()
         try:
@@ -178,6 +191,7 @@
             except asyncio.CancelledError:
                 self._log_attempt(current, engine, number, "cancelled")
                 raise
+        current.heard(outcome)
         match outcome:
             case EngineAnswer():
                 self._pool.answered(engine)
--- a/tests/test_pass_through.py
+++ b/tests/test_pass_through.py
@@ -7,10 +7,12 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 from builders import make_engine_entry, make_gateway_config, make_request, make_route
-from saddledoor import OutcomeUnknown, RouteKind, least_outstanding
+from saddledoor import OutcomeUnknown, RouteKind, ScoreCall, least_outstanding
 from saddledoord.cluster.view import ClusterView
+from saddledoord.jobs.scoring import ScoreImpossibleError, Scorer
 from saddledoord.ports import EngineAnswer, KeyedEntry
 from saddledoord.serving.pass_through import PassThrough
 from saddledoord.serving.pool import EnginePool
@@ -37,7 +39,8 @@
         entry = make_engine_entry(f"desk-{index}")
         view.apply_engine(KeyedEntry(entry.engine_id, index, entry))
     pool = EnginePool(view, least_outstanding(lambda: 0.0))
-    return PassThrough(view, pool, engines, lambda route, code, seconds: None), pool
+    serving = PassThrough(view, pool, engines, lambda route, code, seconds: None)
+    return serving, pool, view
 
 
 def test_a_request_that_an_engine_still_has_is_not_called_not_run():
@@ -52,7 +55,7 @@
             await asyncio.sleep(0.05)
 
     route = make_route("/book/", kind=RouteKind.UNSAFE)
-    serving, _ = _pass_through(_Engines(answer), route)
+    serving, _, _ = _pass_through(_Engines(answer), route)
     outcome = asyncio.run(serving.serve(make_request("/book/x"), 0.1))
     assert isinstance(outcome, OutcomeUnknown)
 
@@ -66,9 +69,59 @@
         return EngineAnswer(200, (), b"", "mark")
 
     engines = _Engines(answer)
-    serving, pool = _pass_through(engines, make_route("/look/"))
+    serving, pool, _ = _pass_through(engines, make_route("/look/"))
     for index in range(2):
         pool.failed(make_engine_entry(f"desk-{index}"))
     outcome = asyncio.run(serving.serve(make_request("/look/x"), 1.0))
     assert isinstance(outcome, EngineAnswer)
     assert len(engines.asked) == 1
+
+
+def _score(answer, max_attempts: int = 3) -> tuple[str | None, list[str], int]:
+    """
+    Have a text scored; return the mark, who was asked and the failures told.
+    """
+    engines = _Engines(answer)
+    route = make_route("/score/", max_attempts=max_attempts)
+    serving, _, view = _pass_through(engines, route)
+    failures = 0
+
+    def failed():
+        nonlocal failures
+        failures += 1
+
+    call = ScoreCall("s-1", "desk.example", "/score/x", b"text")
+    scorer = Scorer(view, serving)
+    try:
+        mark = asyncio.run(scorer.score(call, 0, failed))
+    except ScoreImpossibleError:
+        mark = None
+    return mark, engines.asked, failures
+
+
+def test_a_late_scoring_call_is_made_at_a_second_instance():
+    """
+    A step may be waiting for it, and the call may be repeated.
+    """
+
+    async def answer(engine, request):
+        await asyncio.sleep(1.0 if engine.engine_id == "desk-0" else 0.01)
+        return EngineAnswer(200, (), b"", f"mark of {engine.engine_id}")
+
+    began = time.monotonic()
+    mark, asked, failures = _score(answer)
+    assert (mark, failures) == ("mark of desk-1", 0)
+    assert asked == ["desk-0", "desk-1"]
+    assert time.monotonic() - began < 0.5
+
+
+def test_a_scoring_call_fails_as_often_as_its_route_allows():
+    """
+    Each failure is told, and none beyond them is made.
+    """
+
+    async def answer(engine, request):
+        return EngineAnswer(500, (), b"", "")
+
+    mark, asked, failures = _score(answer)
+    assert (mark, failures, len(asked)) == (None, 3, 3)
