Load weights by the size of the pool; let each engine follow two of several models

Cause: at most two engines loaded at once, a constant of the first sites, so 22 engines got 72 loads in 34 s where four models asked for 396. Ruled out: room at the engines (3 of 8 slots taken on average) and the store.

With three models or more an engine follows two of them, half of a model's engines at a time, so a version costs each model its share of the loads. What is too old for the jobs at hand goes first, then the models take turns. An engine that loads one model no longer counts as being at the newest version of the others.

A test with two engines had both load at once; they load one after the other now, so it makes its texts last longer.

--- a/packages/saddledoor/src/saddledoor/__init__.py
+++ b/packages/saddledoor/src/saddledoor/__init__.py
@@ -122,7 +122,7 @@
 )
 from ._step_order import StepOrder, in_order, longest_first, oldest_allowed
 from ._swaps import EngineWeights, Order, next_orders
-from ._weight_waves import engines_to_update
+from ._weight_waves import engines_at_once, engines_to_update, weight_ring
 
 
 __all__ = [
@@ -241,6 +241,7 @@
     "append_part",
     "decode_record",
     "deployment_from_json",
+    "engines_at_once",
     "engines_to_update",
     "deployment_schema",
     "deployment_to_json",
@@ -263,4 +264,5 @@
     "uniform",
     "unpack_document",
     "validate",
+    "weight_ring",
 ]
--- a/packages/saddledoord/src/saddledoord/cluster/view.py
+++ b/packages/saddledoord/src/saddledoord/cluster/view.py
@@ -16,6 +16,7 @@
     GatewayConfig,
     GatewayRoute,
     RouteTable,
+    weight_ring,
 )
 
 from .._clock import boot_time
@@ -59,19 +60,21 @@
         """
         return self._table.find(host, path)
 
-    def engines_of(self, model: str, now: float) -> list[EngineEntry]:
+    def engines_following(self, model: str, now: float) -> list[EngineEntry]:
         """
-        Return the engines that hold a model and may get work.
+        Return the engines that are to follow a model's versions, and may get work.
 
         :param now: Monotonic, in seconds.
         """
         services = self._config.services.values() if self._config else ()
-        return [
-            engine
-            for service in services
-            if model in service.models
-            for engine in self.directory.usable(service.name, now)
-        ]
+        found: list[EngineEntry] = []
+        for service in services:
+            if model in service.models:
+                usable = self.directory.usable(service.name, now)
+                engines = {engine.engine_id: engine for engine in usable}
+                ring = weight_ring(sorted(engines), sorted(service.models), model)
+                found += [engines[name] for name in ring]
+        return found
 
     def apply_operator(self, entry: KeyedEntry) -> None:
         """
--- a/packages/saddledoord/src/saddledoord/jobs/placement.py
+++ b/packages/saddledoord/src/saddledoord/jobs/placement.py
@@ -115,7 +115,7 @@
             return set()
         versions = {
             engine.engine_id: self._version_at(engine, model)
-            for engine in self._view.engines_of(model, boot_time())
+            for engine in self._view.engines_following(model, boot_time())
         }
         return set(engines_to_update(versions, named, self._oldest_allowed(model)))
 
--- a/packages/saddledoord/src/saddledoord/orders/weights.py
+++ b/packages/saddledoord/src/saddledoord/orders/weights.py
@@ -8,10 +8,11 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import structlog
 
-from saddledoor import EngineEntry, engines_to_update
+from saddledoor import EngineEntry, engines_at_once, engines_to_update
 
 from .._clock import boot_time
 from ..cluster.view import ClusterView
@@ -23,8 +24,6 @@
 
 _log = structlog.get_logger()
 
-#: Engines that load at once, a count; with more the platform slows every load.
-_AT_ONCE = 2
 #: How often the engines are looked at, in seconds.
 _LOOK = 0.05
 #: How long the lease must still hold when an order is sent, in seconds: the longest
@@ -40,6 +39,22 @@
 _RETRY_PAUSE = 0.3
 
 
+@dataclass(frozen=True)
+class _Load:
+    """
+    An engine that is to be brought to a version.
+
+    :param urgent: Whether it is too old for the jobs at hand.
+    :param rank: Its place among the loads of its model.
+    """
+
+    engine: EngineEntry
+    model: str
+    version: int
+    urgent: bool
+    rank: int
+
+
 class WeightKeeper:
     """
     Gives absolute orders under the lease's fencing number.
@@ -68,7 +83,8 @@
         self._keep_runs = keep_runs
         self._oldest_allowed = oldest_allowed
         self._reached: dict[tuple[str, str], int] = {}
-        self._loading: dict[str, asyncio.Task] = {}
+        self._loading: dict[str, _Load] = {}
+        self._tasks: set[asyncio.Task] = set()
         self._paused: dict[str, float] = {}
 
     async def run(self) -> None:
@@ -79,29 +95,54 @@
             await asyncio.sleep(_LOOK)
             if self._lease.current(_ORDER_MARGIN) is None:
                 continue
-            for model, version in self._view.named_versions.items():
-                self._begin_loads(model, version)
+            self._begin_loads(boot_time())
+
+    def _begin_loads(self, now: float) -> None:
+        wanted = [
+            load
+            for model, version in self._view.named_versions.items()
+            for load in self._wanted(model, version, now)
+        ]
+        # Models take turns, so that none waits for all the loads of another.
+        wanted.sort(key=lambda load: (not load.urgent, load.rank))
+        for load in wanted:
+            name, service = load.engine.engine_id, load.engine.service
+            pool = len(self._view.directory.usable(service, now))
+            loading = [o for o in self._loading.values() if o.engine.service == service]
+            if name in self._loading or self._paused.get(name, 0.0) > now:
+                continue
+            if len(loading) < engines_at_once(pool):
+                self._begin(load)
 
-    def _begin_loads(self, model: str, version: int) -> None:
-        now = boot_time()
-        found = self._view.engines_of(model, now)
+    def _wanted(self, model: str, version: int, now: float) -> list[_Load]:
+        """
+        Return the loads of one model, the most urgent first.
+        """
+        found = self._view.engines_following(model, now)
         engines = {engine.engine_id: engine for engine in found}
         versions = {
             name: self._version_of(engine, model) for name, engine in engines.items()
         }
-        # An engine that is being loaded counts as there already.
-        versions |= dict.fromkeys(self._loading.keys() & versions.keys(), version)
-        for name in engines_to_update(versions, version, self._oldest_allowed(model)):
-            if len(self._loading) >= _AT_ONCE:
-                return
-            if self._paused.get(name, 0.0) > now:
-                continue
-            task = asyncio.create_task(self._bring(engines[name], model, version))
-            self._loading[name] = task
-            task.add_done_callback(lambda task, name=name: self._ended(name, task))
+        for name, load in self._loading.items():
+            # An engine that is being loaded counts as there already.
+            if load.model == model and name in versions:
+                versions[name] = load.version
+        oldest = self._oldest_allowed(model)
+        return [
+            _Load(engines[name], model, version, versions[name] < oldest, rank)
+            for rank, name in enumerate(engines_to_update(versions, version, oldest))
+        ]
+
+    def _begin(self, load: _Load) -> None:
+        name = load.engine.engine_id
+        self._loading[name] = load
+        task = asyncio.create_task(self._bring(load.engine, load.model, load.version))
+        self._tasks.add(task)
+        task.add_done_callback(lambda task: self._ended(name, task))
 
     def _ended(self, name: str, task: asyncio.Task) -> None:
         del self._loading[name]
+        self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             _log.error("order_task_failed", engine=name, exc_info=task.exception())
             self._paused[name] = boot_time() + _RETRY_PAUSE
--- a/tests/adapter/test_edge_weights.py
+++ b/tests/adapter/test_edge_weights.py
@@ -40,10 +40,13 @@
     """
     New weights within a run: both versions stand in the result.
     """
+    # The two engines load one after the other, a second apart: after the first event
+    # and before the fifth of both.
     for engine in ("engine-0", "engine-1"):
-        platform_bed.fake_engine(engine, pace=0.2)
+        platform_bed.fake_engine(engine, pace=0.5)
     assert platform_bed.submit("job-1", make_job(2)).status == 202
     until(lambda: len(platform_bed.runs()) == 2)
+    time.sleep(0.7)
     _bring(platform_bed, 2)
     for result in platform_bed.finished("job-1", 2):
         assert result["versions"] == [1, 2]
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 import pytest
 
 from builders import make_engine_entry, make_job, make_job_records, make_route
@@ -23,7 +25,9 @@
     decode_job,
     decode_job_record,
     encode_job_record,
+    engines_at_once,
     engines_to_update,
+    weight_ring,
 )
 from saddledoor.exceptions import UndecodableRecordError
 
@@ -209,3 +213,33 @@
     for piece in pieces[1:]:
         book.apply(piece, now=302.0)
     assert book.get("job-a") is None
+
+
+def test_engines_load_two_fifths_of_a_pool_at_once():
+    """
+    As the sheets of four deployments have it; one engine always may.
+    """
+    counts = [engines_at_once(engines) for engines in (1, 2, 5, 6, 22, 23)]
+    assert counts == [1, 1, 2, 2, 9, 9]
+
+
+def test_each_engine_follows_two_of_several_models():
+    """
+    And each model is followed by as many engines as any other, give or take one.
+    """
+    engines = [f"e-{n:02}" for n in range(22)]
+    models = ["a", "b", "c", "d"]
+    rings = [weight_ring(engines, models, model) for model in models]
+    assert [len(set(ring)) for ring in rings] == [11, 11, 11, 11]
+    follows = Counter(name for ring in rings for name in ring)
+    assert set(follows.values()) == {2}
+
+
+def test_every_engine_follows_where_there_are_one_or_two_models():
+    """
+    Or where there are few engines.
+    """
+    assert weight_ring(["a", "b", "c"], ["m"], "m") == ["a", "b", "c"]
+    assert weight_ring(["a", "b", "c"], ["m", "n"], "n") == ["a", "b", "c"]
+    assert weight_ring(["a", "b"], ["m", "n", "o", "p"], "o") == ["a", "b"]
+    assert weight_ring([], ["m"], "m") == []
