Call a node ready only once it knows the engines

Cause: tests/adapter/test_edge_requests.py::test_a_slow_engine_does_not_make_a_repeatable_ request_late failed once (status, not time) in a whole run of the adapter's tests, and not in 144 runs of its own under twelve workers nor in twelve whole runs under three times four. Its first request came before the node had read the engines' entries: they take two or three calls with the stand-in's small pages, the rest that makes a node ready takes one. Such a node answers 503 to everyone. On the platform the window is one call.

Change: a node is ready once the entries have been read as well. The new test slows the entries down by 0.4 s: 503 before, 200 after.

--- a/packages/saddledoord/src/saddledoord/cluster/follow.py
+++ b/packages/saddledoord/src/saddledoord/cluster/follow.py
@@ -214,8 +214,16 @@
         self._replaced = replaced
         self._offsets: dict[str, int] = {}
         self._next: int | None = None
+        self._known = False
         self._reach = _Reachable(name, reachable)
 
+    @property
+    def known(self) -> bool:
+        """
+        Whether all keys have been read at least once.
+        """
+        return self._known
+
     async def run(self) -> None:
         """
         Follow until cancelled.
@@ -249,4 +257,5 @@
                 self._offsets[entry.key] = entry.offset
                 self._apply(entry)
         if page.whole:
+            self._known = True
             self._replaced({entry.key for entry in page.entries})
--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -101,11 +101,21 @@
         ports: GatewayPorts,
         count: Callable[[str, ResultCode, float], None],
     ) -> None:
-        self._ports = ports
         self._stopping = False
         self._tasks: list[asyncio.Task] = []
         incarnation = f"{settings.vm}#{secrets.token_hex(4)}"
         self.view = ClusterView()
+        view = self.view
+        self._operator = RegistryFollower(
+            ports.operator, "operator", view.apply_operator
+        )
+        self._entries = RegistryFollower(
+            ports.entries,
+            "engines",
+            self._apply_engine,
+            view.engines_replaced,
+            view.store_reached,
+        )
         pool = EnginePool(self.view, least_outstanding(random.random))
         self.pass_through = PassThrough(self.view, pool, ports.engines, count)
         book = JobBook(decode_job)
@@ -152,7 +162,8 @@
         """
         Whether this node should get callers.
         """
-        known = self.view.config is not None and self.jobs.caught_up
+        engines_known = self._entries.known
+        known = self.view.config is not None and engines_known and self.jobs.caught_up
         return known and self.jobs.silence() < _ALONE and not self._stopping
 
     @property
@@ -168,20 +179,9 @@
 
         :param failed: Called when one of them ended by a fault.
         """
-        view = self.view
-        operator = RegistryFollower(
-            self._ports.operator, "operator", view.apply_operator
-        )
-        entries = RegistryFollower(
-            self._ports.entries,
-            "engines",
-            self._apply_engine,
-            view.engines_replaced,
-            view.store_reached,
-        )
         loops: list[Coroutine] = [
-            operator.run(),
-            entries.run(),
+            self._operator.run(),
+            self._entries.run(),
             self.jobs.run(),
             self._writer.run(),
             self._membership.run(),
--- a/tests/adapter/standin_store.py
+++ b/tests/adapter/standin_store.py
@@ -53,6 +53,7 @@
     :ivar page: Records in one answer to a read, a count.
     :ivar busy_after: After so many appends to ``jobs`` every call fails; 0 for never.
     :ivar slow_by: Time that each read takes, in seconds.
+    :ivar slow_entries: Time that a look at the engines' entries takes, in seconds.
     :ivar reads: Records read of each topic, a count.
     """
 
@@ -73,6 +74,7 @@
         self.page = 500
         self.slow_by = 0.0
         self.busy_after = 0
+        self.slow_entries = 0.0
         self.reads: Counter[str] = Counter()
 
     def topic(self, name: str) -> _Topic:
@@ -144,6 +146,8 @@
     async def newest(self, request: web.Request) -> web.StreamResponse:
         await self._fail(request)
         name = request.query["topic"]
+        if name == "keyed.servers":
+            await asyncio.sleep(self.slow_entries)
         rows = [
             {
                 "private_key": key,
@@ -230,6 +234,7 @@
             "page",
             "slow_by",
             "busy_after",
+            "slow_entries",
         ):
             setattr(self, name, body.get(name, getattr(self, name)))
         for name, key, value in body.get("put", ()):
--- a/tests/adapter/test_edge_requests.py
+++ b/tests/adapter/test_edge_requests.py
@@ -199,6 +199,17 @@
     assert platform_bed.ask("POST", "/look/x", b"b", "r-3").status == 503
 
 
+def test_an_edge_is_ready_only_once_it_knows_the_engines(platform_bed):
+    """
+    Its first callers would be refused otherwise.
+    """
+    platform_bed.fake_store(slow_entries=0.4)
+    platform_bed.start_edge("edge-1")
+    until(lambda: platform_bed.ready("edge-1"))
+    answer = platform_bed.ask("POST", "/look/x", b"b", "r-1", edge="edge-1")
+    assert answer.status == 200
+
+
 def test_an_edge_without_an_answer_of_the_store_asks_for_no_callers(platform_bed):
     """
     Soon, since trainers wait at its door; and it is ready again once the store answers.
