Keep a text's events after its share has moved; let shares go only when they are kept

The first VM's last events came into the log after the second had taken the items up (594 events held then, 12 x 66 made), so all that the second gave named a chain that the log did not end with, and was refused, for 4 s.

Change: * a node looks whether the log holds what it gave last. If not, it gives the whole text, which the fold takes in place of a shorter one; the proof `kept_texts` plays it. * an item's events are read when it starts, not as they stood when it was taken up. * a node that has lost a share drops its items and waits up to 0.3 s for their last events to be written before the share may pass on. * events on their way are not added to until they are written, so that an outage of the store queues one record an item.

--- a/packages/saddledoor/src/saddledoor/_jobs.py
+++ b/packages/saddledoor/src/saddledoor/_jobs.py
@@ -391,17 +391,20 @@
 
     Two nodes may run an item at once, from the same kept events: what the second one
     appends must not be joined to what the first one has, even where the numbers fit.
+    A whole text that is longer takes the place of what was kept.
     """
     before = state.kept.get(record.item_id, KeptParts())
     if state.ended or record.item_id in state.listed:
         return
-    fits = record.first == before.count + 1 and record.follows == before.chain
-    if not fits:
-        return
-    new = [version for version in record.versions if version not in before.versions]
-    state.kept[record.item_id] = KeptParts(
-        before.count + record.count,
-        (*before.versions, *new),
-        record.chain,
-        (*before.parts, record.text),
-    )
+    if record.first == before.count + 1 and record.follows == before.chain:
+        new = [v for v in record.versions if v not in before.versions]
+        state.kept[record.item_id] = KeptParts(
+            before.count + record.count,
+            (*before.versions, *new),
+            record.chain,
+            (*before.parts, record.text),
+        )
+    elif record.first == 1 and record.count > before.count:
+        state.kept[record.item_id] = KeptParts(
+            record.count, record.versions, record.chain, (record.text,)
+        )
--- a/packages/saddledoord/src/saddledoord/cluster/membership.py
+++ b/packages/saddledoord/src/saddledoord/cluster/membership.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import hashlib
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import structlog
 
@@ -40,10 +40,12 @@
     The share only says who works, not whose word counts: that the log's order decides.
 
     :param parts: Into how many shares the jobs are divided.
+    :param changed: Called when the share has changed, and awaited before what is lost
+        may pass on to another node.
     """
 
     def __init__(
-        self, group: WorkGroup, parts: int, changed: Callable[[], None]
+        self, group: WorkGroup, parts: int, changed: Callable[[], Awaitable[None]]
     ) -> None:
         self._group = group
         self._parts = parts
@@ -66,7 +68,7 @@
             try:
                 assignment = await self._group.join(before)
                 if not self._left:
-                    self._take(assignment)
+                    await self._take(assignment)
             except StoreAwayError as error:
                 # The share stays: while the store is away it deals none to others,
                 # and if it only turned this node away, work done twice does no harm.
@@ -81,13 +83,13 @@
         Give this node's share up, so that others take it over at once.
         """
         self._left = True
-        self._take(Assignment(self._assignment.generation, frozenset()))
+        await self._take(Assignment(self._assignment.generation, frozenset()))
         try:
             await self._group.leave()
         except StoreAwayError as error:
             _log.warning("membership_leave_failed", reason=str(error))
 
-    def _take(self, assignment: Assignment) -> None:
+    async def _take(self, assignment: Assignment) -> None:
         before = self._assignment
         self._assignment = assignment
         if before.parts != assignment.parts:
@@ -96,4 +98,4 @@
                 generation=assignment.generation,
                 parts=sorted(assignment.parts),
             )
-            self._changed()
+            await self._changed()
--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -44,6 +44,9 @@
 #: take no job and has to send its readers away. In calm times there is an answer each
 #: second; a store that is slowed down 60 times adds 0.24 s.
 _ALONE = 1.5
+#: How long a share that was lost waits for the last events of its items to reach the
+#: log, in seconds; a calm store takes 0.04 s.
+_HAND_OVER_LIMIT = 0.3
 #: How long a stopping node gives its last records to reach the log, in seconds.
 _FLUSH_LIMIT = 1.5
 
@@ -131,7 +134,7 @@
             settings.retention,
         )
         self._writer = RecordWriter(ports.log, texts)
-        self._membership = Membership(ports.group, settings.parts, self._wake)
+        self._membership = Membership(ports.group, settings.parts, self._share_changed)
         paces = EnginePaces()
         placement = Placement(self.view, pool, paces, book.oldest_allowed)
         self._runner = JobRunner(
@@ -215,6 +218,14 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    async def _share_changed(self) -> None:
+        """
+        Let go what others will run, and leave them what was made of it.
+        """
+        self._runner.let_go()
+        self._runner.wake()
+        await self._writer.flushed(_HAND_OVER_LIMIT)
+
     def _wake(self) -> None:
         self._runner.wake()
 
--- a/packages/saddledoord/src/saddledoord/jobs/item_run.py
+++ b/packages/saddledoord/src/saddledoord/jobs/item_run.py
@@ -41,7 +41,8 @@
     :param text: Without the kept events until they are loaded.
     :param kept: Events that were given to the log, a count.
     :param kept_chain: The chain that the last of them belongs to.
-    :param to_load: Where the log holds the events that others made; none once loaded.
+    :param writing: Whether events given to the log are still on their way.
+    :param loaded: Whether what others made of the text has been read.
     :param moves: Moves away from silent engines, a count.
     :param unfit: Engines that cannot run it now, by id.
     """
@@ -54,7 +55,8 @@
     failures: int = 0
     kept: int = 0
     kept_chain: str = ""
-    to_load: KeptParts | None = None
+    writing: bool = False
+    loaded: bool = False
     moves: int = 0
     unfit: set[str] = field(default_factory=set)
 
@@ -63,16 +65,8 @@
         """
         Take an item up where the log says that others left it.
         """
-        kept = state.kept.get(item.item_id, KeptParts())
-        return cls(
-            state,
-            item,
-            EventText(_new_chain()),
-            failures=state.failures(item.item_id),
-            kept=kept.count,
-            kept_chain=kept.chain,
-            to_load=kept if kept.count else None,
-        )
+        failures = state.failures(item.item_id)
+        return cls(state, item, EventText(_new_chain()), failures=failures)
 
     async def load(self, texts: TextStore) -> None:
         """
@@ -81,13 +75,22 @@
         :raises StoreAwayError: If it cannot be had now.
         :raises UndecodableRecordError: If it is not what a node writes.
         """
-        if self.to_load is None:
+        if self.loaded:
             return
-        kept = self.to_load
+        kept = self.held_by_log
         data = await texts.read(kept.parts)
         events = tuple(event for part in data for event in decode_events(part))
         self.text = EventText(_new_chain(), KeptText(events, kept.versions, kept.chain))
-        self.to_load = None
+        self.kept = kept.count
+        self.kept_chain = kept.chain
+        self.loaded = True
+
+    @property
+    def held_by_log(self) -> KeptParts:
+        """
+        What the log holds of the text, as far as this node has read it.
+        """
+        return self.state.kept.get(self.item.item_id, KeptParts())
 
     @property
     def is_idle(self) -> bool:
@@ -114,7 +117,7 @@
         self.text = EventText(_new_chain())
         self.kept = 0
         self.kept_chain = ""
-        self.to_load = None
+        self.loaded = True
 
     @property
     def unkept(self) -> int:
@@ -126,9 +129,16 @@
     def keep(self, writer: RecordWriter) -> None:
         """
         Give the log the events that it has not been given.
+
+        All of them if it holds another run's: that one's last events came between, or
+        two nodes ran the item at once.
         """
         if self.unkept <= 0:
             return
+        held = self.held_by_log
+        given = (self.kept, self.kept_chain)
+        if not self.writing and (held.count, held.chain) != given:
+            self.kept, self.kept_chain = 0, ""
         part = self.text.since(self.kept)
         record = partial(
             ItemKept,
@@ -140,10 +150,14 @@
             part.chain,
             part.versions,
         )
-        writer.put_with_text(encode_events(part.events), record)
+        self.writing = True
+        writer.put_with_text(encode_events(part.events), record, self._written)
         self.kept = self.text.last
         self.kept_chain = part.chain
 
+    def _written(self) -> None:
+        self.writing = False
+
 
 def _new_chain() -> str:
     return secrets.token_hex(4)
--- a/packages/saddledoord/src/saddledoord/jobs/record_writer.py
+++ b/packages/saddledoord/src/saddledoord/jobs/record_writer.py
@@ -38,10 +38,16 @@
 
     :param text: Written first; empty for a record without one.
     :param record_of: Makes the record from the place of its text.
+    :param written: Called when the log has it.
     """
 
     text: bytes
     record_of: Callable[[StoredText], JobRecord]
+    written: Callable[[], None]
+
+
+def _nothing() -> None:
+    pass
 
 
 class RecordWriter:
@@ -64,12 +70,17 @@
         self.put_with_text(b"", lambda _: record)
 
     def put_with_text(
-        self, text: bytes, record_of: Callable[[StoredText], JobRecord]
+        self,
+        text: bytes,
+        record_of: Callable[[StoredText], JobRecord],
+        written: Callable[[], None] = _nothing,
     ) -> None:
         """
         Queue a text, and the record that tells where it is.
+
+        :param written: Called when the log has it.
         """
-        self._waiting.append(_Waiting(text, record_of))
+        self._waiting.append(_Waiting(text, record_of, written))
         self._idle.clear()
         self._some.set()
 
@@ -98,6 +109,8 @@
                 for waiting, place in zip(batch, places, strict=True)
             ]
             await append_until_done(self._log, JOBS_STREAM, records)
+            for waiting in batch:
+                waiting.written()
             if not self._waiting:
                 self._idle.set()
 
--- a/packages/saddledoord/src/saddledoord/jobs/runner.py
+++ b/packages/saddledoord/src/saddledoord/jobs/runner.py
@@ -115,6 +115,13 @@
             except TimeoutError:
                 pass
 
+    def let_go(self) -> None:
+        """
+        Drop at once what this node should not run any more.
+        """
+        if self._jobs.caught_up:
+            self._reconcile()
+
     def hand_over(self) -> None:
         """
         Give all items up, and leave what was made of their texts to the next node.
@@ -130,7 +137,8 @@
         while True:
             await asyncio.sleep(_KEEP_EVERY)
             for run in self._runs.values():
-                if run.unkept >= _KEEP_LEAST and not run.listing:
+                busy = run.listing or run.writing
+                if run.unkept >= _KEEP_LEAST and not busy:
                     run.keep(self._writer)
 
     def _waiting(self) -> bool:
@@ -162,7 +170,8 @@
         for key in new:
             self._runs[key] = ItemRun.begin(*wanted[key])
         for job_id in {job_id for job_id, _ in new}:
-            kept = sum(run.kept for key, run in self._runs.items() if key[0] == job_id)
+            runs = [run for key, run in self._runs.items() if key[0] == job_id]
+            kept = sum(run.held_by_log.count for run in runs)
             items = sum(1 for key in new if key[0] == job_id)
             _log.info("job_taken_up", job=job_id, items=items, kept_events=kept)
 
@@ -260,7 +269,7 @@
                 "kept_text_not_loaded",
                 job=run.state.job.job_id,
                 item=run.item.item_id,
-                events=run.kept,
+                events=run.held_by_log.count,
                 reason=str(error),
             )
             run.start_over()
--- a/tests/adapter/test_edge_jobs.py
+++ b/tests/adapter/test_edge_jobs.py
@@ -267,11 +267,17 @@
     platform_bed.signal("edge-0", signal.SIGKILL)
     platform_bed.wait_end("edge-0")
     began = len(platform_bed.runs())
+    taken_up = len(_taken_up(platform_bed))
     platform_bed.fake_store(page=1, slow_by=0.6)
     platform_bed.start_edge("edge-0")
     until(lambda: platform_bed.ready("edge-0"), 20.0)
     time.sleep(1.0)
     assert len(platform_bed.runs()) == began
+    assert len(_taken_up(platform_bed)) == taken_up
+
+
+def _taken_up(bed) -> list[dict]:
+    return [line for line in bed.log("edge-0") if line["event"] == "job_taken_up"]
 
 
 def test_nothing_starts_after_a_long_silence_of_the_store(platform_bed):
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -139,7 +139,7 @@
     Guard(
         "entries that lapse with the store are bridged",
         f"{_LIBRARY}/_engine_directory.py",
-        "            self._missing[engine_id] = (entry, now + self._bridge)",
+        "            self._missing[engine_id] = (entry, returns_until)",
         "            pass",
         (_REQUESTS, "are_bridged"),
     ),
--- a/tests/proofs/kept_texts.py
+++ b/tests/proofs/kept_texts.py
@@ -114,6 +114,30 @@
                 )
             )
 
+        @rule(node=st.integers(0, _NODES - 1))
+        def keep_whole(self, node):
+            """
+            The node has seen that the log holds another run's events.
+            """
+            text = self.texts[node]
+            if text.last == 0:
+                return
+            kept = text.since(0)
+            self.told[node] = (text.last, kept.chain)
+            self.written.append(kept.events)
+            self.book.apply(
+                ItemKept(
+                    self.job.job_id,
+                    self.item,
+                    1,
+                    len(kept.events),
+                    "",
+                    kept.chain,
+                    kept.versions,
+                    StoredText((len(self.written) - 1,), 1),
+                )
+            )
+
         @invariant()
         def no_gap_and_every_run_was_asked_to_go_on_there(self):
             if not hasattr(self, "texts"):
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -243,3 +243,24 @@
     assert weight_ring(["a", "b", "c"], ["m", "n"], "n") == ["a", "b", "c"]
     assert weight_ring(["a", "b"], ["m", "n", "o", "p"], "o") == ["a", "b"]
     assert weight_ring([], ["m"], "m") == []
+
+
+def _kept(first: int, count: int, follows: str, chain: str) -> ItemKept:
+    place = StoredText((first, count), 1)
+    return ItemKept("job-a", "item-0", first, count, follows, chain, (1,), place)
+
+
+def test_a_whole_text_takes_the_place_of_a_shorter_one_of_another_run():
+    """
+    A node whose first record came too late is not shut out for good.
+    """
+    state = _book_with(
+        _kept(1, 4, "", "c-1"),
+        _kept(5, 2, "c-2", "c-2"),
+        _kept(1, 6, "", "c-2"),
+        _kept(7, 1, "c-2", "c-2"),
+        _kept(1, 5, "", "c-1"),
+    ).get("job-a")
+    kept = state.kept["item-0"]
+    assert (kept.count, kept.chain) == (7, "c-2")
+    assert [part.offsets for part in kept.parts] == [(1, 6), (7, 1)]
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -33,7 +33,11 @@
 
 
 def _play(group: _Group, seconds: float) -> Membership:
-    membership = Membership(group, 4, lambda: None)
+
+    async def changed():
+        pass
+
+    membership = Membership(group, 4, changed)
 
     async def play():
         with_time = asyncio.wait_for(membership.run(), seconds)
