Let a machine that comes back have its order lease at once

Change: the lease names the machine (name and address) beside the process. A process that finds the lease with an earlier process of its own machine claims it at once: that one is gone, or this one would not run. Another machine waits for the term as before, so no two machines give orders within it. The fence rises with the claim. The new test kills and starts the holder: without the change the other edge has the lease after the term.

--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import random
-import secrets
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 
@@ -57,6 +56,7 @@
     What a node knows before it reads anything.
 
     :param vm: Name of the VM.
+    :param address: Its IP address; a VM that takes another's place has another one.
     :param parts: Into how many shares the jobs are divided.
     :param lease_term: Of the lease for orders, in seconds.
     :param largest_record: Largest record of the log, in bytes.
@@ -68,6 +68,7 @@
     """
 
     vm: str
+    address: str
     parts: int
     lease_term: float
     largest_record: int
@@ -106,7 +107,6 @@
     ) -> None:
         self._stopping = False
         self._tasks: list[asyncio.Task] = []
-        incarnation = f"{settings.vm}#{secrets.token_hex(4)}"
         self.view = ClusterView()
         view = self.view
         self._operator = RegistryFollower(
@@ -150,7 +150,9 @@
             settings.cancel_time,
         )
         self.jobs.on_change(self._wake)
-        self._lease = OrderLease(ports.log, incarnation, settings.lease_term)
+        self._lease = OrderLease(
+            ports.log, f"{settings.vm}@{settings.address}", settings.lease_term
+        )
         self._weights = WeightKeeper(
             self.view,
             ports.engines,
--- a/packages/saddledoord/src/saddledoord/orders/lease.py
+++ b/packages/saddledoord/src/saddledoord/orders/lease.py
@@ -13,6 +13,7 @@
 
 from saddledoor import (
     HeldLease,
+    Lease,
     LeaseClaim,
     LeaseFold,
     LeaseRelease,
@@ -35,6 +36,8 @@
 #: The stream that holds the lease's records.
 CONTROL_STREAM = "control"
 _LEASE = "orders"
+#: Between a machine's name and what tells its processes apart.
+_INCARNATION = "#"
 #: Renewals per term, a count.
 _RENEWALS = 3
 #: How often the lease is looked at, as a share of its term.
@@ -45,13 +48,15 @@
     """
     Takes and renews the lease; its fencing number is the offset of the claim.
 
-    :param holder: This process; another incarnation is another holder.
+    :param machine: Names this machine, so that no other one has the same name.
     :param term: In seconds.
     """
 
-    def __init__(self, log: SharedLog, holder: str, term: float) -> None:
+    def __init__(self, log: SharedLog, machine: str, term: float) -> None:
         self._log = log
-        self._holder = holder
+        self._machine = machine
+        # Another incarnation is another holder.
+        self._holder = f"{machine}{_INCARNATION}{secrets.token_hex(4)}"
         self._term = term
         self._fold = LeaseFold()
         self._watch = LeaseWatch(term)
@@ -108,9 +113,20 @@
         if held is not None:
             if held.deadline - now < self._term * (1 - 1 / _RENEWALS):
                 await self._renew(held)
-        elif self._watch.may_take(lease, now):
+        elif self._watch.may_take(lease, now) or self._is_of_a_dead_one(lease):
             await self._claim(lease.last if lease else -1)
 
+    def _is_of_a_dead_one(self, lease: Lease | None) -> bool:
+        """
+        Whether an earlier process of this machine holds the lease.
+
+        It is gone, or this one would not run, and nobody else may have acted since. So
+        the term need not pass, which counts after the loss of all machines.
+        """
+        if lease is None or lease.holder == self._holder:
+            return False
+        return lease.holder.rpartition(_INCARNATION)[0] == self._machine
+
     async def _claim(self, seen: int) -> None:
         claim = LeaseClaim(secrets.token_hex(8), _LEASE, self._holder, seen)
         before = boot_time()
--- a/tests/adapter/test_edge_weights.py
+++ b/tests/adapter/test_edge_weights.py
@@ -8,6 +8,7 @@
 
 import signal
 import time
+from datetime import datetime
 
 from platform_bed import until
 from platform_documents import MODEL, make_job, texts, whole_texts
@@ -100,6 +101,29 @@
     assert second["model"] == MODEL
 
 
+def test_a_machine_that_comes_back_has_its_lease_at_once(two_edges):
+    """
+    Not after the term, as another machine would; and with a higher fence.
+    """
+    _bring(two_edges, 2)
+    until(lambda: two_edges.fake_engine("engine-0")["version"] == 2)
+    holder = two_edges.fake_engine("engine-0")["orders"][-1]["holder"]
+    two_edges.signal(holder, signal.SIGKILL)
+    two_edges.wait_end(holder)
+    two_edges.start_edge(holder)
+    until(lambda: len(_lines(two_edges, holder, "order_lease_taken")) == 2)
+    started = _lines(two_edges, holder, "started")[-1]["timestamp"]
+    before, taken = _lines(two_edges, holder, "order_lease_taken")
+    assert taken["fence"] > before["fence"]
+    waited = datetime.fromisoformat(taken["timestamp"])
+    waited -= datetime.fromisoformat(started)
+    assert waited.total_seconds() < 0.8
+
+
+def _lines(bed, edge: str, event: str) -> list[dict]:
+    return [line for line in bed.log(edge) if line["event"] == event]
+
+
 def test_a_planned_stop_hands_the_texts_over(two_edges):
     """
     The next owner goes on after the events that the stopping one has kept.
