--- a/packages/saddledoor/src/saddledoor/__init__.py
+++ b/packages/saddledoor/src/saddledoor/__init__.py
@@ -47,6 +47,7 @@
 from ._drain import Drain, Stage
 from ._engine_directory import EngineDirectory, EngineEntry
 from ._event_text import EventText, GeneratedEvent, KeptText
+from ._job_book import JobBook, JobState, KeptParts
 from ._job_records import (
     decode_events,
     decode_job,
@@ -61,13 +62,10 @@
     ItemListed,
     ItemResult,
     Job,
-    JobBook,
     JobChunk,
     JobEnded,
     JobItem,
     JobRecord,
-    JobState,
-    KeptParts,
     ScoreCall,
     StoredText,
 )
--- /dev/null
+++ b/packages/saddledoor/src/saddledoor/_job_book.py
@@ -0,0 +1,240 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Batch jobs as a fold over the log: every node that reads it gives the same answers.
+
+The log's order decides everything a reader can see. An item's first result record
+makes its position; any later one, by whichever node, changes nothing. So a node that
+wrongly believes it still runs a job can do no harm by what it appends.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from ._jobs import (
+    ItemFailed,
+    ItemKept,
+    ItemListed,
+    ItemResult,
+    Job,
+    JobChunk,
+    JobEnded,
+    JobItem,
+    JobRecord,
+    StoredText,
+)
+
+
+__all__ = ["JobBook", "JobState", "KeptParts"]
+
+
+@dataclass(frozen=True)
+class KeptParts:
+    """
+    What the log holds of a text whose run was given up.
+
+    :param count: Of the events, from the first one on without gaps.
+    :param versions: Weight versions that made them, in order of appearance.
+    :param chain: Names the run of the last of them; empty for no events.
+    :param parts: Their texts, in order.
+    """
+
+    count: int = 0
+    versions: tuple[int, ...] = ()
+    chain: str = ""
+    parts: tuple[StoredText, ...] = ()
+
+
+@dataclass
+class JobState:
+    """
+    A job and what the log says of it.
+
+    :param known_since: When this process learnt of it, monotonic, in seconds; the job
+        is at least as old as that says.
+    :param results: In the order of their positions.
+    """
+
+    job: Job
+    order: int
+    known_since: float
+    results: list[ItemResult] = field(default_factory=list)
+    listed: set[str] = field(default_factory=set)
+    failed: set[ItemFailed] = field(default_factory=set)
+    kept: dict[str, KeptParts] = field(default_factory=dict)
+    ended: bool = False
+
+    def __post_init__(self) -> None:
+        self.items = {item.item_id: item for item in self.job.items}
+
+    @property
+    def is_open(self) -> bool:
+        """
+        Whether something is left to run.
+        """
+        return not self.ended and len(self.listed) < len(self.items)
+
+    def failures(self, item_id: str) -> int:
+        """
+        Return how many runs of an item have failed, a count.
+        """
+        return self._count(item_id, scoring=False)
+
+    def score_failures(self, item_id: str) -> int:
+        """
+        Return how many scoring calls of an item have failed, a count.
+        """
+        return self._count(item_id, scoring=True)
+
+    def _count(self, item_id: str, scoring: bool) -> int:
+        return sum(f.item_id == item_id and f.scoring == scoring for f in self.failed)
+
+    def unlisted(self) -> Iterator[JobItem]:
+        """
+        Return the items that have no result, in the order of the job.
+        """
+        return (i for i in self.job.items if i.item_id not in self.listed)
+
+
+@dataclass
+class _Pieces:
+    """
+    The pieces of a job that is not whole yet.
+
+    :param known_since: When the first was read, monotonic, in seconds.
+    """
+
+    known_since: float
+    data: list[bytes] = field(default_factory=list)
+
+
+class JobBook:
+    """
+    All jobs, folded from the log's records.
+
+    :param decode: Turns the joined pieces of a job into a `Job`; raises `ValueError`.
+    """
+
+    def __init__(self, decode) -> None:
+        self._decode = decode
+        self._jobs: dict[str, JobState] = {}
+        self._pieces: dict[tuple[str, str], _Pieces] = {}
+        self._accepted = 0
+        self._oldest_allowed: dict[str, int] = {}
+
+    def get(self, job_id: str) -> JobState | None:
+        """
+        Return a job, or none if the log holds none of that name.
+        """
+        return self._jobs.get(job_id)
+
+    def open_jobs(self) -> list[JobState]:
+        """
+        Return the jobs that have something to run, oldest first.
+        """
+        return [state for state in self._jobs.values() if state.is_open]
+
+    def oldest_allowed(self, model: str) -> int:
+        """
+        Return the oldest weight version that the newest job of a model allows.
+        """
+        return self._oldest_allowed.get(model, 0)
+
+    def apply(self, record: JobRecord, now: float = 0.0) -> str:
+        """
+        Fold one record.
+
+        :param now: Monotonic, in seconds; only for the ages of jobs.
+        :returns: The job it belongs to.
+        :raises ValueError: If a job's pieces cannot be decoded; it is not taken then.
+        """
+        if isinstance(record, JobChunk):
+            self._apply_chunk(record, now)
+            return record.job_id
+        state = self._jobs.get(record.job_id)
+        if state is not None:
+            _apply_change(state, record)
+        return record.job_id
+
+    def forget(self, now: float, ended_for: float, open_for: float) -> None:
+        """
+        Drop the jobs that nobody may ask for any more.
+
+        :param now: Monotonic, in seconds.
+        :param ended_for: Age up to which an ended job is kept, in seconds.
+        :param open_for: Age up to which any job is kept, in seconds.
+        """
+        for job_id, state in list(self._jobs.items()):
+            keep = ended_for if state.ended else open_for
+            if now - state.known_since > keep:
+                del self._jobs[job_id]
+        for key, pieces in list(self._pieces.items()):
+            if now - pieces.known_since > open_for:
+                del self._pieces[key]
+
+    def _apply_chunk(self, chunk: JobChunk, now: float) -> None:
+        if chunk.job_id in self._jobs:
+            return
+        key = (chunk.job_id, chunk.writer)
+        pieces = self._pieces.setdefault(key, _Pieces(now))
+        if chunk.index < len(pieces.data):
+            # The same again: its first append had lost its answer.
+            return
+        if chunk.index > len(pieces.data):
+            # The beginning is gone from the log, so the job cannot be put together.
+            del self._pieces[key]
+            return
+        pieces.data.append(chunk.data)
+        if len(pieces.data) < chunk.count:
+            return
+        del self._pieces[key]
+        job = self._decode(b"".join(pieces.data))
+        self._accepted += 1
+        self._jobs[chunk.job_id] = JobState(job, self._accepted, now)
+        newest = max(job.oldest_version, self.oldest_allowed(job.model))
+        self._oldest_allowed[job.model] = newest
+
+
+def _apply_change(
+    state: JobState, record: ItemListed | ItemFailed | ItemKept | JobEnded
+) -> None:
+    match record:
+        case ItemListed(result=result):
+            if result.item_id in state.items and result.item_id not in state.listed:
+                state.listed.add(result.item_id)
+                state.results.append(result)
+                state.kept.pop(result.item_id, None)
+        case ItemFailed():
+            state.failed.add(record)
+        case ItemKept():
+            _keep(state, record)
+        case JobEnded():
+            state.ended = True
+            state.kept.clear()
+
+
+def _keep(state: JobState, record: ItemKept) -> None:
+    """
+    Add events that go on exactly where the kept ones end, in the same chain.
+
+    Two nodes may run an item at once, from the same kept events: what the second one
+    appends must not be joined to what the first one has, even where the numbers fit.
+    A whole text that is longer takes the place of what was kept.
+    """
+    before = state.kept.get(record.item_id, KeptParts())
+    if state.ended or record.item_id in state.listed:
+        return
+    if record.first == before.count + 1 and record.follows == before.chain:
+        new = [v for v in record.versions if v not in before.versions]
+        state.kept[record.item_id] = KeptParts(
+            before.count + record.count,
+            (*before.versions, *new),
+            record.chain,
+            (*before.parts, record.text),
+        )
+    elif record.first == 1 and record.count > before.count:
+        state.kept[record.item_id] = KeptParts(
+            record.count, record.versions, record.chain, (record.text,)
+        )
--- /dev/null
+++ b/tests/adapter/test_edge_items.py
@@ -0,0 +1,119 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Items of jobs at engines that break off, fall silent, are slow, or fail.
+"""
+
+from __future__ import annotations
+
+import time
+
+from platform_bed import until
+from platform_documents import ITEMS, make_config, make_job, texts, whole_texts
+
+
+def test_a_text_larger_than_a_record_of_the_store_is_listed_whole(two_edges):
+    """
+    And read whole at an edge that did not make it.
+    """
+    for engine in ("engine-0", "engine-1"):
+        two_edges.fake_engine(engine, events=400, pace=0.001)
+    assert two_edges.submit("job-1", make_job(2)).status == 202
+    for edge in ("edge-0", "edge-1"):
+        assert texts(two_edges.finished("job-1", 2, edge)) == whole_texts(2, 400)
+
+
+def test_a_stream_cut_within_an_event_goes_on_after_the_last_whole_one(platform_bed):
+    """
+    At another engine, and the text has no gap, no repeat and no half event.
+    """
+    platform_bed.fake_engine("engine-0", cut_after=2)
+    assert platform_bed.submit("job-1", make_job()).status == 202
+    assert texts(platform_bed.finished("job-1", ITEMS)) == whole_texts()
+    resumed = [run for run in platform_bed.runs() if run["resume_after"]]
+    assert resumed
+    assert {run["resume_after"] for run in resumed} <= {2}
+
+
+def test_an_item_leaves_an_engine_that_falls_silent(platform_bed):
+    """
+    Well before the silence counts as a broken stream, and goes on where it was.
+    """
+    platform_bed.fake_engine("engine-0", hang_after=2)
+    began = time.monotonic()
+    assert platform_bed.submit("job-1", make_job()).status == 202
+    assert texts(platform_bed.finished("job-1", ITEMS)) == whole_texts()
+    assert time.monotonic() - began < 1.9
+    resumed = [run["resume_after"] for run in platform_bed.runs()]
+    assert 2 in resumed
+
+
+def test_an_item_comes_to_its_end_at_engines_slower_than_expected(platform_bed):
+    """
+    It does not move to and fro between them for ever.
+    """
+    for engine in ("engine-0", "engine-1"):
+        platform_bed.fake_engine(engine, pace=0.8)
+    assert platform_bed.submit("job-1", make_job(2)).status == 202
+    assert texts(platform_bed.finished("job-1", 2)) == whole_texts(2)
+
+
+def test_a_stream_without_its_end_marker_is_not_taken_as_whole(platform_bed):
+    """
+    All events came, the end did not: nothing is listed until an engine ends it well.
+    """
+    for engine in ("engine-0", "engine-1"):
+        platform_bed.fake_engine(engine, no_end=True)
+    assert platform_bed.submit("job-1", make_job(2)).status == 202
+    time.sleep(1.0)
+    assert platform_bed.results("job-1") == []
+    for engine in ("engine-0", "engine-1"):
+        platform_bed.fake_engine(engine, no_end=False)
+    assert texts(platform_bed.finished("job-1", 2)) == whole_texts(2)
+
+
+def test_an_item_that_always_fails_is_given_up_after_its_attempts(platform_bed):
+    """
+    Listed as given up, after no more runs than the route allows.
+    """
+    for engine in ("engine-0", "engine-1"):
+        platform_bed.fake_engine(engine, fail=500)
+    assert platform_bed.submit("job-1", make_job(1)).status == 202
+    (result,) = platform_bed.finished("job-1", 1)
+    assert result["state"] == "dead"
+    assert len(platform_bed.runs()) == 3
+
+
+def test_an_item_that_can_never_be_done_is_given_up_at_once(platform_bed):
+    """
+    One answer of 422 is enough.
+    """
+    for engine in ("engine-0", "engine-1"):
+        platform_bed.fake_engine(engine, fail=422)
+    assert platform_bed.submit("job-1", make_job(1)).status == 202
+    assert platform_bed.finished("job-1", 1)[0]["state"] == "dead"
+    assert len(platform_bed.runs()) == 1
+
+
+def test_items_go_to_no_service_that_their_route_gives_nothing(platform_bed):
+    """
+    Also where such a service stands first in the split.
+    """
+    config = make_config(2)
+    del config["routes"][2]["service"]
+    config["routes"][2]["backends"] = [
+        {"service": "desk", "weight": 0},
+        {"service": "pool", "weight": 5},
+    ]
+    platform_bed.configure(config)
+    until(lambda: _versions_in_force(platform_bed) == [1, 2])
+    assert platform_bed.submit("job-1", make_job()).status == 202
+    assert texts(platform_bed.finished("job-1", ITEMS)) == whole_texts()
+    for desk in ("desk-0", "desk-1"):
+        bodies = {run["body"] for run in platform_bed.fake_engine(desk)["runs"]}
+        assert bodies <= {"score"}
+
+
+def _versions_in_force(bed) -> list[int]:
+    lines = bed.log("edge-0")
+    return [line["version"] for line in lines if "routes" in line]
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -24,6 +24,7 @@
 _LIBRARY = "packages/saddledoor/src/saddledoor"
 _DAEMON = "packages/saddledoord/src/saddledoord"
 _JOBS = "tests/adapter/test_edge_jobs.py"
+_ITEMS = "tests/adapter/test_edge_items.py"
 _WEIGHTS = "tests/adapter/test_edge_weights.py"
 _REQUESTS = "tests/adapter/test_edge_requests.py"
 _PROOFS = "tests/test_proofs.py"
@@ -73,7 +74,7 @@
         f"{_DAEMON}/jobs/runner.py",
         "run.failures += 1",
         "run.failures = run.state.failures.get(item_id, 0)",
-        (_JOBS, "always_fails"),
+        (_ITEMS, "always_fails"),
     ),
     Guard(
         "an append without an answer is no refusal",
@@ -90,7 +91,7 @@
             ) from None
 """,
         "            return\n",
-        (_JOBS, "without_its_end_marker"),
+        (_ITEMS, "without_its_end_marker"),
     ),
     Guard(
         "an order names the count of orders taken",
@@ -159,14 +160,14 @@
     ),
     Guard(
         "an item has one position",
-        f"{_LIBRARY}/_jobs.py",
+        f"{_LIBRARY}/_job_book.py",
         "and result.item_id not in state.listed",
         "",
         (_PROOFS, "holds_with_its_mechanism and job_positions"),
     ),
     Guard(
         "kept events go on in the chain where the others end",
-        f"{_LIBRARY}/_jobs.py",
+        f"{_LIBRARY}/_job_book.py",
         "record.first == before.count + 1 and record.follows == before.chain",
         "record.first == before.count + 1",
         (_PROOFS, "holds_with_its_mechanism and kept_texts"),
@@ -180,7 +181,7 @@
     ),
     Guard(
         "a whole text takes the place of a shorter one only",
-        f"{_LIBRARY}/_jobs.py",
+        f"{_LIBRARY}/_job_book.py",
         "record.first == 1 and record.count > before.count",
         "record.first == 1",
         (_DECISIONS, "takes_the_place"),
@@ -236,7 +237,7 @@
     ),
     Guard(
         "a failure that is appended twice counts once",
-        f"{_LIBRARY}/_jobs.py",
+        f"{_LIBRARY}/_job_book.py",
         "state.failed.add(record)",
         "state.failed.add(ItemFailed(record.job_id, record.item_id,"
         " str(len(state.failed)), record.scoring))",
@@ -244,7 +245,7 @@
     ),
     Guard(
         "an open job is kept",
-        f"{_LIBRARY}/_jobs.py",
+        f"{_LIBRARY}/_job_book.py",
         "keep = ended_for if state.ended else open_for",
         "keep = ended_for",
         (_DECISIONS, "kept_while_it_is_open"),
@@ -277,7 +278,7 @@
         f"{_DAEMON}/jobs/texts.py",
         "size = self._largest_record",
         "size = max(1, len(text))",
-        (_JOBS, "larger_than_a_record"),
+        (_ITEMS, "larger_than_a_record"),
     ),
     Guard(
         "a share that is lost passes on at once",
