--- a/packages/saddledoord/src/saddledoord/jobs/service.py
+++ b/packages/saddledoord/src/saddledoord/jobs/service.py
@@ -308,8 +308,7 @@
         may_be_there = False
         reason = ""
         while boot_time() < deadline:
-            patience = min(_APPEND_PATIENCE, deadline - boot_time())
-            outcome = await self._log.append(JOBS_STREAM, records, patience)
+            outcome = await self._log.append(JOBS_STREAM, records, _APPEND_PATIENCE)
             match outcome:
                 case Appended():
                     return Accepted()
