--- a/packages/saddledoord/src/saddledoord/jobs/item_run.py
+++ b/packages/saddledoord/src/saddledoord/jobs/item_run.py
@@ -35,10 +35,10 @@
     """
     An item's text so far and the task that works on it.
 
+    :param text: Without the kept events until they are loaded.
     :param task: None while no engine works on it.
     :param listing: Whether its result is on its way into the log.
     :param failures: Failed runs, a count; the log's own lags behind this node's.
-    :param text: Without the kept events until they are loaded.
     :param kept: Events that were given to the log, a count.
     :param kept_chain: The chain that the last of them belongs to.
     :param writing: Whether events given to the log are still on their way.
