Tell where the time of trainers' steps goes: a line a group, a report

Cause: a step's time could not be read from the logs: no line said how long its items waited for an engine, for their first event, for the log. Change: an item adds its seconds up by phase; the item that makes a group whole writes them in one line. 'saddledoorctl report steps FILE...' prints a row for each step with the phases of the item it waited for, and how attempts ended.

--- a/packages/saddledoorctl/src/saddledoorctl/_report.py
+++ b/packages/saddledoorctl/src/saddledoorctl/_report.py
@@ -29,6 +29,7 @@
 
 from ._html import render_html
 from ._platform import ConfigStream, LogStream, PlatformAwayError
+from ._steps import steps
 
 
 __all__ = ["report"]
@@ -54,10 +55,13 @@
 @click.group()
 def report() -> None:
     """
-    Reports worked out from the log.
+    Reports worked out from the log, or from the processes' logs.
     """
 
 
+report.add_command(steps)
+
+
 @report.command()
 @click.option("--log", "log_url", envvar="SADDLEDOOR_LOG", help="URL of the log.")
 @click.option(
--- /dev/null
+++ b/packages/saddledoorctl/src/saddledoorctl/_steps.py
@@ -0,0 +1,234 @@
+# SPDX-License-Identifier: MIT
+
+"""
+``saddledoorctl report steps``: where the time of trainers' steps goes, from logs.
+"""
+
+from __future__ import annotations
+
+import json
+import re
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from datetime import datetime
+from pathlib import Path
+from statistics import mean
+
+import click
+
+
+__all__ = ["StepRow", "read_steps", "steps"]
+
+#: A time in seconds before a line's JSON, as collectors write it; it goes before the
+#: line's own time of day, which may be wrong on one VM.
+_COLLECTED = re.compile(r"\s*(-?\d+(?:\.\d+)?)\s")
+#: Phases of an item in the order in which it goes through them.
+_PHASES = ("place", "first_event", "events", "pause", "score", "log")
+
+
+@dataclass(frozen=True)
+class _Line:
+    """
+    A log line.
+
+    :param at: In seconds, of one clock for all lines that a collector has timed.
+    """
+
+    at: float
+    fields: dict
+
+
+@dataclass
+class _Step:
+    """
+    What the lines say of one job.
+
+    :param groups: By group, the line of the item that made it whole.
+    """
+
+    line: _Line
+    groups: dict[str, _Line] = field(default_factory=dict)
+    ended_at: float | None = None
+
+
+@dataclass(frozen=True)
+class StepRow:
+    """
+    A step and the item that it waited for.
+
+    :param submitted_at: In seconds.
+    :param took: From its first submission to its end, in seconds; none if it has none.
+    :param whole: Groups with a result for every item, a count.
+    :param wanted: Groups that the trainer waits for, a count.
+    :param events: Of the last item of the last group waited for, a count.
+    :param attempts: Engines that this item was sent to, a count.
+    :param before: From the submission until it was taken up, in seconds.
+    :param seconds: Of that item, by phase.
+    :param after: From its result in the log to the step's end, in seconds.
+    """
+
+    model: str
+    step: int
+    submitted_at: float
+    took: float | None
+    whole: int
+    wanted: int
+    events: int = 0
+    attempts: int = 0
+    before: float = 0.0
+    seconds: dict[str, float] = field(default_factory=dict)
+    after: float = 0.0
+
+
+@click.command()
+@click.argument(
+    "files", nargs=-1, required=True, type=click.Path(path_type=Path, exists=True)
+)
+@click.option("--json", "as_json", is_flag=True, help="Print JSON lines.")
+def steps(files: tuple[Path, ...], as_json: bool) -> None:
+    """
+    Show the steps in log FILES: how long each took, and what its last item waited for.
+    """
+    lines = [line for file in files for line in _read(file)]
+    lines.sort(key=lambda line: line.at)
+    rows = read_steps((line.at, line.fields) for line in lines)
+    if not rows:
+        raise click.ClickException("no line tells of a job")
+    if as_json:
+        for row in rows:
+            click.echo(json.dumps(vars(row)))
+        return
+    click.echo(_table(rows))
+    click.echo(_sums(rows))
+    click.echo(_endings(lines))
+
+
+def read_steps(lines: Iterable[tuple[float, dict]]) -> list[StepRow]:
+    """
+    Work the steps out of log lines in the order of their times.
+
+    :param lines: Times in seconds, and the lines' fields.
+    """
+    found: dict[str, _Step] = {}
+    for at, fields in lines:
+        event, job = fields["event"], fields.get("job")
+        if event == "job_submitted" and fields["outcome"] == "done":
+            found.setdefault(job, _Step(_Line(at, fields)))
+        elif job in found:
+            _take(found[job], _Line(at, fields))
+    rows = [_row(step) for step in found.values()]
+    return sorted(rows, key=lambda row: (row.model, row.step))
+
+
+def _take(step: _Step, line: _Line) -> None:
+    if line.fields["event"] == "group_listed":
+        step.groups[line.fields["group"]] = line
+    elif line.fields["event"] == "job_ended" and line.fields["acknowledged"]:
+        # A trainer that saw no answer ends its job again.
+        step.ended_at = line.at if step.ended_at is None else step.ended_at
+
+
+def _row(step: _Step) -> StepRow:
+    fields, began = step.line.fields, step.line.at
+    ended = step.ended_at
+    groups = _whole_groups(step)
+    common = {
+        "model": fields["model"],
+        "step": fields["step"],
+        "submitted_at": began,
+        "took": None if ended is None else ended - began,
+        "whole": len(groups),
+        "wanted": fields["groups_wanted"],
+    }
+    waited_for = groups[: fields["groups_wanted"]]
+    if not waited_for:
+        return StepRow(**common)
+    last = waited_for[-1]
+    seconds = last.fields["seconds"]
+    return StepRow(
+        **common,
+        events=last.fields["events"],
+        attempts=len(last.fields["engines"]),
+        before=last.at - sum(seconds.values()) - began,
+        seconds=seconds,
+        after=0.0 if ended is None else ended - last.at,
+    )
+
+
+def _whole_groups(step: _Step) -> list[_Line]:
+    """
+    Return the line of each whole group, in the order in which they became whole.
+    """
+    return sorted(step.groups.values(), key=lambda line: line.at)
+
+
+def _read(file: Path) -> Iterator[_Line]:
+    with file.open(errors="replace") as text:
+        for line in text:
+            head, brace, rest = line.partition("{")
+            if not brace:
+                continue
+            try:
+                fields = json.loads(brace + rest)
+                yield _Line(_time_of(head, fields), fields)
+            except (ValueError, KeyError, TypeError):
+                # A line of another program, or one that was cut.
+                continue
+
+
+def _time_of(head: str, fields: dict) -> float:
+    collected = _COLLECTED.match(head)
+    if collected:
+        return float(collected[1])
+    return datetime.fromisoformat(fields["timestamp"]).timestamp()
+
+
+def _table(rows: list[StepRow]) -> str:
+    head = (
+        f"{'MODEL':<14} {'STEP':>4} {'AT':>9} {'TOOK':>6} {'WHOLE':>7} {'EVENTS':>6} "
+        f"{'SENT':>4} {'BEFORE':>6} " + " ".join(f"{p.upper():>11}" for p in _PHASES)
+    )
+    lines = [f"{head} {'AFTER':>6}"]
+    for row in rows:
+        took = "-" if row.took is None else f"{row.took:.2f}"
+        phases = " ".join(f"{row.seconds.get(p, 0.0):>11.2f}" for p in _PHASES)
+        lines.append(
+            f"{row.model:<14} {row.step:>4} {row.submitted_at:>9.2f} {took:>6} "
+            f"{row.whole:>3}/{row.wanted:<3} {row.events:>6} {row.attempts:>4} "
+            f"{row.before:>6.2f} {phases} {row.after:>6.2f}"
+        )
+    return "\n".join(lines)
+
+
+def _sums(rows: list[StepRow]) -> str:
+    """
+    Return the mean seconds of a step by phase, for each model.
+    """
+    lines = ["", "mean seconds of the item that each step waited for"]
+    for model in sorted({row.model for row in rows}):
+        own = [row for row in rows if row.model == model and row.seconds]
+        if not own:
+            continue
+        parts = {"before": mean(row.before for row in own)}
+        parts |= {p: mean(row.seconds.get(p, 0.0) for row in own) for p in _PHASES}
+        parts["after"] = mean(row.after for row in own)
+        told = " ".join(f"{name} {value:.2f}" for name, value in parts.items())
+        lines.append(f"{model:<14} {len(own):>3} steps  {told}")
+    return "\n".join(lines)
+
+
+def _endings(lines: list[_Line]) -> str:
+    """
+    Return how the attempts that did not bring an item home ended, as counts.
+    """
+    failed = [
+        line.fields for line in lines if line.fields["event"] == "item_attempt_failed"
+    ]
+    counts = Counter(
+        (fields["outcome"], re.sub(r"\d+(\.\d+)?", "N", fields["reason"]))
+        for fields in failed
+    )
+    told = ["", f"attempts of items that ended early: {len(failed)}"]
+    told += [f"{n:>6}  {outcome}: {why}" for (outcome, why), n in counts.most_common()]
+    return "\n".join(told)
--- a/packages/saddledoord/src/saddledoord/jobs/attempt.py
+++ b/packages/saddledoord/src/saddledoord/jobs/attempt.py
@@ -14,6 +14,7 @@
 from ..ports import Engines, Generation, GenerationFailedError
 from ..serving.pace import EnginePaces
 from .item_run import ItemRun
+from .item_times import ItemPhase
 from .placement import Placement
 
 
@@ -28,6 +29,9 @@
 _STALL_FIRST = 0.5
 #: The same in gaps between its events, a count.
 _STALL_GAPS = 6.0
+#: Silence after which a stream counts as paused in the item's times, in seconds: four
+#: times what an event takes at a slow engine (0.15 s).
+_PAUSE = 0.5
 #: How often a silent stream is looked at, in seconds.
 _LOOK = 0.05
 #: An item moves if another engine is so many times as fast; the platform's engines
@@ -78,6 +82,7 @@
                 if event is None:
                     return
                 now = boot_time()
+                run.times.enter(ItemPhase.EVENTS, now)
                 self._paces.observe(engine.engine_id, last and now - last, now)
                 last = now
                 self._take(run, route, engine, event)
@@ -98,7 +103,10 @@
                 await asyncio.wait({coming}, timeout=_LOOK)
                 if coming.done():
                     return coming.result()
-                self._check_silence(run, engine, boot_time() - began)
+                silent = boot_time() - began
+                if silent > _PAUSE and run.times.phase is ItemPhase.EVENTS:
+                    run.times.enter(ItemPhase.PAUSE, began + _PAUSE)
+                self._check_silence(run, engine, silent)
         finally:
             if not coming.done():
                 coming.cancel()
--- a/packages/saddledoord/src/saddledoord/jobs/item_run.py
+++ b/packages/saddledoord/src/saddledoord/jobs/item_run.py
@@ -22,7 +22,9 @@
     encode_events,
 )
 
+from .._clock import boot_time
 from ..ports import ForwardedRequest
+from .item_times import ItemTimes
 from .record_writer import RecordWriter
 from .texts import TextStore
 
@@ -38,6 +40,7 @@
     :param text: Without the kept events until they are loaded.
     :param task: None while no engine works on it.
     :param listing: Whether its result is on its way into the log.
+    :param written: Whether the log holds its result.
     :param failures: Failed runs, a count; the log's own lags behind this node's.
     :param kept: Events that were given to the log, a count.
     :param kept_chain: The chain that the last of them belongs to.
@@ -45,6 +48,8 @@
     :param loaded: Whether what others made of the text has been read.
     :param moves: Moves away from silent engines, a count.
     :param unfit: Engines that cannot run it now, by id.
+    :param engines: Where it was sent, by id, in order.
+    :param times: Where its time has gone.
     """
 
     state: JobState
@@ -52,6 +57,7 @@
     text: EventText
     task: asyncio.Task | None = None
     listing: bool = False
+    written: bool = False
     failures: int = 0
     kept: int = 0
     kept_chain: str = ""
@@ -59,6 +65,8 @@
     loaded: bool = False
     moves: int = 0
     unfit: set[str] = field(default_factory=set)
+    engines: list[str] = field(default_factory=list)
+    times: ItemTimes = field(default_factory=lambda: ItemTimes(boot_time()))
 
     @classmethod
     def begin(cls, state: JobState, item: JobItem) -> ItemRun:
--- a/packages/saddledoord/src/saddledoord/jobs/runner.py
+++ b/packages/saddledoord/src/saddledoord/jobs/runner.py
@@ -29,6 +29,7 @@
 from ..serving.pool import EnginePool, Place
 from .attempt import Attempts
 from .item_run import ItemRun
+from .item_times import ItemPhase
 from .placement import Placement
 from .record_writer import RecordWriter
 from .scoring import ScoreImpossibleError, Scorer
@@ -216,6 +217,8 @@
 
     def _begin(self, run: ItemRun, route: GatewayRoute, engine: EngineEntry) -> None:
         place = self._pool.take(engine)
+        run.engines.append(engine.engine_id)
+        run.times.enter(ItemPhase.FIRST_EVENT, boot_time())
         run.task = asyncio.create_task(self._work(run, route, engine, place))
         run.task.add_done_callback(lambda task: self._ended(run, task, place))
 
@@ -256,6 +259,7 @@
         if whole:
             await self._finish(run)
         else:
+            run.times.enter(ItemPhase.PLACE, boot_time())
             run.task = None
 
     async def _load(self, run: ItemRun) -> None:
@@ -312,6 +316,7 @@
         job_id, item = run.state.job.job_id, run.item
         mark = ""
         if item.score is not None:
+            run.times.enter(ItemPhase.SCORE, boot_time())
             try:
                 mark = await self._scorer.score(
                     item.score,
@@ -326,11 +331,33 @@
                 return
         versions = run.text.versions
         run.listing = True
+        run.times.enter(ItemPhase.LOG, boot_time())
         self._writer.put_with_text(
             run.text.text.encode(),
             lambda text: ItemListed(
                 job_id, ItemResult(item.item_id, True, text, versions, mark)
             ),
+            lambda: self._log_group(run),
+        )
+
+    def _log_group(self, run: ItemRun) -> None:
+        """
+        Tell where the time went of the item that its group waited for last.
+        """
+        run.written = True
+        group = (run.state.job.job_id, run.item.group)
+        for key, other in self._runs.items():
+            if (key[0], other.item.group) == group and not other.written:
+                return
+        _log.info(
+            "group_listed",
+            job=run.state.job.job_id,
+            group=run.item.group,
+            item=run.item.item_id,
+            events=run.text.last,
+            versions=run.text.versions,
+            engines=run.engines,
+            seconds=run.times.rounded(boot_time()),
         )
 
     def _give_up(self, run: ItemRun) -> None:
--- a/packages/saddledoord/src/saddledoord/jobs/service.py
+++ b/packages/saddledoord/src/saddledoord/jobs/service.py
@@ -209,8 +209,10 @@
         _log.info(
             "job_submitted",
             job=job.job_id,
+            model=job.model,
             step=job.step,
             items=len(job.items),
+            groups_wanted=job.groups_wanted,
             oldest_version=job.oldest_version,
             outcome=code.name.lower(),
         )
