--- a/packages/saddledoord/src/saddledoord/cluster/membership.py
+++ b/packages/saddledoord/src/saddledoord/cluster/membership.py
@@ -26,11 +26,11 @@
 _HEARTBEAT = 0.2
 
 
-def part_of(series: str, parts: int) -> int:
+def part_of(key: str, parts: int) -> int:
     """
-    Return the share that a series of jobs belongs to, the same on every node.
+    Return the part of the work that a key belongs to, the same on every node.
     """
-    digest = hashlib.blake2b(series.encode(), digest_size=4).digest()
+    digest = hashlib.blake2b(key.encode(), digest_size=4).digest()
     return int.from_bytes(digest, "big") % parts
 
 
@@ -62,11 +62,11 @@
         """
         return self._answered_at
 
-    def owns(self, series: str) -> bool:
+    def owns(self, key: str) -> bool:
         """
-        Tell whether this node runs a series of jobs.
+        Tell whether this node runs the jobs with a key.
         """
-        return part_of(series, self._parts) in self._assignment.parts
+        return part_of(key, self._parts) in self._assignment.parts
 
     async def run(self) -> None:
         """
--- a/packages/saddledoord/src/saddledoord/cluster/view.py
+++ b/packages/saddledoord/src/saddledoord/cluster/view.py
@@ -60,6 +60,14 @@
         """
         return self._table.find(host, path)
 
+    def pool_of(self, model: str) -> str | None:
+        """
+        Return the service whose engines hold a model, or none if no service does.
+        """
+        services = self._config.services.values() if self._config else ()
+        pools = (service.name for service in services if model in service.models)
+        return next(pools, None)
+
     def engines_following(self, model: str, now: float) -> list[EngineEntry]:
         """
         Return the engines that are to follow a model's versions, and may get work.
--- a/packages/saddledoord/src/saddledoord/jobs/attempt.py
+++ b/packages/saddledoord/src/saddledoord/jobs/attempt.py
@@ -82,6 +82,8 @@
                 if event is None:
                     return
                 now = boot_time()
+                if last is None:
+                    self._placement.started(engine, run.state.job.model)
                 run.times.enter(ItemPhase.EVENTS, now)
                 self._paces.observe(engine.engine_id, last and now - last, now)
                 last = now
--- a/packages/saddledoord/src/saddledoord/jobs/placement.py
+++ b/packages/saddledoord/src/saddledoord/jobs/placement.py
@@ -49,12 +49,21 @@
         self._oldest_allowed = oldest_allowed
         self._seen_versions: dict[tuple[str, str], int] = {}
 
+    def started(self, engine: EngineEntry, model: str) -> None:
+        """
+        Note that an engine has begun with an item of a model.
+        """
+        self._pool.answered(engine, model)
+
     def saw(self, engine: EngineEntry, model: str, version: int) -> None:
         """
         Note that an engine has made an event under a version of its weights.
         """
         self._pool.answered(engine)
-        self._seen_versions[engine.engine_id, model] = version
+        if version > self._seen_versions.get((engine.engine_id, model), 0):
+            # It has loaded, so it takes items of the model again.
+            self._pool.answered(engine, model)
+            self._seen_versions[engine.engine_id, model] = version
 
     def elsewhere(
         self, run: ItemRun, engine: EngineEntry, settled: bool
@@ -96,7 +105,9 @@
                 fast = best is None or gap is None or gap <= best * bound
                 return fast and self._fits(engine, run)
 
-            return self._pool.choose(service, left_out, fits, room_only=True)
+            return self._pool.choose(
+                service, left_out, fits, room_only=True, kind=run.state.job.model
+            )
 
         return (
             among(_LIKE, exclude | loading)
--- a/packages/saddledoord/src/saddledoord/serving/pool.py
+++ b/packages/saddledoord/src/saddledoord/serving/pool.py
@@ -8,6 +8,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 from saddledoor import Candidate, Choose, EngineEntry
 
@@ -17,13 +18,11 @@
 
 __all__ = ["EnginePool", "Place"]
 
-#: First and longest time for which an engine that refused gets no new work, in seconds,
-#: doubled each time: a part of what a load of weights takes (0.9 s), the longest usual
-#: reason.
+#: First and longest time for which an engine that refused gets no new work of the same
+#: kind, in seconds, doubled each time: a part of what a load of weights takes (0.9 s),
+#: the longest usual reason.
 _REFUSED_PAUSE = 0.05
 _REFUSED_PAUSE_MOST = 0.2
-#: Requests that an engine gets after a refusal until it takes one, a count.
-_TRIAL = 1
 #: First and longest pause after a failure, in seconds; doubled each time.
 _FAILED_PAUSE = 0.25
 _FAILED_PAUSE_MOST = 2.0
@@ -52,10 +51,30 @@
         self.release()
 
 
+@dataclass
+class _Refusal:
+    """
+    An engine that refuses requests of one kind.
+
+    :param count: Of its refusals in a row.
+    :param until: Until when it gets none, monotonic, in seconds.
+    :param on_trial: Whether one is under way there since.
+    """
+
+    count: int = 0
+    until: float = 0.0
+    on_trial: bool = False
+
+
 class EnginePool:
     """
     Chooses engines among those that may get work.
 
+    Refusals count by engine and kind of request: an engine that loads the weights of
+    one model refuses its items and goes on with those of others. Counted by engine
+    alone, each event of another model's stream took the refusal back, and 40 items
+    came to one loading engine 200 times a second (trial, a play of one day).
+
     :param choose: The policy among candidates.
     """
 
@@ -65,7 +84,7 @@
         self._own: Counter[str] = Counter()
         self._paused: dict[str, float] = {}
         self._failures: Counter[str] = Counter()
-        self._refusals: Counter[str] = Counter()
+        self._refusals: dict[tuple[str, str], _Refusal] = {}
 
     def choose(
         self,
@@ -73,6 +92,7 @@
         exclude: Iterable[str] = (),
         fits: Callable[[EngineEntry], bool] = lambda engine: True,
         room_only: bool = False,
+        kind: str = "",
     ) -> EngineEntry | None:
         """
         Return an engine for one request, or none.
@@ -83,6 +103,7 @@
         :param exclude: Engines that were tried already, by id.
         :param fits: Whether an engine may run this request.
         :param room_only: Whether to leave out engines whose slots this node has filled.
+        :param kind: Kind of the request, for refusals; a model's name.
         """
         now = boot_time()
         tried = set(exclude)
@@ -90,10 +111,10 @@
             engine
             for engine in self._view.directory.usable(service, now)
             if engine.engine_id not in tried
-            and (not room_only or self._has_room(engine))
+            and (not room_only or self._own[engine.engine_id] < engine.slots)
             and fits(engine)
         ]
-        rested = [e for e in fitting if self._paused.get(e.engine_id, 0.0) <= now]
+        rested = [engine for engine in fitting if self._rested(engine, kind, now)]
         if not rested and not room_only:
             rested = fitting
         if not rested:
@@ -105,40 +126,46 @@
         ]
         return engines[self._choose(candidates).name]
 
-    def take(self, engine: EngineEntry) -> Place:
+    def take(self, engine: EngineEntry, kind: str = "") -> Place:
         """
         Take a place at an engine at once, so that the next choice counts it.
         """
         self._own[engine.engine_id] += 1
-        return Place(lambda: self._give_back(engine.engine_id))
-
-    def _give_back(self, engine_id: str) -> None:
-        self._own[engine_id] -= 1
-        if not self._own[engine_id]:
-            del self._own[engine_id]
-
-    def _has_room(self, engine: EngineEntry) -> bool:
-        own = self._own[engine.engine_id]
-        if engine.engine_id in self._refusals:
-            return own < _TRIAL
-        return own < engine.slots
+        refusal = self._refusals.get((engine.engine_id, kind))
+        if refusal is not None:
+            refusal.on_trial = True
+        return Place(lambda: self._give_back(engine.engine_id, refusal))
 
-    def answered(self, engine: EngineEntry) -> None:
+    def answered(self, engine: EngineEntry, kind: str = "") -> None:
         """
-        Note that an engine works.
+        Note that an engine works, and takes requests of a kind.
         """
-        self._refusals.pop(engine.engine_id, None)
+        self._refusals.pop((engine.engine_id, kind), None)
         self._failures.pop(engine.engine_id, None)
         self._paused.pop(engine.engine_id, None)
 
-    def refused(self, engine: EngineEntry) -> None:
+    def refused(self, engine: EngineEntry, kind: str = "") -> None:
         """
-        Note that an engine has no room just now.
+        Note that an engine takes no requests of a kind just now.
         """
-        doubled = _REFUSED_PAUSE * 2 ** self._refusals[engine.engine_id]
-        self._refusals[engine.engine_id] += 1
-        pause = min(_REFUSED_PAUSE_MOST, doubled)
-        self._paused[engine.engine_id] = boot_time() + pause
+        key = (engine.engine_id, kind)
+        refusal = self._refusals.setdefault(key, _Refusal())
+        pause = min(_REFUSED_PAUSE_MOST, _REFUSED_PAUSE * 2**refusal.count)
+        refusal.count += 1
+        refusal.until = boot_time() + pause
+
+    def _rested(self, engine: EngineEntry, kind: str, now: float) -> bool:
+        if self._paused.get(engine.engine_id, 0.0) > now:
+            return False
+        refusal = self._refusals.get((engine.engine_id, kind))
+        return refusal is None or (refusal.until <= now and not refusal.on_trial)
+
+    def _give_back(self, engine_id: str, refusal: _Refusal | None) -> None:
+        self._own[engine_id] -= 1
+        if not self._own[engine_id]:
+            del self._own[engine_id]
+        if refusal is not None:
+            refusal.on_trial = False
 
     def failed(self, engine: EngineEntry) -> None:
         """
--- a/tests/test_attempt.py
+++ b/tests/test_attempt.py
@@ -42,6 +42,9 @@
     def __init__(self) -> None:
         self.versions: list[int] = []
 
+    def started(self, engine, model):
+        pass
+
     def saw(self, engine, model, version):
         self.versions.append(version)
 
