Place long texts apart from short ones; move only for what is gained

Cause: a step is as late as its longest text (187 events take 7.3 to 7.6 s of the 8 s that two steps may take), and nothing told long texts from short ones but the order of dispatch. An event takes 38.3 ms with 3 requests in the batch and 41 ms with 12 (a play with a line for each event). Moves cost more than they gained: 'sent' 4 to 12 for the texts that steps waited for. Change: a text is long if its guess is among the longest sixth or it has become so; long ones go to the fastest engine with the fewest long ones, short ones where none runs; what must start first goes first, over all trainers (age against events left); a move must gain 0.18 s and 15 % of pace.

--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -137,7 +137,7 @@
         self._writer = RecordWriter(ports.log, texts)
         self._membership = Membership(ports.group, settings.parts, self._share_changed)
         paces = EnginePaces()
-        placement = Placement(self.view, pool, paces, book.oldest_allowed)
+        placement = Placement(self.view, pool, paces)
         self._runner = JobRunner(
             self.jobs,
             self.view,
--- a/packages/saddledoord/src/saddledoord/jobs/attempt.py
+++ b/packages/saddledoord/src/saddledoord/jobs/attempt.py
@@ -34,13 +34,6 @@
 _PAUSE = 0.5
 #: How often a silent stream is looked at, in seconds.
 _LOOK = 0.05
-#: An item moves if another engine is so many times as fast; the platform's engines
-#: differ by 1.3 when they are well.
-_MUCH_SLOWER = 1.7
-#: The same for an item with a long text, whose end a step may be waiting for.
-_SLOWER = 1.2
-#: Events from which a text counts as long, a count: some 0.8 s of work.
-_LONG = 20
 #: Events that an item stays for before it may move, a count: a move costs the reading
 #: of its prompt again, some 10 ms.
 _STAY = 5
@@ -90,7 +83,7 @@
                 self._take(run, route, engine, event)
                 stayed = run.text.last - began
                 if stayed % _STAY == 0 and now - began_at >= _STAY_TIME:
-                    self._check_pace(run, engine, now)
+                    self._check_pace(run, engine)
         finally:
             # Closes the connection, so the engine stops at once.
             await stream.aclose()
@@ -121,7 +114,7 @@
         silent = min(silent, self._paces.silent_for(engine.engine_id, now))
         if silent <= self._stall(run, engine, now):
             return
-        if self._placement.elsewhere(run, engine, settled=False):
+        if self._placement.elsewhere(run, engine):
             run.moves += 1
             raise GenerationFailedError(GenerationFailedError.STALLED, "engine silent")
 
@@ -136,16 +129,12 @@
         least = _STALL_FIRST if gap is None else max(_STALL, _STALL_GAPS * gap)
         return least * 2**run.moves
 
-    def _check_pace(self, run: ItemRun, engine: EngineEntry, now: float) -> None:
-        gap = self._paces.gap(engine.engine_id, now)
-        other = self._placement.elsewhere(run, engine, settled=True)
-        if gap is None or other is None:
-            return
-        faster = self._paces.gap(other.engine_id, now)
-        bound = _SLOWER if run.text.last >= _LONG else _MUCH_SLOWER
-        if faster is not None and gap > bound * faster:
+    def _check_pace(self, run: ItemRun, engine: EngineEntry) -> None:
+        self._placement.weigh(run)
+        other = self._placement.faster(run, engine)
+        if other is not None:
             raise GenerationFailedError(
-                GenerationFailedError.SLOW, f"{gap:.3f} s an event, not {faster:.3f}"
+                GenerationFailedError.SLOW, f"{other.engine_id} is faster"
             )
 
     def _take(
--- a/packages/saddledoord/src/saddledoord/jobs/item_run.py
+++ b/packages/saddledoord/src/saddledoord/jobs/item_run.py
@@ -32,7 +32,7 @@
 __all__ = ["ItemRun"]
 
 
-@dataclass
+@dataclass(eq=False)
 class ItemRun:
     """
     An item's text so far and the task that works on it.
@@ -41,6 +41,7 @@
     :param task: None while no engine works on it.
     :param listing: Whether its result is on its way into the log.
     :param written: Whether the log holds its result.
+    :param is_long: Whether its text is expected to be among the step's longest.
     :param failures: Failed runs, a count; the log's own lags behind this node's.
     :param kept: Events that were given to the log, a count.
     :param kept_chain: The chain that the last of them belongs to.
@@ -58,6 +59,7 @@
     task: asyncio.Task | None = None
     listing: bool = False
     written: bool = False
+    is_long: bool = False
     failures: int = 0
     kept: int = 0
     kept_chain: str = ""
--- a/packages/saddledoord/src/saddledoord/jobs/placement.py
+++ b/packages/saddledoord/src/saddledoord/jobs/placement.py
@@ -1,53 +1,76 @@
 # SPDX-License-Identifier: MIT
 
 """
-Which engine an item goes to.
+Which engine an item goes to, from what this node has seen of the engines.
 """
 
 from __future__ import annotations
 
-import math
 import random
-from collections.abc import Callable
-
-from saddledoor import EngineEntry, GatewayRoute, engines_to_update
+from collections.abc import Collection
+
+from saddledoor import (
+    EngineEntry,
+    GatewayRoute,
+    Job,
+    Seat,
+    TextLengths,
+    choose_seat,
+    is_worth_moving,
+)
 
 from .._clock import boot_time
 from ..cluster.view import ClusterView
 from ..serving.pace import EnginePaces
-from ..serving.pool import EnginePool
+from ..serving.pool import EnginePool, Place
 from .item_run import ItemRun
 
 
 __all__ = ["Placement"]
 
-#: Engines count as equally fast up to so many times the best one's gap.
-_LIKE = 1.15
-#: An engine counts as slow beyond so many times the best one's gap between events;
-#: the platform's engines differ by 1.3 when they are well.
-_SLOW_ENGINE = 1.5
+#: Gap between events by which texts are compared while no pace is known, in seconds.
+_USUAL_GAP = 0.04
 
 
 class Placement:
     """
     Chooses among the engines that may run an item, by their weights and their pace.
-
-    :param oldest_allowed: Tells of a model the oldest version that its newest job
-        allows.
     """
 
-    def __init__(
-        self,
-        view: ClusterView,
-        pool: EnginePool,
-        paces: EnginePaces,
-        oldest_allowed: Callable[[str], int],
-    ) -> None:
+    def __init__(self, view: ClusterView, pool: EnginePool, paces: EnginePaces) -> None:
         self._view = view
         self._pool = pool
         self._paces = paces
-        self._oldest_allowed = oldest_allowed
         self._seen_versions: dict[tuple[str, str], int] = {}
+        self._lengths: dict[str, TextLengths] = {}
+        self._running: dict[str, set[ItemRun]] = {}
+
+    def announced(self, job: Job) -> None:
+        """
+        Note the lengths that a new job's trainer expects.
+        """
+        self._lengths_of(job).announce([item.expected_tokens for item in job.items])
+
+    def whole(self, run: ItemRun) -> None:
+        """
+        Note how long a text has become.
+        """
+        lengths = self._lengths_of(run.state.job)
+        lengths.finished(run.item.expected_tokens, run.text.last)
+
+    def take(self, run: ItemRun, engine: EngineEntry) -> Place:
+        """
+        Take a place at an engine for an item.
+        """
+        place = self._pool.take(engine, run.state.job.model)
+        there = self._running.setdefault(engine.engine_id, set())
+        there.add(run)
+
+        def give_back() -> None:
+            place.release()
+            there.discard(run)
+
+        return Place(give_back)
 
     def started(self, engine: EngineEntry, model: str) -> None:
         """
@@ -65,70 +88,85 @@
             self._pool.answered(engine, model)
             self._seen_versions[engine.engine_id, model] = version
 
-    def elsewhere(
-        self, run: ItemRun, engine: EngineEntry, settled: bool
-    ) -> EngineEntry | None:
+    def weigh(self, run: ItemRun) -> None:
         """
-        Return another engine with room that could go on with an item.
+        Work out anew whether an item's text is long.
+        """
+        lengths = self._lengths_of(run.state.job)
+        run.is_long = lengths.is_long(run.item.expected_tokens, run.text.last)
 
-        :param settled: Whether to leave out engines that are about to load weights.
+    def latest_start(self, run: ItemRun) -> float:
         """
-        job = run.state.job
-        route = self._view.route(job.host, run.item.path.partition("?")[0])
-        if route is None:
-            return None
-        exclude = {*run.unfit, engine.engine_id}
-        if settled:
-            exclude |= self._about_to_load(job.model)
-        return self.choose(run, route, exclude)
+        Return by when an item must start to be whole as soon after its job's arrival as
+        any other, in seconds; the least goes first.
+
+        So the long texts of all trainers come before the short ones, and old jobs
+        before new ones, in one currency.
+        """
+        return run.state.known_since - self._events_left(run) * self._usual_gap()
 
     def choose(
-        self, run: ItemRun, route: GatewayRoute, exclude: set[str]
+        self, run: ItemRun, route: GatewayRoute, exclude: Collection[str]
     ) -> EngineEntry | None:
         """
-        Return an engine with room: the fastest, and of like ones the least busy.
-
-        One that is about to load weights comes last but for slow ones, since it refuses
-        what it has not begun, and pauses what it has.
+        Return an engine with room for an item, or none.
 
         :param exclude: Engines that are left out, by id.
         """
+        model = run.state.job.model
+        engines = {
+            engine.engine_id: engine
+            for engine in self._pool.with_room(route.service(random.random()), model)
+            if engine.engine_id not in exclude and self._fits(engine, run)
+        }
         now = boot_time()
-        service = route.service(random.random())
-        ids = [e.engine_id for e in self._view.directory.usable(service, now)]
-        best = self._paces.best_gap(ids, now)
-        loading = self._about_to_load(run.state.job.model)
-
-        def among(bound: float, left_out: set[str]) -> EngineEntry | None:
-            def fits(engine: EngineEntry) -> bool:
-                gap = self._paces.gap(engine.engine_id, now)
-                fast = best is None or gap is None or gap <= best * bound
-                return fast and self._fits(engine, run)
-
-            return self._pool.choose(
-                service, left_out, fits, room_only=True, kind=run.state.job.model
-            )
-
-        return (
-            among(_LIKE, exclude | loading)
-            or among(_SLOW_ENGINE, exclude | loading)
-            or among(_SLOW_ENGINE, exclude)
-            or among(math.inf, exclude)
-        )
+        seats = [self._seat(engine_id, now) for engine_id in engines]
+        best = self._paces.best_gap(engines, now)
+        seat = choose_seat(seats, best, run.is_long)
+        return engines[seat.name] if seat is not None else None
 
-    def _about_to_load(self, model: str) -> set[str]:
+    def elsewhere(self, run: ItemRun, engine: EngineEntry) -> EngineEntry | None:
         """
-        Return the engines that the holder of the orders will bring to new weights, as
-        far as this node knows, by id.
+        Return another engine with room that could go on with an item.
         """
-        named = self._view.named_versions.get(model)
-        if named is None:
-            return set()
-        versions = {
-            engine.engine_id: self._version_at(engine, model)
-            for engine in self._view.engines_following(model, boot_time())
-        }
-        return set(engines_to_update(versions, named, self._oldest_allowed(model)))
+        job = run.state.job
+        route = self._view.route(job.host, run.item.path.partition("?")[0])
+        if route is None:
+            return None
+        return self.choose(run, route, {*run.unfit, engine.engine_id})
+
+    def faster(self, run: ItemRun, engine: EngineEntry) -> EngineEntry | None:
+        """
+        Return another engine where an item ends so much sooner that it should move.
+        """
+        now = boot_time()
+        gap = self._paces.gap(engine.engine_id, now)
+        other = self.elsewhere(run, engine)
+        if gap is None or other is None:
+            return None
+        other_gap = self._paces.gap(other.engine_id, now)
+        if other_gap is None:
+            return None
+        worth = is_worth_moving(self._events_left(run), gap, other_gap)
+        return other if worth else None
+
+    def _seat(self, engine_id: str, now: float) -> Seat:
+        return Seat(
+            engine_id,
+            self._pool.own(engine_id),
+            sum(run.is_long for run in self._running.get(engine_id, ())),
+            self._paces.gap(engine_id, now),
+        )
+
+    def _events_left(self, run: ItemRun) -> float:
+        lengths = self._lengths_of(run.state.job)
+        return lengths.left(run.item.expected_tokens, run.text.last)
+
+    def _usual_gap(self) -> float:
+        return self._paces.best_gap(self._running, boot_time()) or _USUAL_GAP
+
+    def _lengths_of(self, job: Job) -> TextLengths:
+        return self._lengths.setdefault(job.series, TextLengths())
 
     def _fits(self, engine: EngineEntry, run: ItemRun) -> bool:
         """
@@ -137,11 +175,5 @@
         model = run.state.job.model
         if model not in engine.versions:
             return not engine.versions
-        return self._version_at(engine, model) >= run.state.job.oldest_version
-
-    def _version_at(self, engine: EngineEntry, model: str) -> int:
-        """
-        Return the newest version that the engine has told of, or has used.
-        """
         seen = self._seen_versions.get((engine.engine_id, model), 0)
-        return max(engine.versions.get(model, 0), seen)
+        return max(engine.versions[model], seen) >= run.state.job.oldest_version
--- a/packages/saddledoord/src/saddledoord/jobs/runner.py
+++ b/packages/saddledoord/src/saddledoord/jobs/runner.py
@@ -179,6 +179,7 @@
             runs = [run for key, run in self._runs.items() if key[0] == job_id]
             kept = sum(run.held_by_log.count for run in runs)
             items = sum(1 for key in new if key[0] == job_id)
+            self._placement.announced(runs[0].state.job)
             _log.info("job_taken_up", job=job_id, items=items, kept_events=kept)
 
     def _share_key(self, job: Job) -> str:
@@ -216,8 +217,7 @@
     def _dispatch(self) -> None:
         no_room: set[tuple[str, str, int]] = set()
         idle = [run for run in self._runs.values() if run.is_idle]
-        # A step ends when its longest item does, so that one goes first.
-        idle.sort(key=lambda run: (run.state.order, -run.item.expected_tokens))
+        idle.sort(key=self._placement.latest_start)
         for run in idle:
             job = run.state.job
             route = self._view.route(job.host, run.item.path.partition("?")[0])
@@ -229,6 +229,7 @@
             needs = (route.name, job.model, job.oldest_version)
             if needs in no_room and not run.unfit:
                 continue
+            self._placement.weigh(run)
             engine = self._placement.choose(run, route, run.unfit)
             if engine is None:
                 no_room.add(needs)
@@ -237,7 +238,7 @@
             self._begin(run, route, engine)
 
     def _begin(self, run: ItemRun, route: GatewayRoute, engine: EngineEntry) -> None:
-        place = self._pool.take(engine, run.state.job.model)
+        place = self._placement.take(run, engine)
         run.engines.append(engine.engine_id)
         run.times.enter(ItemPhase.FIRST_EVENT, boot_time())
         run.task = asyncio.create_task(self._work(run, route, engine, place))
@@ -278,6 +279,7 @@
         # The slot is free for the next item while this one is scored.
         self.wake()
         if whole:
+            self._placement.whole(run)
             await self._finish(run)
         else:
             run.times.enter(ItemPhase.PLACE, boot_time())
--- a/packages/saddledoord/src/saddledoord/serving/pace.py
+++ b/packages/saddledoord/src/saddledoord/serving/pace.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 
@@ -65,7 +66,7 @@
         """
         return now - self._last_event.get(engine_id, float("-inf"))
 
-    def best_gap(self, engine_ids: list[str], now: float) -> float | None:
+    def best_gap(self, engine_ids: Iterable[str], now: float) -> float | None:
         """
         Return the smallest known mean gap among engines, in seconds.
         """
--- a/packages/saddledoord/src/saddledoord/serving/pool.py
+++ b/packages/saddledoord/src/saddledoord/serving/pool.py
@@ -87,45 +87,50 @@
         self._refusals: dict[tuple[str, str], _Refusal] = {}
 
     def choose(
-        self,
-        service: str,
-        exclude: Iterable[str] = (),
-        fits: Callable[[EngineEntry], bool] = lambda engine: True,
-        room_only: bool = False,
-        kind: str = "",
+        self, service: str, exclude: Iterable[str] = (), kind: str = ""
     ) -> EngineEntry | None:
         """
-        Return an engine for one request, or none.
+        Return an engine for one request that cannot wait, or none.
 
-        A request that cannot wait (without ``room_only``) goes to an engine that is
-        paused rather than to none: a pause is a guess, a refusal is certain.
+        It goes to an engine that is paused rather than to none: a pause is a guess, a
+        refusal is certain.
 
         :param exclude: Engines that were tried already, by id.
-        :param fits: Whether an engine may run this request.
-        :param room_only: Whether to leave out engines whose slots this node has filled.
-        :param kind: Kind of the request, for refusals; a model's name.
+        :param kind: Kind of the request, for refusals.
         """
         now = boot_time()
         tried = set(exclude)
-        fitting = [
-            engine
-            for engine in self._view.directory.usable(service, now)
-            if engine.engine_id not in tried
-            and (not room_only or self._own[engine.engine_id] < engine.slots)
-            and fits(engine)
-        ]
-        rested = [engine for engine in fitting if self._rested(engine, kind, now)]
-        if not rested and not room_only:
-            rested = fitting
-        if not rested:
+        usable = self._view.directory.usable(service, now)
+        untried = [engine for engine in usable if engine.engine_id not in tried]
+        rested = [engine for engine in untried if self._rested(engine, kind, now)]
+        engines = {engine.engine_id: engine for engine in rested or untried}
+        if not engines:
             return None
-        engines = {engine.engine_id: engine for engine in rested}
         candidates = [
             Candidate(engine_id, max(1, engine.slots), self._own[engine_id])
             for engine_id, engine in engines.items()
         ]
         return engines[self._choose(candidates).name]
 
+    def with_room(self, service: str, kind: str) -> list[EngineEntry]:
+        """
+        Return the engines whose slots this node has not filled and that take requests
+        of a kind.
+        """
+        now = boot_time()
+        return [
+            engine
+            for engine in self._view.directory.usable(service, now)
+            if self._own[engine.engine_id] < engine.slots
+            and self._rested(engine, kind, now)
+        ]
+
+    def own(self, engine_id: str) -> int:
+        """
+        Return how many requests this node has at an engine, a count.
+        """
+        return self._own[engine_id]
+
     def take(self, engine: EngineEntry, kind: str = "") -> Place:
         """
         Take a place at an engine at once, so that the next choice counts it.
