Keep a share of the work with its node by a lease in the log

Ruled out: the dealing with one name a machine (it still deals anew); leases with a deadline for the work: what a second runner does is void by the log's order. Change: each share has a lease (1 s) in the stream of the order lease; whoever holds it keeps it until it leaves, dies or is cut off; a machine that comes back has it at once; after an outage holders have a term to renew; a taker reads the jobs on before it starts anything. Group, dealing and their settings are gone. The order lease goes on at its holder when the store is back, if a renewal counts.

--- a/packages/saddledoorctl/src/saddledoorctl/_steps.py
+++ b/packages/saddledoorctl/src/saddledoorctl/_steps.py
@@ -123,7 +123,8 @@
 
 def _take(step: _Step, line: _Line) -> None:
     if line.fields["event"] == "group_listed":
-        step.groups[line.fields["group"]] = line
+        # A node that was cut off may list it again, in vain.
+        step.groups.setdefault(line.fields["group"], line)
     elif line.fields["event"] == "job_ended" and line.fields["acknowledged"]:
         # A trainer that saw no answer ends its job again.
         step.ended_at = line.at if step.ended_at is None else step.ended_at
--- a/packages/saddledoord/src/saddledoord/cluster/follow.py
+++ b/packages/saddledoord/src/saddledoord/cluster/follow.py
@@ -13,6 +13,7 @@
 
 from .._clock import boot_time
 from ..ports import (
+    USUAL_PATIENCE,
     KeyedEntry,
     KeyedPage,
     LogGoneError,
@@ -30,6 +31,12 @@
 #: How long a read waits at the store for news, in seconds. Short, since a silent store
 #: is only noticed when the answer is overdue.
 _WAIT = 1.0
+#: Longest wait for a page of the first replay, in seconds: all nodes may start at once
+#: and share the store's link, and 70 of them get 1 MB each in 0.9 s.
+_PATIENCE_REPLAY = 3.0
+#: The same while the store is lost, in seconds, so that its return is noticed soon; one
+#: that is slowed down 60 times takes 0.24 s.
+_PATIENCE_LOST = 0.4
 #: How long a caller waits for the first replay of a stream, in seconds: a caller's
 #: own patience for an answer is a second or two.
 _REPLAY_PATIENCE = 1.0
@@ -74,6 +81,8 @@
 
     :param apply: Called with each record and its offset.
     :param reachable: Told when the store is lost (false) and regained (true).
+    :param wait: How long a read waits at the store for news, in seconds.
+    :param patience: Longest wait for an answer beyond that, in seconds.
     """
 
     def __init__(
@@ -82,7 +91,11 @@
         stream: str,
         apply: Callable[[int, bytes], None],
         reachable: Callable[[bool], None] = _ignore,
+        wait: float = _WAIT,
+        patience: float = USUAL_PATIENCE,
     ) -> None:
+        self._wait = wait
+        self._patience = patience
         self._log = log
         self._stream = stream
         self._apply = apply
@@ -91,7 +104,6 @@
         self._caught_up = asyncio.Event()
         self._syncing = asyncio.Lock()
         self._confirmed_at = float("-inf")
-        self._answered_at = float("-inf")
 
     @property
     def reached(self) -> bool:
@@ -107,13 +119,6 @@
         """
         return self._confirmed_at
 
-    @property
-    def answered_at(self) -> float:
-        """
-        When the store last answered a read, monotonic, in seconds.
-        """
-        return self._answered_at
-
     @property
     def caught_up(self) -> bool:
         """
@@ -128,7 +133,7 @@
         while True:
             began = boot_time()
             try:
-                page = await self._read(_WAIT if self.caught_up else 0.0)
+                page = await self._read_on()
             except StoreAwayError as error:
                 self._reach.failed(str(error))
                 await asyncio.sleep(_PAUSE)
@@ -152,7 +157,7 @@
             while self._confirmed_at < asked:
                 try:
                     began = boot_time()
-                    self._take(await self._read(0.0), began)
+                    self._take(await self._read(0.0, self._patience), began)
                 except StoreAwayError:
                     return False
         return True
@@ -168,9 +173,18 @@
             return False
         return True
 
-    async def _read(self, wait: float) -> LogPage:
+    async def _read_on(self) -> LogPage:
+        if not self.caught_up:
+            return await self._read(0.0, _PATIENCE_REPLAY)
+        if not self.reached:
+            return await self._read(0.0, _PATIENCE_LOST)
+        return await self._read(self._wait, self._patience)
+
+    async def _read(self, wait: float, patience: float) -> LogPage:
         try:
-            return await self._log.read(self._stream, self._next, wait)
+            return await self._log.read(
+                self._stream, self._next, wait, patience=patience
+            )
         except LogGoneError as error:
             _log.warning("records_gone", stream=self._stream, first=error.first)
             # Another read may have gone on meanwhile.
@@ -178,7 +192,6 @@
             return await self._log.read(self._stream, self._next, 0.0)
 
     def _take(self, page: LogPage, began: float) -> None:
-        self._answered_at = boot_time()
         for index, record in enumerate(page.records):
             offset = page.start + index
             # A second read may have brought it meanwhile.
@@ -215,16 +228,8 @@
         self._offsets: dict[str, int] = {}
         self._next: int | None = None
         self._known = False
-        self._answered_at = float("-inf")
         self._reach = _Reachable(name, reachable)
 
-    @property
-    def answered_at(self) -> float:
-        """
-        When the store last answered a read, monotonic, in seconds.
-        """
-        return self._answered_at
-
     @property
     def known(self) -> bool:
         """
@@ -258,7 +263,6 @@
             return await self._registry.newest()
 
     def _take(self, page: KeyedPage) -> None:
-        self._answered_at = boot_time()
         self._next = page.next_offset
         for entry in page.entries:
             # Pages of the newest values are no snapshot: they may run ahead.
--- a/packages/saddledoord/src/saddledoord/cluster/view.py
+++ b/packages/saddledoord/src/saddledoord/cluster/view.py
@@ -15,6 +15,8 @@
     EngineEntry,
     GatewayConfig,
     GatewayRoute,
+    GatewayService,
+    Job,
     RouteTable,
     weight_ring,
 )
@@ -27,6 +29,10 @@
 
 _log = structlog.get_logger()
 
+#: Engines of a pool up to which one node runs all its jobs, a count; the trainers of a
+#: larger one are divided. 32 engines of 12 slots make 10,000 events a second.
+_ENGINES_PER_NODE = 32
+
 
 class ClusterView:
     """
@@ -60,13 +66,34 @@
         """
         return self._table.find(host, path)
 
-    def pool_of(self, model: str) -> str | None:
+    def share_of(self, job: Job) -> str:
+        """
+        Return what the jobs that one node runs have in common.
+
+        One node runs all jobs of a pool of engines: it knows what each engine has, so
+        that no two nodes fill the same one, and which of the waiting items of all
+        trainers matters most. With a node for each trainer, 70 % of the items came to
+        an engine whose slots were full, and waited there for up to 1.5 s while others
+        had free ones (1,592 of 2,203 in a play with three trainers before six engines).
         """
-        Return the service whose engines hold a model, or none if no service does.
+        for service in self._pools():
+            if job.model in service.models and self._is_for_one_node(service):
+                return service.name
+        return job.series
+
+    def shares(self) -> set[str]:
         """
+        Return the shares that need a node whether there are jobs or not.
+        """
+        return {s.name for s in self._pools() if self._is_for_one_node(s)}
+
+    def _pools(self) -> list[GatewayService]:
         services = self._config.services.values() if self._config else ()
-        pools = (service.name for service in services if model in service.models)
-        return next(pools, None)
+        return [service for service in services if service.models]
+
+    def _is_for_one_node(self, service: GatewayService) -> bool:
+        engines = self.directory.usable(service.name, boot_time())
+        return len(engines) <= _ENGINES_PER_NODE
 
     def engines_following(self, model: str, now: float) -> list[EngineEntry]:
         """
--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -16,11 +16,13 @@
 from saddledoor import JobBook, ResultCode, RouteKind, decode_job, least_outstanding
 
 from ._clock import boot_time
+from .cluster.changes import Changes
 from .cluster.follow import RegistryFollower
-from .cluster.membership import Membership
+from .cluster.leases import LeaseLog
+from .cluster.store_watch import StoreWatch, WatchedLog, WatchedRegistry
 from .cluster.view import ClusterView
+from .cluster.work_shares import WorkShares
 from .jobs.attempt import Attempts
-from .jobs.changes import Changes
 from .jobs.placement import Placement
 from .jobs.record_writer import RecordWriter
 from .jobs.runner import JobRunner
@@ -29,7 +31,7 @@
 from .jobs.texts import TextStore
 from .orders.lease import OrderLease
 from .orders.weights import WeightKeeper
-from .ports import Engines, Registry, SharedLog, WorkGroup
+from .ports import Engines, Registry, SharedLog
 from .serving.pace import EnginePaces
 from .serving.pass_through import PassThrough
 from .serving.pool import EnginePool
@@ -57,7 +59,6 @@
 
     :param vm: Name of the VM.
     :param address: Its IP address; a VM that takes another's place has another one.
-    :param parts: Into how many shares the jobs are divided.
     :param lease_term: Of the lease for orders, in seconds.
     :param largest_record: Largest record of the log, in bytes.
     :param largest_append: Largest append to the log, in bytes.
@@ -69,7 +70,6 @@
 
     vm: str
     address: str
-    parts: int
     lease_term: float
     largest_record: int
     largest_append: int
@@ -85,13 +85,14 @@
 
     :param operator: Configurations and named versions.
     :param entries: What engines write of themselves.
+    :param reconnect: Has new connections to the store used from now on.
     """
 
     log: SharedLog
     operator: Registry
     entries: Registry
-    group: WorkGroup
     engines: Engines
+    reconnect: Callable[[], None]
 
 
 class Gateway:
@@ -109,11 +110,15 @@
         self._tasks: list[asyncio.Task] = []
         self.view = ClusterView()
         view = self.view
+        self._store = StoreWatch(ports.reconnect)
+        log = WatchedLog(ports.log, self._store)
         self._operator = RegistryFollower(
-            ports.operator, "operator", view.apply_operator
+            WatchedRegistry(ports.operator, self._store),
+            "operator",
+            view.apply_operator,
         )
         self._entries = RegistryFollower(
-            ports.entries,
+            WatchedRegistry(ports.entries, self._store),
             "engines",
             self._apply_engine,
             view.engines_replaced,
@@ -122,9 +127,9 @@
         pool = EnginePool(self.view, least_outstanding(random.random))
         self.pass_through = PassThrough(self.view, pool, ports.engines, count)
         book = JobBook(decode_job)
-        texts = TextStore(ports.log, settings.largest_record, settings.largest_append)
+        texts = TextStore(log, settings.largest_record, settings.largest_append)
         self.jobs = JobService(
-            ports.log,
+            log,
             book,
             texts,
             Changes(),
@@ -134,8 +139,11 @@
             settings.retention,
             self._store_is_silent,
         )
-        self._writer = RecordWriter(ports.log, texts)
-        self._membership = Membership(ports.group, settings.parts, self._share_changed)
+        self._writer = RecordWriter(log, texts)
+        self._leases = LeaseLog(log, f"{settings.vm}@{settings.address}")
+        self._shares = WorkShares(
+            self._leases, self._wanted_shares, self._read_on, self._shares_changed
+        )
         paces = EnginePaces()
         placement = Placement(self.view, pool, paces)
         self._runner = JobRunner(
@@ -147,13 +155,11 @@
             self._writer,
             texts,
             Scorer(self.view, self.pass_through),
-            self._membership.owns,
+            self._shares.owns,
             settings.cancel_time,
         )
         self.jobs.on_change(self._wake)
-        self._lease = OrderLease(
-            ports.log, f"{settings.vm}@{settings.address}", settings.lease_term
-        )
+        self._lease = OrderLease(self._leases, settings.lease_term)
         self._weights = WeightKeeper(
             self.view,
             ports.engines,
@@ -190,7 +196,8 @@
             self._entries.run(),
             self.jobs.run(),
             self._writer.run(),
-            self._membership.run(),
+            self._leases.run(),
+            self._shares.run(),
             self._runner.run(),
             self._runner.keep(),
             self._lease.run(),
@@ -209,7 +216,7 @@
         began = boot_time()
         self._runner.hand_over()
         flushed = await self._writer.flushed(_FLUSH_LIMIT)
-        await self._membership.leave()
+        await self._shares.release()
         await self._lease.release()
         _log.info("handed_over", flushed=flushed, seconds=round(boot_time() - began, 3))
 
@@ -222,16 +229,21 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def _store_is_silent(self) -> bool:
-        answered = max(
-            self.jobs.answered_at,
-            self._entries.answered_at,
-            self._membership.answered_at,
-        )
-        return boot_time() - answered > _ALONE
+        return boot_time() - self._store.answered_at > _ALONE
+
+    def _wanted_shares(self) -> set[str]:
+        open_jobs = self.jobs.open_jobs()
+        return self.view.shares() | {self.view.share_of(s.job) for s in open_jobs}
+
+    async def _read_on(self) -> None:
+        """
+        Learn what the node before has left; one that was cut off does not know it.
+        """
+        await self.jobs.sync()
 
-    async def _share_changed(self) -> None:
+    async def _shares_changed(self) -> None:
         """
-        Let go what others will run, and leave them what was made of it.
+        Take up what is new, let go what others run now, and leave them what was made.
         """
         self._runner.let_go()
         self._runner.wake()
--- a/packages/saddledoord/src/saddledoord/jobs/runner.py
+++ b/packages/saddledoord/src/saddledoord/jobs/runner.py
@@ -18,7 +18,6 @@
     ItemFailed,
     ItemListed,
     ItemResult,
-    Job,
     JobItem,
     JobState,
 )
@@ -55,10 +54,6 @@
 #: can end a job then, but another node may have taken this one's share.
 _ALONE = 6.0
 
-#: Engines of a pool up to which one node runs all its jobs, a count; the trainers of a
-#: larger one are divided. 32 engines of 12 slots make 10,000 events a second.
-_ENGINES_PER_NODE = 32
-
 Key = tuple[str, str]
 
 
@@ -66,7 +61,7 @@
     """
     Keeps every engine's slots filled with items that still count.
 
-    :param owns: Whether this node runs the jobs of a share, by its key.
+    :param owns: Whether this node runs a share of the jobs.
     :param cancel_time: After this long no item of an ended job may reach an engine, in
         seconds.
     """
@@ -166,7 +161,7 @@
         wanted: dict[Key, tuple[JobState, JobItem]] = {}
         if not self._stopped:
             for state in self._jobs.open_jobs():
-                if self._owns(self._share_key(state.job)):
+                if self._owns(self._view.share_of(state.job)):
                     for item in state.unlisted():
                         wanted[state.job.job_id, item.item_id] = (state, item)
         for key in list(self._runs):
@@ -182,22 +177,6 @@
             self._placement.announced(runs[0].state.job)
             _log.info("job_taken_up", job=job_id, items=items, kept_events=kept)
 
-    def _share_key(self, job: Job) -> str:
-        """
-        Return what the jobs that one node runs have in common.
-
-        One node runs all jobs of a pool of engines: it knows what each engine has, so
-        that no two nodes fill the same one, and which of the waiting items of all
-        trainers matters most. With a node for each trainer, 70 % of the items came to
-        an engine whose slots were full, and waited there for up to 1.5 s while others
-        had free ones (1,592 of 2,203 in a play with three trainers before six engines).
-        """
-        pool = self._view.pool_of(job.model)
-        if pool is None:
-            return job.series
-        engines = self._view.directory.usable(pool, boot_time())
-        return pool if len(engines) <= _ENGINES_PER_NODE else job.series
-
     def _drop(self, key: Key, reason: str) -> None:
         run = self._runs.pop(key)
         if run.task is not None:
--- a/packages/saddledoord/src/saddledoord/jobs/service.py
+++ b/packages/saddledoord/src/saddledoord/jobs/service.py
@@ -29,6 +29,7 @@
 from saddledoor.exceptions import UndecodableRecordError
 
 from .._clock import boot_time
+from ..cluster.changes import Changes
 from ..cluster.follow import LogFollower
 from ..ports import (
     Appended,
@@ -37,7 +38,6 @@
     StoreAwayError,
     UnknownAppend,
 )
-from .changes import Changes
 from .record_writer import JOBS_STREAM
 from .texts import TextStore
 
@@ -170,13 +170,6 @@
         """
         return boot_time() - self._follower.confirmed_at
 
-    @property
-    def answered_at(self) -> float:
-        """
-        When the store last answered a read of the jobs, monotonic, in seconds.
-        """
-        return self._follower.answered_at
-
     def open_jobs(self) -> list[JobState]:
         """
         Return the jobs that have something to run, oldest first.
@@ -195,6 +188,12 @@
         """
         await self._follower.run()
 
+    async def sync(self) -> bool:
+        """
+        Learn everything that the log holds by now; false if the store did not answer.
+        """
+        return await self._follower.sync()
+
     async def submit(self, job: Job) -> Accepted | NotRun | OutcomeUnknown:
         """
         Accept a job once the log holds it; the same job again is accepted again.
--- a/packages/saddledoord/src/saddledoord/ports/__init__.py
+++ b/packages/saddledoord/src/saddledoord/ports/__init__.py
@@ -21,8 +21,8 @@
 )
 from .store import (
     LARGEST_PAGE,
+    USUAL_PATIENCE,
     Appended,
-    Assignment,
     KeyedEntry,
     KeyedPage,
     LogGoneError,
@@ -34,13 +34,11 @@
     SharedLog,
     StoreAwayError,
     UnknownAppend,
-    WorkGroup,
 )
 
 
 __all__ = [
     "Appended",
-    "Assignment",
     "EngineAnswer",
     "EngineState",
     "Engines",
@@ -59,7 +57,7 @@
     "Registry",
     "SharedLog",
     "StoreAwayError",
+    "USUAL_PATIENCE",
     "UnknownAppend",
     "VersionOrder",
-    "WorkGroup",
 ]
--- a/packages/saddledoord/src/saddledoord/ports/store.py
+++ b/packages/saddledoord/src/saddledoord/ports/store.py
@@ -1,7 +1,7 @@
 # SPDX-License-Identifier: MIT
 
 """
-The platform's store as the gateway sees it: the log, registries and groups.
+The platform's store as the gateway sees it: the log and registries.
 """
 
 from __future__ import annotations
@@ -15,7 +15,6 @@
 
 __all__ = [
     "Appended",
-    "Assignment",
     "KeyedEntry",
     "KeyedPage",
     "LARGEST_PAGE",
@@ -27,13 +26,16 @@
     "Registry",
     "SharedLog",
     "StoreAwayError",
+    "USUAL_PATIENCE",
     "UnknownAppend",
-    "WorkGroup",
 ]
 
 
 #: Most that one read brings unless the reader says otherwise, in bytes.
 LARGEST_PAGE = 1_048_576
+#: Longest wait for the answer to a read unless the reader says otherwise, in seconds: a
+#: store that is slowed down 60 times takes 0.24 s.
+USUAL_PATIENCE = 1.0
 
 
 class StoreAwayError(Exception):
@@ -123,11 +125,13 @@
         start: int,
         wait: float = 0.0,
         largest: int = LARGEST_PAGE,
+        patience: float = USUAL_PATIENCE,
     ) -> LogPage:
         """
         Read records from an offset on.
 
         :param wait: How long the log may wait for one, in seconds.
+        :param patience: Longest wait for the answer beyond that, in seconds.
         :param largest: Most that the answer may hold, in bytes, but for one record.
         :raises StoreAwayError: If there was no usable answer.
         :raises LogGoneError: If the records at the offset were dropped.
@@ -181,38 +185,6 @@
         """
 
 
-@dataclass(frozen=True)
-class Assignment:
-    """
-    The share of the work that the store dealt to this node.
-
-    :param generation: Rises whenever the shares change.
-    """
-
-    generation: int
-    parts: frozenset[int]
-
-
-class WorkGroup(Protocol):
-    """
-    Deals the parts of the work out among the live nodes.
-    """
-
-    async def join(self, generation: int) -> Assignment:
-        """
-        Join, or show that this node is alive.
-
-        :raises StoreAwayError: If there was no usable answer.
-        """
-
-    async def leave(self) -> None:
-        """
-        Give this node's parts up.
-
-        :raises StoreAwayError: If there was no usable answer.
-        """
-
-
 @dataclass(frozen=True)
 class NamedVersion:
     """
--- a/tests/adapter/platform_bed.py
+++ b/tests/adapter/platform_bed.py
@@ -22,7 +22,7 @@
 from email.message import Message
 from pathlib import Path
 
-from platform_documents import HOST, MODEL, PARTS, SETTINGS, make_config
+from platform_documents import HOST, MODEL, SETTINGS, make_config
 
 
 __all__ = ["Answer", "PlatformBed", "until"]
@@ -130,7 +130,7 @@
         """
         bed = cls(folder, lease_ms=lease_ms)
         try:
-            bed._run("store", "store", str(bed.store_port), str(PARTS))
+            bed._run("store", "store", str(bed.store_port))
             until(lambda: bed._answers(bed.store_port))
             bed.configure(make_config())
             for index in range(engines):
@@ -141,7 +141,7 @@
                 bed.start_edge(f"edge-{index}")
             for name in bed.ready_ports:
                 until(lambda name=name: bed.ready(name))
-            until(bed._shares_are_settled)
+            until(bed.owner)
             yield bed
         finally:
             for process in bed.processes.values():
@@ -219,7 +219,7 @@
         ready = self.ready_ports.setdefault(name, free_port())
         path = self.folder / f"{name}.toml"
         ports = (front, ready, self.store_port)
-        path.write_text(SETTINGS.format(name, *ports, PARTS, self.lease_ms))
+        path.write_text(SETTINGS.format(name, *ports, self.lease_ms))
         out = self.folder / f"{name}.out"
         with out.open("ab") as stream:
             handle = subprocess.Popen(
@@ -286,16 +286,16 @@
         until(lambda: len(self.results(job_id, edge)) == items, 20.0)
         return self.results(job_id, edge)
 
-    def _shares_are_settled(self) -> bool:
+    def owner(self) -> str:
         """
-        Whether each part of the work is held by one edge, and each edge holds some.
+        Return the edge that runs the jobs, as far as the logs say; empty for none.
         """
-        shares = []
         for name in self.front_ports:
-            told = [e["parts"] for e in self.log(name) if e["event"] == "share_changed"]
-            shares.append(told[-1] if told else [])
-        held = sorted(part for share in shares for part in share)
-        return all(shares) and held == list(range(PARTS))
+            events = [line["event"] for line in self.log(name)]
+            told = [event for event in events if event.startswith("share")]
+            if told and told[-1] == "share_taken":
+                return name
+        return ""
 
     def _run(self, name: str, *arguments: str) -> None:
         out = self.folder / f"{name}.out"
--- a/tests/adapter/platform_documents.py
+++ b/tests/adapter/platform_documents.py
@@ -13,7 +13,6 @@
     "HOST",
     "ITEMS",
     "MODEL",
-    "PARTS",
     "SETTINGS",
     "make_config",
     "make_job",
@@ -23,8 +22,6 @@
 
 HOST = "desk.example"
 MODEL = "model-a"
-#: Partitions that divide the work, a count.
-PARTS = 4
 #: Items of a job unless a test says otherwise, a count.
 ITEMS = 6
 
@@ -135,13 +132,13 @@
 ready = "127.0.0.1:{2}"
 [platform]
 address = "127.0.0.1:{3}"
-parts = {4}
+parts = 4
 record_bytes = 2048
 call_bytes = 4100
 ttl_min_ms = 1000
 max_queue_s = 300
 [timing_bounds]
-lease_ms = {5}
+lease_ms = {4}
 grace_s = 8
 cancel_ms = 3000
 status_s = 120
--- a/tests/adapter/standin_store.py
+++ b/tests/adapter/standin_store.py
@@ -10,7 +10,6 @@
 import base64
 import contextlib
 import struct
-import time
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -33,12 +32,6 @@
         return self.first + len(self.records)
 
 
-@dataclass
-class _Member:
-    heard: float
-    ttl: float
-
-
 class _Store:
     """
     Everything the store holds, and what a test wants to go wrong.
@@ -48,8 +41,6 @@
     :ivar lose_undone: So many appends get no answer and are not done.
     :ivar late_by: Seconds after which the appends of ``lose_undone`` are done all the
         same; 0 for never.
-    :ivar deal_all: Every member is dealt every part, as if each thought it were the
-        owner.
     :ivar page: Records in one answer to a read, a count.
     :ivar busy_after: After so many appends to ``jobs`` every call fails; 0 for never.
     :ivar slow_by: Time that each read takes, in seconds.
@@ -57,20 +48,15 @@
     :ivar reads: Records read of each topic, a count.
     """
 
-    def __init__(self, parts: int) -> None:
-        self._parts = parts
+    def __init__(self) -> None:
         self._topics: dict[str, _Topic] = {}
         self._keyed: dict[str, dict[str, tuple[int, bytes]]] = {}
-        self._members: dict[str, _Member] = {}
-        self._holders: dict[int, str] = {}
-        self._generation = 0
         self._grown = asyncio.Condition()
         self._late: set[asyncio.Task] = set()
         self.mode = "ok"
         self.lose_done = 0
         self.lose_undone = 0
         self.late_by = 0.0
-        self.deal_all = False
         self.page = 500
         self.slow_by = 0.0
         self.busy_after = 0
@@ -165,52 +151,6 @@
             {"requests": page, "has_more": more, "end": self.topic(name).end}
         )
 
-    async def join(self, request: web.Request) -> web.StreamResponse:
-        await self._fail(request)
-        body = await request.json()
-        now = time.monotonic()
-        name = body["member"]
-        if name not in self._members:
-            self._generation += 1
-        self._members[name] = _Member(now, body["ttl_ms"] / 1000)
-        self._drop_silent(now)
-        rows = [[body["topics"][0], part, 0] for part in self._deal(name)]
-        return web.json_response({"generation": self._generation, "parts": rows})
-
-    def _deal(self, name: str) -> list[int]:
-        """
-        Return a member's parts; one passes on only once its holder has let it go.
-        """
-        if self.deal_all:
-            return list(range(self._parts))
-        members = sorted(self._members)
-        mine = []
-        for part in range(self._parts):
-            target = members[part % len(members)]
-            holder = self._holders.get(part)
-            if holder == name and target != name:
-                del self._holders[part]
-            if target == name and self._holders.setdefault(part, name) == name:
-                mine.append(part)
-        return mine
-
-    async def leave(self, request: web.Request) -> web.StreamResponse:
-        await self._fail(request)
-        self._remove((await request.json())["member"])
-        return web.json_response({})
-
-    def _drop_silent(self, now: float) -> None:
-        for name, member in list(self._members.items()):
-            if now - member.heard > member.ttl:
-                self._remove(name)
-
-    def _remove(self, name: str) -> None:
-        self._members.pop(name, None)
-        self._generation += 1
-        for part, holder in list(self._holders.items()):
-            if holder == name:
-                del self._holders[part]
-
     async def _fail(self, request: web.Request) -> None:
         if self.mode == "busy":
             raise web.HTTPServiceUnavailable
@@ -230,7 +170,6 @@
             "lose_done",
             "lose_undone",
             "late_by",
-            "deal_all",
             "page",
             "slow_by",
             "busy_after",
@@ -246,9 +185,7 @@
         async with self._grown:
             self._grown.notify_all()
         ends = {name: topic.end for name, topic in self._topics.items()}
-        return web.json_response(
-            {"ends": ends, "members": sorted(self._members), "reads": self.reads}
-        )
+        return web.json_response({"ends": ends, "reads": self.reads})
 
 
 async def _no_answer(request: web.Request) -> web.Response:
@@ -265,18 +202,14 @@
         position += length
 
 
-def store_app(parts: int) -> web.Application:
+def store_app() -> web.Application:
     """
     Return the store.
-
-    :param parts: Partitions of the topic that divides the work.
     """
-    store = _Store(parts)
+    store = _Store()
     app = web.Application(client_max_size=8_000_000)
     app.router.add_post("/v1/log-append", store.append)
     app.router.add_get("/v1/log-read", store.read)
     app.router.add_get("/v1/log-newest", store.newest)
-    app.router.add_post("/v1/log-join", store.join)
-    app.router.add_post("/v1/log-leave", store.leave)
     app.router.add_post("/fake", store.fake)
     return app
--- a/tests/adapter/standins.py
+++ b/tests/adapter/standins.py
@@ -19,7 +19,7 @@
     Serve on a loopback port until killed.
     """
     address = f"127.0.0.1:{port}"
-    app = store_app(int(rest[0])) if kind == "store" else engine_app(address, *rest)
+    app = store_app() if kind == "store" else engine_app(address, *rest)
     # A handler must learn that its caller left.
     web.run_app(
         app, host="127.0.0.1", port=int(port), print=None, handler_cancellation=True
--- a/tests/adapter/test_boundary.py
+++ b/tests/adapter/test_boundary.py
@@ -69,7 +69,7 @@
 
 
 def _settings() -> str:
-    return SETTINGS.format("edge-0", 1001, 1002, 1003, 4, 1000)
+    return SETTINGS.format("edge-0", 1001, 1002, 1003, 1000)
 
 
 def test_settings_are_read_and_unknown_fields_passed_over(tmp_path):
@@ -88,8 +88,16 @@
     [
         ('node_name = "edge-0"', "", "node_name: missing"),
         ('node_name = "edge-0"', 'node_name = ""', "node_name: a text that is not"),
-        ("parts = 4", "parts = 0", "platform.parts: a number above 0"),
-        ("parts = 4", 'parts = "4"', "platform.parts: a number above 0"),
+        (
+            "call_bytes = 4100",
+            "call_bytes = 0",
+            "platform.call_bytes: a number above 0",
+        ),
+        (
+            "call_bytes = 4100",
+            'call_bytes = "4"',
+            "platform.call_bytes: a number above",
+        ),
         ('"127.0.0.1:1003"', '"127.0.0.1"', "platform.address: HOST:PORT"),
         ("lease_ms = 1000", "", "timing_bounds.lease_ms: missing"),
         ("grace_s = 8", "grace_s = true", "timing_bounds.grace_s: a number"),
--- a/tests/adapter/test_edge_jobs.py
+++ b/tests/adapter/test_edge_jobs.py
@@ -134,25 +134,27 @@
     assert platform_bed.fake_store()["reads"]["texts"] > before
 
 
-def test_two_edges_that_both_believe_to_own_a_job_list_each_item_once(two_edges):
+def test_two_edges_that_both_run_an_item_list_it_once(two_edges):
     """
+    One freezes, another takes over, and the first one wakes in the middle of its work.
+
     The log's order decides; positions are the same at both, whoever wrote first.
     """
-    two_edges.fake_store(deal_all=True)
-    until(lambda: all(_owns_all(two_edges, e) for e in ("edge-0", "edge-1")))
-    assert two_edges.submit("job-1", make_job()).status == 202
-    results = two_edges.finished("job-1", ITEMS)
+    for engine in ("engine-0", "engine-1"):
+        two_edges.fake_engine(engine, pace=0.6)
+    owner = two_edges.owner()
+    other = "edge-1" if owner == "edge-0" else "edge-0"
+    assert two_edges.submit("job-1", make_job(2), other).status == 202
+    until(lambda: len(two_edges.runs()) == 2)
+    two_edges.signal(owner, signal.SIGSTOP)
+    until(lambda: len(two_edges.runs()) == 4)
+    two_edges.signal(owner, signal.SIGCONT)
+    results = two_edges.finished("job-1", 2, other)
     time.sleep(0.5)
-    assert two_edges.results("job-1", "edge-1") == results
-    assert len({result["id"] for result in results}) == ITEMS
-    # Both did run it, or the test shows nothing.
-    names = [run["request_id"] for run in two_edges.runs()]
-    assert names.count("item-0") == 2
-
-
-def _owns_all(bed, edge: str) -> bool:
-    lines = [line for line in bed.log(edge) if line["event"] == "share_changed"]
-    return bool(lines) and len(lines[-1]["parts"]) == 4
+    assert two_edges.results("job-1", owner) == results
+    assert texts(results) == whole_texts(2)
+    assert len({result["id"] for result in results}) == 2
+    assert two_edges.owner() == other
 
 
 def test_nothing_of_an_ended_job_runs(two_edges):
--- a/tests/adapter/test_edge_weights.py
+++ b/tests/adapter/test_edge_weights.py
@@ -12,7 +12,6 @@
 
 from platform_bed import until
 from platform_documents import MODEL, make_job, texts, whole_texts
-from saddledoord.cluster.membership import part_of
 
 
 def _bring(bed, version: int, edge: str = "edge-0") -> None:
@@ -132,7 +131,7 @@
     assert two_edges.submit("job-1", make_job(2), "edge-1").status == 202
     until(lambda: len(two_edges.runs()) == 2)
     time.sleep(1.0)
-    owner = _runner(two_edges)
+    owner = two_edges.owner()
     other = "edge-1" if owner == "edge-0" else "edge-0"
     two_edges.signal(owner, signal.SIGTERM)
     # Long before the stopping one ends.
@@ -144,15 +143,3 @@
 
 def _resumed(bed) -> list[dict]:
     return [run for run in bed.runs() if run["resume_after"] >= 1]
-
-
-def _runner(bed) -> str:
-    """
-    Return the edge whose connections the engines serve, by its share of the jobs.
-    """
-    part = part_of(f"desk.example/{MODEL}", 4)
-    for edge in ("edge-0", "edge-1"):
-        lines = [line for line in bed.log(edge) if line["event"] == "share_changed"]
-        if lines and part in lines[-1]["parts"]:
-            return edge
-    raise AssertionError("nobody owns the job")
--- a/tests/fake_log.py
+++ b/tests/fake_log.py
@@ -12,6 +12,7 @@
 
 from saddledoord.ports import (
     LARGEST_PAGE,
+    USUAL_PATIENCE,
     Appended,
     LogPage,
     StoreAwayError,
@@ -27,7 +28,7 @@
     Streams of records, and what a test wants to go wrong.
 
     :ivar lose: So many appends are done and get no answer.
-    :ivar away: Whether reads fail.
+    :ivar away: Whether reads and appends fail, and nothing is done.
     :ivar reads: Reads of each stream, a count.
     """
 
@@ -44,6 +45,8 @@
         assert records
         assert all(len(record) <= self._largest_record for record in records)
         await asyncio.sleep(0)
+        if self.away:
+            return UnknownAppend("away")
         offset = len(self.records[stream])
         self.records[stream] += records
         if self.lose > 0:
@@ -57,6 +60,7 @@
         start: int,
         wait: float = 0.0,
         largest: int = LARGEST_PAGE,
+        patience: float = USUAL_PATIENCE,
     ) -> LogPage:
         self.reads[stream] += 1
         # With a wait the newest records come at once; without news the wait passes.
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -31,6 +31,7 @@
 _DECISIONS = "tests/test_gateway_decisions.py"
 _PASS = "tests/test_pass_through.py"
 _POOL = "tests/test_pool.py"
+_SHARES = "tests/test_work_shares.py"
 _PLACEMENT = "tests/test_item_placement.py"
 
 
@@ -65,11 +66,11 @@
         (_JOBS, "reads_the_log_anew"),
     ),
     Guard(
-        "a stopping VM stays out of the group",
-        f"{_DAEMON}/cluster/membership.py",
-        "while not self._left:",
-        "while True:",
-        (_WEIGHTS, "hands_the_texts_over"),
+        "a stopping node takes no share again",
+        f"{_DAEMON}/cluster/work_shares.py",
+        "        self._stopped = True\n",
+        "",
+        (_SHARES, "no_share_again"),
     ),
     Guard(
         "failed runs are counted before the log has them",
@@ -190,9 +191,9 @@
     ),
     Guard(
         "another machine waits for the lease's term",
-        f"{_DAEMON}/orders/lease.py",
-        "return lease.holder.rpartition(_INCARNATION)[0] == self._machine",
-        "return True",
+        f"{_DAEMON}/cluster/leases.py",
+        "if machine == self._machine:",
+        "if True:",
         (_WEIGHTS, "rising_fences"),
     ),
     Guard(
@@ -304,11 +305,18 @@
         (_ITEMS, "larger_than_a_record"),
     ),
     Guard(
-        "a share that is lost passes on at once",
-        f"{_DAEMON}/cluster/membership.py",
-        "if self._assignment.generation == before:",
-        "if True:",
-        ("tests/test_membership.py", "passes_on_at_once"),
+        "a share does not move for an outage of the store",
+        f"{_DAEMON}/cluster/work_shares.py",
+        "if boot_time() - self._leases.regained_at < _TERM:",
+        "if False:",
+        (_SHARES, "while_the_store_is_away"),
+    ),
+    Guard(
+        "a share is taken with what the node before left",
+        f"{_DAEMON}/cluster/work_shares.py",
+        "        await self._taken()\n",
+        "",
+        (_SHARES, "keeps_it"),
     ),
 )
 
--- /dev/null
+++ b/tests/test_work_shares.py
@@ -0,0 +1,250 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Who runs a share of the work: takers, holders, planned stops, outages.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import AsyncExitStack, asynccontextmanager
+
+from fake_log import FakeLog
+
+from saddledoord.cluster.leases import LeaseLog
+from saddledoord.cluster.work_shares import WorkShares
+
+
+class _Node:
+    """
+    A node that wants one share.
+    """
+
+    def __init__(self, log: FakeLog, machine: str) -> None:
+        self.leases = LeaseLog(log, machine)
+        self.shares = WorkShares(self.leases, self._wanted, self._taken, self._changed)
+        self.looks = 0
+        self.read_on = 0
+        self.changes: list[bool] = []
+
+    @property
+    def owns(self) -> bool:
+        return self.shares.owns("pool")
+
+    def _wanted(self) -> set[str]:
+        self.looks += 1
+        return {"pool"}
+
+    async def _taken(self) -> None:
+        self.read_on += 1
+        # What the node before left must be known before anything is run.
+        assert not self.owns
+
+    async def _changed(self) -> None:
+        self.changes.append(self.owns)
+
+    @asynccontextmanager
+    async def running(self):
+        loops = [self.leases.run(), self.shares.run()]
+        tasks = [asyncio.create_task(loop) for loop in loops]
+        try:
+            yield self
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def _until(check, timeout: float = 3.0) -> float:
+    """
+    Return how long a check took to become true, in seconds.
+    """
+    clock = asyncio.get_running_loop().time
+    began = clock()
+    async with asyncio.timeout(timeout):
+        while not check():
+            await asyncio.sleep(0.005)
+    return clock() - began
+
+
+def _owners(*nodes: _Node) -> list[bool]:
+    return [node.owns for node in nodes]
+
+
+def test_one_of_several_nodes_takes_a_share_and_keeps_it():
+    """
+    Others come and go meanwhile, and nothing moves.
+    """
+
+    async def play():
+        log = FakeLog()
+        a, b, late = _Node(log, "a"), _Node(log, "b"), _Node(log, "late")
+        async with a.running(), b.running():
+            await _until(lambda: any(_owners(a, b)))
+            before = _owners(a, b)
+            assert sorted(before) == [False, True]
+            async with late.running():
+                await asyncio.sleep(1.5)
+            assert _owners(a, b, late) == [*before, False]
+            assert a.read_on + b.read_on == 1
+
+    asyncio.run(play())
+
+
+def test_a_stopping_node_takes_no_share_again():
+    """
+    Also if the one that took it dies.
+    """
+
+    async def play():
+        log = FakeLog()
+        a, b = _Node(log, "a"), _Node(log, "b")
+        async with a.running():
+            await _until(lambda: a.owns)
+            await a.shares.release()
+            async with b.running():
+                await _until(lambda: b.owns)
+            await asyncio.sleep(1.6)
+            assert not a.owns
+
+    asyncio.run(play())
+
+
+def test_a_planned_stop_passes_a_share_on_at_once():
+    """
+    Without the term that a death costs.
+    """
+
+    async def play():
+        log = FakeLog()
+        a, b = _Node(log, "a"), _Node(log, "b")
+        async with a.running():
+            await _until(lambda: a.owns)
+            async with b.running():
+                await asyncio.sleep(0.3)
+                await a.shares.release()
+                assert await _until(lambda: b.owns) < 0.5
+                await asyncio.sleep(0.3)
+                assert _owners(a, b) == [False, True]
+
+    asyncio.run(play())
+
+
+def test_a_dead_node_s_share_is_taken_after_its_term():
+    """
+    Not before: a node that lives renews it in time.
+    """
+
+    async def play():
+        log = FakeLog()
+        a, b = _Node(log, "a"), _Node(log, "b")
+        async with AsyncExitStack() as rest:
+            async with a.running():
+                await _until(lambda: a.owns)
+                await rest.enter_async_context(b.running())
+                await asyncio.sleep(1.5)
+                assert _owners(a, b) == [True, False]
+            assert 0.5 < await _until(lambda: b.owns) < 1.6
+
+    asyncio.run(play())
+
+
+def test_a_machine_that_comes_back_has_its_share_at_once():
+    """
+    The loss of all machines costs no term.
+    """
+
+    async def play():
+        log = FakeLog()
+        before, after, other = _Node(log, "a"), _Node(log, "a"), _Node(log, "b")
+        async with before.running():
+            await _until(lambda: before.owns)
+        async with after.running(), other.running():
+            assert await _until(lambda: after.owns) < 0.5
+
+    asyncio.run(play())
+
+
+def test_a_share_stays_while_the_store_is_away_and_after():
+    """
+    Nobody could renew, so nobody takes what its holder has before it has had its time.
+    """
+
+    async def play():
+        log = FakeLog()
+        a, b = _Node(log, "a"), _Node(log, "b")
+        async with AsyncExitStack() as rest:
+            async with a.running():
+                await _until(lambda: a.owns)
+                await rest.enter_async_context(b.running())
+                await asyncio.sleep(0.3)
+                log.away = True
+                await asyncio.sleep(1.6)
+                assert _owners(a, b) == [True, False]
+            # The holder is slow to notice that the store is back.
+            log.away = False
+            await asyncio.sleep(0.6)
+            async with a.running():
+                await asyncio.sleep(1.0)
+                assert _owners(a, b) == [True, False]
+
+    asyncio.run(play())
+
+
+def test_a_holder_that_was_replaced_lets_go():
+    """
+    It reads so as soon as it reads the log again.
+    """
+
+    async def play():
+        log = FakeLog()
+        a, b = _Node(log, "a"), _Node(log, "b")
+        async with a.running():
+            await _until(lambda: a.owns)
+        # Frozen: its loops stand still, and it still believes to hold the share.
+        async with b.running():
+            await _until(lambda: b.owns)
+            assert a.owns
+            async with a.running():
+                await _until(lambda: not a.owns)
+            assert a.changes[-1] is False
+            assert b.owns
+
+    asyncio.run(play())
+
+
+def test_a_claim_whose_answer_was_lost_counts():
+    """
+    Only the log tells whether it stands.
+    """
+
+    async def play():
+        log = FakeLog()
+        log.lose = 1
+        node = _Node(log, "a")
+        async with node.running():
+            await _until(lambda: node.owns)
+
+    asyncio.run(play())
+
+
+def test_a_node_that_waits_does_not_look_all_the_time(monkeypatch):
+    """
+    Also one that was about to claim what another took before it.
+    """
+    delays = iter([0.0, 0.5, 0.5, 0.5])
+    monkeypatch.setattr("random.uniform", lambda least, most: next(delays))
+
+    async def play():
+        log = FakeLog()
+        a, b = _Node(log, "a"), _Node(log, "b")
+        async with a.running(), b.running():
+            await _until(lambda: a.owns)
+            await asyncio.sleep(0.6)
+            before = a.looks + b.looks
+            await asyncio.sleep(1.0)
+            # Each 0.1 s, and for the news of three renewals.
+            assert a.looks + b.looks - before < 40
+            assert not b.owns
+
+    asyncio.run(play())
