--- a/packages/saddledoor/src/saddledoor/__init__.py
+++ b/packages/saddledoor/src/saddledoor/__init__.py
@@ -79,6 +79,7 @@
     PoolSummary,
     SiteSummary,
 )
+from ._page_size import PageSize
 from ._queueing import FairQueue, Pushed, WorkClass
 from ._records import (
     BurnTotals,
@@ -198,6 +199,7 @@
     "Observation",
     "Order",
     "OutcomeUnknown",
+    "PageSize",
     "PENALTY",
     "Part",
     "Partner",
--- a/packages/saddledoord/src/saddledoord/cluster/follow.py
+++ b/packages/saddledoord/src/saddledoord/cluster/follow.py
@@ -11,8 +11,11 @@
 
 import structlog
 
+from saddledoor import PageSize
+
 from .._clock import boot_time
 from ..ports import (
+    LARGEST_PAGE,
     USUAL_PATIENCE,
     KeyedEntry,
     KeyedPage,
@@ -100,6 +103,7 @@
         self._stream = stream
         self._apply = apply
         self._next = 0
+        self._page_size = PageSize(LARGEST_PAGE)
         self._reach = _Reachable(stream, reachable)
         self._caught_up = asyncio.Event()
         self._syncing = asyncio.Lock()
@@ -182,14 +186,22 @@
 
     async def _read(self, wait: float, patience: float) -> LogPage:
         try:
-            return await self._log.read(
-                self._stream, self._next, wait, patience=patience
-            )
+            page = await self._page(wait, patience)
+        except StoreAwayError:
+            self._page_size.failed()
+            raise
+        self._page_size.answered()
+        return page
+
+    async def _page(self, wait: float, patience: float) -> LogPage:
+        size = self._page_size.current
+        try:
+            return await self._log.read(self._stream, self._next, wait, size, patience)
         except LogGoneError as error:
             _log.warning("records_gone", stream=self._stream, first=error.first)
             # Another read may have gone on meanwhile.
             self._next = max(self._next, error.first)
-            return await self._log.read(self._stream, self._next, 0.0)
+            return await self._log.read(self._stream, self._next, 0.0, size)
 
     def _take(self, page: LogPage, began: float) -> None:
         for index, record in enumerate(page.records):
