Take a changed settings file while running, whole or not at all

Cause: SIGHUP only checked the file; what it said took effect at the next start, a change without a signal was not seen, and no VM told which file it runs. Ruled out: applying every field (addresses, names and the lease's term must be the same at all VMs at any moment, or need new sockets): such a file is refused whole. Change: the file is looked at each second and at SIGHUP, by its content; bounds that only this process keeps are taken, others refused with one line naming the fields; the version in force (digest of the file) is in the metrics and in the lines of start and change. Tests: changed in the middle of two texts, with and without the signal: nothing is made twice; three broken files: one line each, the old file stays in force, the next one is taken. They fail on the code before (no metric, no line).

--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -194,6 +194,13 @@
         """
         return self._stopping
 
+    def set_bounds(self, cancel_time: float, read_for: float, retention: float) -> None:
+        """
+        Change bounds while the node runs; see `GatewaySettings`.
+        """
+        self._runner.set_cancel_time(cancel_time)
+        self.jobs.keep_for(read_for, retention)
+
     def start(self, failed: Callable[[BaseException], None]) -> None:
         """
         Start the loops.
--- a/packages/saddledoord/src/saddledoord/jobs/runner.py
+++ b/packages/saddledoord/src/saddledoord/jobs/runner.py
@@ -92,7 +92,7 @@
         self._texts = texts
         self._scorer = scorer
         self._owns = owns
-        self._fresh = _FRESH * cancel_time
+        self.set_cancel_time(cancel_time)
         self._attempts = attempts
         self._placement = placement
         self._runs: dict[Key, ItemRun] = {}
@@ -100,6 +100,12 @@
         self._wake = asyncio.Event()
         self._stopped = False
 
+    def set_cancel_time(self, cancel_time: float) -> None:
+        """
+        Change the time after which no item of an ended job may reach an engine.
+        """
+        self._fresh = _FRESH * cancel_time
+
     def wake(self) -> None:
         """
         Look again at what is to be done.
--- a/packages/saddledoord/src/saddledoord/jobs/service.py
+++ b/packages/saddledoord/src/saddledoord/jobs/service.py
@@ -148,8 +148,7 @@
         self._runs_jobs = runs_jobs
         self._book = book
         self._texts = texts
-        self._ended_for = read_for + _KEEP_MARGIN
-        self._open_for = max(self._ended_for, retention)
+        self.keep_for(read_for, retention)
         self._changes = changes
         self._changed = lambda: None
         self._forgot_at = boot_time()
@@ -181,6 +180,13 @@
         """
         return self._book.open_jobs()
 
+    def keep_for(self, read_for: float, retention: float) -> None:
+        """
+        Change how long jobs are kept for their readers, in seconds.
+        """
+        self._ended_for = read_for + _KEEP_MARGIN
+        self._open_for = max(self._ended_for, retention)
+
     def on_change(self, changed) -> None:
         """
         Call a function after each record.
--- a/packages/saddledoord/src/saddledoord/observability/gateway_metrics.py
+++ b/packages/saddledoord/src/saddledoord/observability/gateway_metrics.py
@@ -6,7 +6,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from prometheus_client import REGISTRY, generate_latest
 
@@ -18,10 +21,12 @@
 
 class GatewayMetrics:
     """
-    Requests by route and result code, and how long they took.
+    Requests by route and result code, how long they took, and the settings in force.
+
+    :param settings: Returns the version of the settings in force.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, settings: Callable[[], str]) -> None:
         meter = MeterProvider(metric_readers=[PrometheusMetricReader()]).get_meter(
             "saddledoord"
         )
@@ -29,6 +34,11 @@
             "saddledoor_gateway_requests",
             description="Requests ended, by route and result code",
         )
+        meter.create_observable_gauge(
+            "saddledoor_settings",
+            [lambda _: [Observation(1, {"version": settings()})]],
+            description="The settings in force, as the label",
+        )
         self._seconds = meter.create_histogram(
             "saddledoor_gateway_seconds",
             unit="s",
--- a/tests/adapter/platform_bed.py
+++ b/tests/adapter/platform_bed.py
@@ -10,6 +10,7 @@
 import itertools
 import json
 import os
+import re
 import signal
 import socket
 import subprocess
@@ -116,6 +117,7 @@
     engine_ports: dict[str, int] = field(default_factory=dict)
     front_ports: dict[str, int] = field(default_factory=dict)
     ready_ports: dict[str, int] = field(default_factory=dict)
+    metrics_ports: dict[str, int] = field(default_factory=dict)
     processes: dict[str, _Process] = field(default_factory=dict)
 
     @classmethod
@@ -217,7 +219,8 @@
         """
         front = self.front_ports.setdefault(name, free_port())
         ready = self.ready_ports.setdefault(name, free_port())
-        path = self.folder / f"{name}.toml"
+        metrics = self.metrics_ports.setdefault(name, free_port())
+        path = self.settings_path(name)
         ports = (front, ready, self.store_port)
         path.write_text(SETTINGS.format(name, *ports, self.lease_ms))
         out = self.folder / f"{name}.out"
@@ -227,13 +230,37 @@
                 env={
                     **os.environ,
                     "SADDLEDOOR_BOOT": str(path),
-                    "SADDLEDOOR_METRICS_PORT": str(free_port()),
+                    "SADDLEDOOR_METRICS_PORT": str(metrics),
                 },
                 stdout=stream,
                 stderr=subprocess.STDOUT,
             )
         self.processes[name] = _Process(handle, out)
 
+    def settings_path(self, name: str) -> Path:
+        return self.folder / f"{name}.toml"
+
+    def change_settings(self, name: str, before: str, after: str) -> None:
+        """
+        Replace a text in an edge's settings file, as a whole file at once.
+        """
+        path = self.settings_path(name)
+        text = path.read_text()
+        assert before in text
+        new = path.with_suffix(".new")
+        new.write_text(text.replace(before, after, 1))
+        new.replace(path)
+
+    def settings_in_force(self, name: str) -> str:
+        """
+        Return the version that an edge's metrics tell.
+        """
+        url = f"http://127.0.0.1:{self.metrics_ports[name]}/metrics"
+        with urllib.request.urlopen(url, timeout=5.0) as response:
+            text = response.read().decode()
+        (version,) = re.findall(r'saddledoor_settings\{.*version="(\w+)".*\} 1', text)
+        return version
+
     def signal(self, name: str, number: signal.Signals) -> None:
         os.kill(self.processes[name].handle.pid, number)
 
--- /dev/null
+++ b/tests/adapter/test_edge_settings.py
@@ -0,0 +1,71 @@
+# SPDX-License-Identifier: MIT
+
+"""
+A settings file that changes while its edge is at work.
+"""
+
+from __future__ import annotations
+
+import signal
+import time
+
+import pytest
+
+from platform_bed import until
+from platform_documents import make_job, texts, whole_texts
+
+
+def _logged(bed, event: str) -> list[dict]:
+    return [line for line in bed.log("edge-0") if line["event"] == event]
+
+
+@pytest.mark.parametrize("told", [True, False], ids=["by a signal", "without one"])
+def test_a_changed_file_is_taken_while_texts_are_made(platform_bed, told):
+    """
+    Nothing is made twice, and the metrics tell which file is in force.
+    """
+    bed = platform_bed
+    for engine in ("engine-0", "engine-1"):
+        bed.fake_engine(engine, pace=0.2)
+    before = bed.settings_in_force("edge-0")
+    assert bed.submit("job-1", make_job(2)).status == 202
+    until(lambda: len(bed.runs()) == 2)
+    bed.change_settings("edge-0", "cancel_ms = 3000", "cancel_ms = 2000")
+    if told:
+        bed.signal("edge-0", signal.SIGHUP)
+    until(lambda: bed.settings_in_force("edge-0") != before, 3.0)
+    (line,) = _logged(bed, "settings_in_force")
+    assert line["version"] == bed.settings_in_force("edge-0")
+    assert texts(bed.finished("job-1", 2)) == whole_texts(2)
+    items = [run for run in bed.runs() if run["request_id"].startswith("item")]
+    assert [run["resume_after"] for run in items] == [0, 0]
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "said"),
+    [
+        ("grace_s = 8", "grace_s = true", "timing_bounds.grace_s"),
+        ("lease_ms = 1000", "lease_ms = 1500", "lease_term"),
+        ("[platform]", "[platform", "edge-0.toml"),
+    ],
+)
+def test_a_file_that_cannot_be_taken_is_refused_whole_with_one_line(
+    platform_bed, before, after, said
+):
+    """
+    The line names the field; the edge goes on with what it has, and takes the next
+    file that can be used.
+    """
+    bed = platform_bed
+    version = bed.settings_in_force("edge-0")
+    bed.change_settings("edge-0", "cancel_ms = 3000", "cancel_ms = 2000")
+    bed.change_settings("edge-0", before, after)
+    bed.signal("edge-0", signal.SIGHUP)
+    until(lambda: _logged(bed, "settings_refused"))
+    time.sleep(1.2)
+    (line,) = _logged(bed, "settings_refused")
+    assert said in line["reason"]
+    assert bed.settings_in_force("edge-0") == version == line["in_force"]
+    assert bed.submit("job-1", make_job(1)).status == 202
+    bed.change_settings("edge-0", after, before)
+    until(lambda: bed.settings_in_force("edge-0") != version, 3.0)
