Give the reading of a job's items a module of its own; log what it cannot foresee

A read that ended by a fault of ours left no line and was made again at once. Test: three wishes make one read, a failed one is made again.

--- a/packages/saddledoord/src/saddledoord/jobs/runner.py
+++ b/packages/saddledoord/src/saddledoord/jobs/runner.py
@@ -29,6 +29,7 @@
 from ..serving.pool import EnginePool, Place
 from ..serving.silence import SilentEngines
 from .attempt import Attempts
+from .item_loader import ItemLoader
 from .item_run import ItemRun
 from .item_times import ItemPhase
 from .placement import Placement
@@ -55,8 +56,6 @@
 #: can end a job then, but another node may have taken this one's share.
 _ALONE = 6.0
 
-#: Pause after a read of a job's items that failed, in seconds.
-_ITEMS_PAUSE = 0.1
 
 Key = tuple[str, str]
 
@@ -96,7 +95,7 @@
         self._attempts = attempts
         self._placement = placement
         self._runs: dict[Key, ItemRun] = {}
-        self._loading: dict[str, asyncio.Task] = {}
+        self._items = ItemLoader(jobs, self.wake)
         self._wake = asyncio.Event()
         self._stopped = False
 
@@ -173,8 +172,7 @@
             return
         wanted: dict[Key, tuple[JobState, JobItem]] = {}
         for state in self._own_jobs():
-            if state.items is None:
-                self._load_items(state)
+            self._items.want(state)
             for item in state.unlisted():
                 wanted[state.job.job_id, item.item_id] = (state, item)
         for key in list(self._runs):
@@ -200,25 +198,6 @@
         jobs = self._jobs.open_jobs()
         return [s for s in jobs if self._owns(self._view.share_of(s.job))]
 
-    def _load_items(self, state: JobState) -> None:
-        job_id = state.job.job_id
-        if job_id in self._loading:
-            return
-        task = asyncio.create_task(self._try_items(state))
-        self._loading[job_id] = task
-        task.add_done_callback(lambda task: self._items_tried(job_id))
-
-    def _items_tried(self, job_id: str) -> None:
-        del self._loading[job_id]
-        self.wake()
-
-    async def _try_items(self, state: JobState) -> None:
-        try:
-            await self._jobs.load_items(state)
-        except (StoreAwayError, UndecodableRecordError) as error:
-            _log.warning("items_not_loaded", job=state.job.job_id, reason=str(error))
-            await asyncio.sleep(_ITEMS_PAUSE)
-
     def _drop(self, key: Key, reason: str) -> None:
         run = self._runs.pop(key)
         if run.task is not None:
--- a/tests/test_job_items.py
+++ b/tests/test_job_items.py
@@ -17,6 +17,7 @@
 from saddledoord._clock import boot_time
 from saddledoord.cluster.changes import Changes
 from saddledoord.jobs import service as service_module
+from saddledoord.jobs.item_loader import ItemLoader
 from saddledoord.jobs.service import Accepted, JobReading, JobService
 from saddledoord.jobs.texts import TextStore
 from saddledoord.ports import UnknownAppend
@@ -119,3 +120,32 @@
 
     asyncio.run(play())
     assert log.records["jobs"] == []
+
+
+def test_items_that_cannot_be_read_are_read_again():
+    """
+    Once at a time, however often they are wanted.
+    """
+    log = FakeLog()
+
+    async def play():
+        async with _Node(log).running() as jobs:
+            await jobs.submit(_large_job())
+        async with _Node(log).running() as other:
+            tried = asyncio.Event()
+            loader = ItemLoader(other, tried.set)
+            await other.sync()
+            (state,) = other.open_jobs()
+            log.away = True
+            for _ in range(3):
+                loader.want(state)
+            await asyncio.wait_for(tried.wait(), 2.0)
+            assert state.items is None
+            assert log.reads["texts"] == 1
+            log.away = False
+            tried.clear()
+            loader.want(state)
+            await asyncio.wait_for(tried.wait(), 2.0)
+            assert len(list(state.unlisted())) == _ITEMS
+
+    asyncio.run(play())
