Correct the size of a job: 73,152 bytes in the records before, 126 after

Measured now with the test's job on the code before and after. The play's own jobs were not measured.

--- a/packages/saddledoor/src/saddledoor/_jobs.py
+++ b/packages/saddledoor/src/saddledoor/_jobs.py
@@ -115,8 +115,8 @@
     A job is accepted.
 
     Every node reads this, so its items stand apart: 136 items with bodies of 500 bytes
-    take 96 KB, and 195 nodes would read them at once, at 80 MB a second for all
-    together. After two such jobs no read was answered for 0.5 s (log of a play).
+    take 73 KB, and 195 nodes would read them at once, at 80 MB a second for all
+    together. In a play with 195 nodes no read was answered for 0.5 s after two jobs.
 
     :param size: Of its items, a count.
     :param items: Where they are, as `encode_job_items` gives them.
--- a/tests/test_job_items.py
+++ b/tests/test_job_items.py
@@ -70,7 +70,8 @@
 
 def test_what_every_node_reads_of_a_job_does_not_grow_with_its_items():
     """
-    A job of 136 items of 700 bytes costs each node 103 bytes; it was 96,000.
+    A job of 136 items with bodies of 500 bytes costs each node 126 bytes, and 73,152
+    where its items stand among the records.
     """
     log = FakeLog()
 
