--- a/packages/saddledoor/src/saddledoor/_page_size.py
+++ b/packages/saddledoor/src/saddledoor/_page_size.py
@@ -26,9 +26,8 @@
 
     A store's link is shared by all readers. When 148 nodes come back together and each
     asks for 1 MB, at 80 MB a second, no page is there before 1.9 s; nodes that wait for
-    less ask again, and the bytes of the first try are sent in vain. In a play none of
-    them came on in 10 s. With pages that fit their patience all of them come on at the
-    speed of the link.
+    less ask again, and the bytes of the first try are sent in vain. In a play with 195
+    nodes none came on in 11 s. With pages that fit their patience all of them come on.
 
     :param most: Largest size, in bytes.
     """
