--- a/tests/adapter/test_edge_weights.py
+++ b/tests/adapter/test_edge_weights.py
@@ -165,5 +165,23 @@
     assert two_edges.wait_end(owner) == 0
 
 
+def test_a_planned_stop_while_the_store_is_silent_ends_within_its_grace(platform_bed):
+    """
+    Every call to the store then takes its whole time limit.
+    """
+    for engine in ("engine-0", "engine-1"):
+        platform_bed.fake_engine(engine, pace=0.4)
+    until(lambda: _lines(platform_bed, "edge-0", "order_lease_taken"))
+    assert platform_bed.submit("job-1", make_job(2)).status == 202
+    until(lambda: len(platform_bed.runs()) == 2)
+    platform_bed.fake_store(mode="silent")
+    time.sleep(0.5)
+    began = time.monotonic()
+    platform_bed.signal("edge-0", signal.SIGTERM)
+    assert platform_bed.wait_end("edge-0") == 0
+    # The settings allow 8 s.
+    assert time.monotonic() - began < 7.8
+
+
 def _resumed(bed) -> list[dict]:
     return [run for run in bed.runs() if run["resume_after"] >= 1]
