Name one life of an engine: its id and the start of its process

An engine may start again under the id that it had, so an id alone no longer says what holds what. The type is the key for all that is remembered of an engine; this commit only adds it to entries and reports, nothing uses it yet.

--- a/packages/saddledoor/src/saddledoor/__init__.py
+++ b/packages/saddledoor/src/saddledoor/__init__.py
@@ -47,6 +47,7 @@
 from ._drain import Drain, Stage
 from ._engine_directory import EngineDirectory, EngineEntry
 from ._event_text import EventText, GeneratedEvent, KeptText
+from ._incarnation import Incarnation
 from ._item_placement import Seat, choose_seat, is_worth_moving
 from ._job_book import JobBook, JobState, KeptParts
 from ._job_records import (
@@ -165,6 +166,7 @@
     "HeldLease",
     "Hole",
     "InForce",
+    "Incarnation",
     "Instance",
     "IssuedKeys",
     "ItemFailed",
--- a/packages/saddledoor/src/saddledoor/_engine_directory.py
+++ b/packages/saddledoor/src/saddledoor/_engine_directory.py
@@ -8,6 +8,9 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from functools import cached_property
+
+from ._incarnation import Incarnation
 
 
 __all__ = ["EngineDirectory", "EngineEntry"]
@@ -22,10 +25,12 @@
     """
     What an engine says of itself.
 
-    :param engine_id: One incarnation; a restart gets a new one.
+    :param engine_id: Its name, which a restart may keep.
     :param address: Host and port; may come back as another engine's.
     :param slots: Requests it works on at once, a count.
     :param versions: Weight version of each model it holds.
+    :param started_at: Start of its process, in Unix milliseconds; none if it does not
+        say.
     """
 
     engine_id: str
@@ -35,6 +40,14 @@
     slots: int
     draining: bool = False
     versions: Mapping[str, int] = field(default_factory=dict)
+    started_at: int | None = None
+
+    @cached_property
+    def incarnation(self) -> Incarnation:
+        """
+        The life that this entry speaks of.
+        """
+        return Incarnation(self.engine_id, self.started_at)
 
 
 class EngineDirectory:
--- a/packages/saddledoord/src/saddledoord/ports/engines.py
+++ b/packages/saddledoord/src/saddledoord/ports/engines.py
@@ -106,11 +106,14 @@
     What an engine reports when asked.
 
     :param orders_taken: Counts the orders since its start.
+    :param started_at: Start of its process, in Unix milliseconds; none if it does not
+        say.
     """
 
     versions: dict[str, int]
     busy: bool
     orders_taken: int
+    started_at: int | None = None
 
 
 @dataclass(frozen=True)
