Wait for the back ends, too, before the status is looked at

Run alone on the code as it was, the test failed in 3 of 6 runs. It waited for the lease, which is in the log before the watcher has asked the back ends for the first time. It now waits for every word on the list's way, then asserts every word on the VM's, as before. Run alone since: 8 of 8 passed.

--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -101,15 +101,15 @@
     """
     For people and as JSON, from one VM or from the platform's list.
     """
-    until(
-        lambda: (
-            "control/dc-a"
-            in bed.ctl("status", "--vm-list", f"http://{bed.vm_list}").stdout
-        )
-    )
-    text = bed.ctl("status", "--vm", bed.vms["dc-a-vm1"].http).stdout
-    for word in ("dc-a-vm1", "engine-1", "model-a=1", "desk-1", "control/dc-a"):
-        assert word in text
+    words = ("dc-a-vm1", "engine-1", "model-a=1", "desk-1", "control/dc-a")
+
+    def shows_all(*where: str) -> bool:
+        text = bed.ctl("status", *where).stdout
+        return all(word in text for word in words)
+
+    # The lease is in the log before the back ends have been asked for the first time.
+    until(lambda: shows_all("--vm-list", f"http://{bed.vm_list}"))
+    assert shows_all("--vm", bed.vms["dc-a-vm1"].http)
     done = bed.ctl("status", "--vm", bed.vms["dc-a-vm1"].http, "--json")
     view = next(iter(json.loads(done.stdout).values()))
     assert view["config_offset"] >= bed.offset
