Remember of an engine what its life has shown, and forget it with that life

Cause: an engine may start again under its id, holding nothing. What nodes remembered was kept by id and outlived it. Gone through, one by one:

* wrong for the next life: `WeightKeeper._reached` (it was never loaded again), `_paused`, `_loading`; `Placement._seen_versions` (items that it could not run), `_running`; `EnginePool._own`, `_paused`, `_overtaken`, `_failures`, `_refusals`; `EnginePaces._paces`, `_last_event`; `SilentEngines._asking`; `ItemRun.unfit` and the engines that a request had tried;
* right by id: the directory of entries, and offsets of the registry.

Change: `EngineMemory` gives out tables by incarnation and forgets a life in all of them as one; whoever remembers something of an engine takes a table. The tables are forgotten when a later life's entry is taken, or 60 s after the entry went for good. What is in flight at a life that is over is ended at once (`EngineLives`): an item goes on elsewhere from the events that it has, a repeatable request is repeated, an unrepeatable one is answered as unknown, a load is given up. A report that says another start than the entry is credited to nobody. An entry of an earlier life is passed over once, since a write may be done after its sender's crash; a second one in a row is taken, so that one false start does not shut an engine out.

Ruled out: the newest start winning for good (one false entry would end an engine), and a connection's end as the only sign (behind a cut there is none).

--- a/packages/saddledoor/src/saddledoor/__init__.py
+++ b/packages/saddledoor/src/saddledoor/__init__.py
@@ -46,6 +46,7 @@
 )
 from ._drain import Drain, Stage
 from ._engine_directory import EngineDirectory, EngineEntry
+from ._engine_memory import EngineMemory, EngineTable
 from ._event_text import EventText, GeneratedEvent, KeptText
 from ._incarnation import Incarnation
 from ._item_placement import Seat, choose_seat, is_worth_moving
@@ -153,6 +154,8 @@
     "Engine",
     "EngineDirectory",
     "EngineEntry",
+    "EngineMemory",
+    "EngineTable",
     "EngineWeights",
     "EventText",
     "FairQueue",
--- a/packages/saddledoor/src/saddledoor/_engine_directory.py
+++ b/packages/saddledoor/src/saddledoor/_engine_directory.py
@@ -58,14 +58,30 @@
     def __init__(self) -> None:
         self._entries: dict[str, EngineEntry] = {}
         self._missing: dict[str, tuple[EngineEntry, float]] = {}
+        self._earlier: set[str] = set()
         self._store_back_at = float("-inf")
 
-    def put(self, entry: EngineEntry) -> None:
+    def put(self, entry: EngineEntry) -> bool:
         """
         Take an entry that an engine wrote.
+
+        One of an earlier life is passed over: a write may be done seconds after the
+        engine that sent it has crashed. A second one in a row is taken, since an engine
+        that lives goes on writing, and an entry that wrongly claims a later start must
+        not shut it out.
+
+        :returns: Whether it was taken.
         """
-        self._entries[entry.engine_id] = entry
-        self._missing.pop(entry.engine_id, None)
+        engine_id = entry.engine_id
+        known = self._entries.get(engine_id)
+        is_earlier = known is not None and known.incarnation.follows(entry.incarnation)
+        if is_earlier and engine_id not in self._earlier:
+            self._earlier.add(engine_id)
+            return False
+        self._earlier.discard(engine_id)
+        self._entries[engine_id] = entry
+        self._missing.pop(engine_id, None)
+        return True
 
     def remove(self, engine_id: str, now: float) -> None:
         """
@@ -78,6 +94,7 @@
         :param now: Monotonic, in seconds.
         """
         entry = self._entries.pop(engine_id, None)
+        self._earlier.discard(engine_id)
         if entry is None or entry.draining:
             return
         returns_until = self._store_back_at + _RETURN_WINDOW
--- a/packages/saddledoord/src/saddledoord/cluster/view.py
+++ b/packages/saddledoord/src/saddledoord/cluster/view.py
@@ -13,9 +13,11 @@
 from saddledoor import (
     EngineDirectory,
     EngineEntry,
+    EngineMemory,
     GatewayConfig,
     GatewayRoute,
     GatewayService,
+    Incarnation,
     JobOpened,
     RouteTable,
 )
@@ -31,6 +33,10 @@
 #: Engines of a pool up to which one node runs all its jobs, a count; the trainers of a
 #: larger one are divided. 32 engines of 12 slots make 10,000 events a second.
 _ENGINES_PER_NODE = 32
+#: How long what is known of an engine is kept once it is gone, in seconds: an entry
+#: that lapsed comes back within 2.5 s of the store's return, and whoever is leaving may
+#: go on with its last requests for many seconds.
+_REMEMBER_GONE = 60.0
 
 
 class ClusterView:
@@ -40,6 +46,8 @@
 
     def __init__(self) -> None:
         self.directory = EngineDirectory()
+        self.memory = EngineMemory()
+        self._gone: dict[Incarnation, float] = {}
         self.changed = asyncio.Event()
         self._config: GatewayConfig | None = None
         self._table = RouteTable()
@@ -116,11 +124,10 @@
         Take an engine's entry, or its removal.
         """
         if isinstance(entry.value, EngineEntry):
-            self._log_engine(entry.value)
-            self.directory.put(entry.value)
+            self._put_engine(entry.value)
         else:
-            _log.info("engine_entry_gone", engine=entry.key, offset=entry.offset)
-            self.directory.remove(entry.key, boot_time())
+            self._remove_engine(entry.key, entry.offset)
+        self._forget_gone(boot_time())
         self.changed.set()
 
     def engines_replaced(self, keys: set[str]) -> None:
@@ -128,10 +135,16 @@
         Remove the engines that have no entry any more.
         """
         for engine_id in self.directory.known_ids() - keys:
-            _log.info("engine_entry_gone", engine=engine_id, offset=None)
-            self.directory.remove(engine_id, boot_time())
+            self._remove_engine(engine_id, None)
         self.changed.set()
 
+    def is_over(self, incarnation: Incarnation) -> bool:
+        """
+        Return whether an engine has started again since.
+        """
+        entry = self.directory.get(incarnation.engine_id)
+        return entry is not None and entry.incarnation.follows(incarnation)
+
     def store_reached(self, reached: bool) -> None:
         """
         Note that the store was lost or regained.
@@ -148,13 +161,53 @@
             "configuration_in_force", version=config.version, routes=len(config.routes)
         )
 
-    def _log_engine(self, entry: EngineEntry) -> None:
+    def _put_engine(self, entry: EngineEntry) -> None:
         known = self.directory.get(entry.engine_id)
-        if known is None or known.draining != entry.draining:
+        if not self.directory.put(entry):
+            _log.info(
+                "engine_entry_of_earlier_life",
+                engine=entry.engine_id,
+                started_at=entry.started_at,
+            )
+            return
+        if known is None or known.incarnation != entry.incarnation:
+            self._begin_life(known, entry)
+        self._log_engine(known, entry)
+
+    def _begin_life(self, known: EngineEntry | None, entry: EngineEntry) -> None:
+        """
+        Forget the lives before, if there were any.
+        """
+        self._gone.pop(entry.incarnation, None)
+        if known is not None:
+            self._gone[known.incarnation] = boot_time()
+        for incarnation in self._gone:
+            # Kept in mind: what was in flight there may still tell of it.
+            if incarnation.engine_id == entry.engine_id:
+                self.memory.forget(incarnation)
+
+    def _remove_engine(self, engine_id: str, offset: int | None) -> None:
+        _log.info("engine_entry_gone", engine=engine_id, offset=offset)
+        known = self.directory.get(engine_id)
+        if known is not None:
+            self._gone[known.incarnation] = boot_time()
+        self.directory.remove(engine_id, boot_time())
+
+    def _forget_gone(self, now: float) -> None:
+        for incarnation, since in list(self._gone.items()):
+            if now - since > _REMEMBER_GONE:
+                del self._gone[incarnation]
+                self.memory.forget(incarnation)
+
+    def _log_engine(self, known: EngineEntry | None, entry: EngineEntry) -> None:
+        is_again = known is not None and known.incarnation != entry.incarnation
+        if known is None or is_again or known.draining != entry.draining:
             _log.info(
                 "engine_entry",
                 engine=entry.engine_id,
                 service=entry.service,
                 address=entry.address,
                 draining=entry.draining,
+                started_at=entry.started_at,
+                again=is_again,
             )
--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -18,6 +18,7 @@
 from .cluster.changes import Changes
 from .cluster.follow import RegistryFollower
 from .cluster.leases import LeaseLog
+from .cluster.lives import EngineLives
 from .cluster.store_watch import StoreWatch, WatchedLog, WatchedRegistry
 from .cluster.view import ClusterView
 from .cluster.work_shares import WorkShares
@@ -129,7 +130,8 @@
             view.store_reached,
         )
         pool = EnginePool(self.view, own_order(settings.vm))
-        self.pass_through = PassThrough(self.view, pool, ports.engines, count)
+        lives = EngineLives(self.view)
+        self.pass_through = PassThrough(self.view, pool, ports.engines, lives, count)
         book = JobBook()
         texts = TextStore(log, settings.largest_record, settings.largest_append)
         self.jobs = JobService(
@@ -151,8 +153,8 @@
             self._shares_changed,
             settings.cores,
         )
-        paces = EnginePaces()
-        silent = SilentEngines(ports.engines)
+        paces = EnginePaces(self.view.memory)
+        silent = SilentEngines(ports.engines, self.view.memory)
         placement = Placement(self.view, pool, paces, silent)
         self._runner = JobRunner(
             self.jobs,
@@ -160,7 +162,7 @@
             pool,
             silent,
             placement,
-            Attempts(ports.engines, paces, placement),
+            Attempts(ports.engines, paces, placement, lives),
             self._writer,
             texts,
             Scorer(self.view, self.pass_through),
@@ -172,6 +174,7 @@
         self._weights = WeightKeeper(
             self.view,
             ports.engines,
+            lives,
             self._lease,
             settings.vm,
             self._keep_runs,
--- a/packages/saddledoord/src/saddledoord/jobs/attempt.py
+++ b/packages/saddledoord/src/saddledoord/jobs/attempt.py
@@ -11,6 +11,7 @@
 from saddledoor import EngineEntry, GatewayRoute, GeneratedEvent
 
 from .._clock import boot_time
+from ..cluster.lives import EngineLives
 from ..ports import Engines, Generation, GenerationFailedError
 from ..serving.pace import EnginePaces
 from .item_run import ItemRun
@@ -54,7 +55,9 @@
         engines: Engines,
         paces: EnginePaces,
         placement: Placement,
+        lives: EngineLives,
     ) -> None:
+        self._lives = lives
         self._engines = engines
         self._paces = paces
         self._placement = placement
@@ -65,6 +68,17 @@
 
         :raises GenerationFailedError: If the text is not whole after this.
         """
+        try:
+            async with self._lives.within(engine.incarnation):
+                await self._take_events(run, route, engine)
+        except TimeoutError:
+            raise GenerationFailedError(
+                GenerationFailedError.RESTARTED, "the engine has started again"
+            ) from None
+
+    async def _take_events(
+        self, run: ItemRun, route: GatewayRoute, engine: EngineEntry
+    ) -> None:
         generation = Generation(run.request, run.text.last, _URGENCY)
         stream = self._engines.generate(engine, generation)
         began, began_at = run.text.last, boot_time()
@@ -78,7 +92,7 @@
                 if last is None:
                     self._placement.started(engine, run.state.job.model)
                 run.times.enter(ItemPhase.EVENTS, now)
-                self._paces.observe(engine.engine_id, last and now - last, now)
+                self._paces.observe(engine.incarnation, last and now - last, now)
                 last = now
                 self._take(run, route, engine, event)
                 stayed = run.text.last - began
@@ -111,7 +125,7 @@
         if silent > _SILENCE:
             raise GenerationFailedError(GenerationFailedError.BROKEN, "silent")
         now = boot_time()
-        silent = min(silent, self._paces.silent_for(engine.engine_id, now))
+        silent = min(silent, self._paces.silent_for(engine.incarnation, now))
         if silent <= self._stall(run, engine, now):
             return
         if self._placement.elsewhere(run, engine):
@@ -125,7 +139,7 @@
         Doubled with each move, so that an item comes to its end at engines that are
         slower than this expects.
         """
-        gap = self._paces.gap(engine.engine_id, now)
+        gap = self._paces.gap(engine.incarnation, now)
         least = _STALL_FIRST if gap is None else max(_STALL, _STALL_GAPS * gap)
         return least * 2**run.stalls
 
@@ -155,7 +169,7 @@
                 GenerationFailedError.NOT_STARTED, "weights changed within the text"
             )
         if not run.text.take(event, job.oldest_version):
-            run.unfit.add(engine.engine_id)
+            run.unfit.add(engine.incarnation)
             raise GenerationFailedError(
                 GenerationFailedError.NOT_STARTED,
                 f"event {event.number} of version {event.version} after"
--- a/packages/saddledoord/src/saddledoord/jobs/item_run.py
+++ b/packages/saddledoord/src/saddledoord/jobs/item_run.py
@@ -13,6 +13,7 @@
 
 from saddledoor import (
     EventText,
+    Incarnation,
     ItemKept,
     JobItem,
     JobState,
@@ -49,7 +50,7 @@
     :param loaded: Whether what others made of the text has been read.
     :param stalls: Moves away from silent engines, a count.
     :param pace_moves: Moves to faster engines, a count.
-    :param unfit: Engines that cannot run it now, by id.
+    :param unfit: Engines that cannot run it now.
     :param engines: Where it was sent, by id, in order.
     :param times: Where its time has gone.
     """
@@ -68,7 +69,7 @@
     loaded: bool = False
     stalls: int = 0
     pace_moves: int = 0
-    unfit: set[str] = field(default_factory=set)
+    unfit: set[Incarnation] = field(default_factory=set)
     engines: list[str] = field(default_factory=list)
     times: ItemTimes = field(default_factory=lambda: ItemTimes(boot_time()))
 
--- a/packages/saddledoord/src/saddledoord/jobs/placement.py
+++ b/packages/saddledoord/src/saddledoord/jobs/placement.py
@@ -11,7 +11,9 @@
 
 from saddledoor import (
     EngineEntry,
+    EngineTable,
     GatewayRoute,
+    Incarnation,
     JobItem,
     JobOpened,
     Seat,
@@ -54,9 +56,9 @@
         self._view = view
         self._pool = pool
         self._paces = paces
-        self._seen_versions: dict[tuple[str, str], int] = {}
+        self._seen_versions: EngineTable[dict[str, int]] = view.memory.table(dict)
         self._lengths: dict[str, TextLengths] = {}
-        self._running: dict[str, set[ItemRun]] = {}
+        self._running: EngineTable[set[ItemRun]] = view.memory.table(set)
 
     def announced(self, job: JobOpened, items: Iterable[JobItem]) -> None:
         """
@@ -76,7 +78,7 @@
         Take a place at an engine for an item.
         """
         place = self._pool.take(engine, run.state.job.model)
-        there = self._running.setdefault(engine.engine_id, set())
+        there = self._running[engine.incarnation]
         there.add(run)
 
         def give_back() -> None:
@@ -96,10 +98,11 @@
         Note that an engine has made an event under a version of its weights.
         """
         self._pool.answered(engine)
-        if version > self._seen_versions.get((engine.engine_id, model), 0):
+        seen = self._seen_versions[engine.incarnation]
+        if version > seen.get(model, 0):
             # It has loaded, so it takes items of the model again.
             self._pool.answered(engine, model)
-            self._seen_versions[engine.engine_id, model] = version
+            seen[model] = version
 
     def weigh(self, run: ItemRun) -> None:
         """
@@ -119,25 +122,25 @@
         return run.state.known_since - self._events_left(run) * self._usual_gap()
 
     def choose(
-        self, run: ItemRun, route: GatewayRoute, exclude: Collection[str]
+        self, run: ItemRun, route: GatewayRoute, exclude: Collection[Incarnation]
     ) -> EngineEntry | None:
         """
         Return an engine with room for an item, or none.
 
-        :param exclude: Engines that are left out, by id.
+        :param exclude: Engines that are left out.
         """
         model, now = run.state.job.model, boot_time()
         engines = {
-            engine.engine_id: engine
+            engine.incarnation: engine
             for engine in self._pool.with_room(route.service(random.random()), model)
-            if engine.engine_id not in exclude
+            if engine.incarnation not in exclude
             and self._fits(engine, run)
-            and self._speaks(engine.engine_id, now)
+            and self._speaks(engine.incarnation, now)
         }
-        seats = [self._seat(engine_id, now) for engine_id in engines]
+        seats = {self._seat(engine, now): engine for engine in engines.values()}
         best = self._paces.best_gap(engines, now)
-        seat = choose_seat(seats, best, run.is_long)
-        return engines[seat.name] if seat is not None else None
+        seat = choose_seat(list(seats), best, run.is_long)
+        return seats[seat] if seat is not None else None
 
     def elsewhere(self, run: ItemRun, engine: EngineEntry) -> EngineEntry | None:
         """
@@ -147,39 +150,39 @@
         route = self._view.route(job.host, run.item.path.partition("?")[0])
         if route is None:
             return None
-        return self.choose(run, route, {*run.unfit, engine.engine_id})
+        return self.choose(run, route, {*run.unfit, engine.incarnation})
 
     def faster(self, run: ItemRun, engine: EngineEntry) -> EngineEntry | None:
         """
         Return another engine where an item ends so much sooner that it should move.
         """
         now = boot_time()
-        gap = self._paces.gap(engine.engine_id, now)
+        gap = self._paces.gap(engine.incarnation, now)
         other = self.elsewhere(run, engine)
         if gap is None or other is None:
             return None
-        other_gap = self._paces.gap(other.engine_id, now)
+        other_gap = self._paces.gap(other.incarnation, now)
         if other_gap is None:
             return None
         left = self._events_left(run)
         worth = is_worth_moving(left, gap, other_gap, run.pace_moves)
         return other if worth else None
 
-    def _speaks(self, engine_id: str, now: float) -> bool:
+    def _speaks(self, engine: Incarnation, now: float) -> bool:
         """
         Whether an engine has not gone silent, as far as this node can tell.
         """
-        if engine_id in self._silent:
+        if engine in self._silent:
             return False
-        streams = any(run.has_events for run in self._running.get(engine_id, ()))
-        return not streams or self._paces.silent_for(engine_id, now) <= _QUIET
+        streams = any(run.has_events for run in self._running[engine])
+        return not streams or self._paces.silent_for(engine, now) <= _QUIET
 
-    def _seat(self, engine_id: str, now: float) -> Seat:
+    def _seat(self, engine: EngineEntry, now: float) -> Seat:
         return Seat(
-            engine_id,
-            self._pool.own(engine_id),
-            sum(run.is_long for run in self._running.get(engine_id, ())),
-            self._paces.gap(engine_id, now),
+            engine.engine_id,
+            self._pool.own(engine),
+            sum(run.is_long for run in self._running[engine.incarnation]),
+            self._paces.gap(engine.incarnation, now),
         )
 
     def _events_left(self, run: ItemRun) -> float:
@@ -199,5 +202,5 @@
         model = run.state.job.model
         if model not in engine.versions:
             return not engine.versions
-        seen = self._seen_versions.get((engine.engine_id, model), 0)
+        seen = self._seen_versions[engine.incarnation].get(model, 0)
         return max(engine.versions[model], seen) >= run.state.job.oldest_version
--- a/packages/saddledoord/src/saddledoord/jobs/runner.py
+++ b/packages/saddledoord/src/saddledoord/jobs/runner.py
@@ -319,10 +319,10 @@
                 self._pool.refused(engine, run.state.job.model)
             case GenerationFailedError.STALLED:
                 self._silent.note(engine)
-            case GenerationFailedError.SLOW:
+            case GenerationFailedError.SLOW | GenerationFailedError.RESTARTED:
                 pass
             case GenerationFailedError.FAILED:
-                run.unfit.add(engine.engine_id)
+                run.unfit.add(engine.incarnation)
                 self._count_failure(run)
             case GenerationFailedError.IMPOSSIBLE:
                 self._give_up(run)
--- a/packages/saddledoord/src/saddledoord/orders/weights.py
+++ b/packages/saddledoord/src/saddledoord/orders/weights.py
@@ -9,12 +9,13 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import structlog
 
 from saddledoor import (
     EngineEntry,
+    EngineTable,
     GatewayService,
     ModelWeights,
     engines_at_once,
@@ -22,6 +23,7 @@
 )
 
 from .._clock import boot_time
+from ..cluster.lives import EngineLives
 from ..cluster.view import ClusterView
 from ..ports import Engines, EngineState, OrderOutcome, VersionOrder
 from .lease import OrderLease
@@ -51,6 +53,21 @@
 _RETRY_PAUSE = 0.3
 
 
+@dataclass(eq=False)
+class _Loaded:
+    """
+    What this node knows of an engine's weights beyond its entry.
+
+    :param reached: Versions that its reports have shown, by model.
+    :param load: What it is being brought to, if anything.
+    :param paused_until: When it is looked at again, monotonic, in seconds.
+    """
+
+    reached: dict[str, int] = field(default_factory=dict)
+    load: _Load | None = None
+    paused_until: float = 0.0
+
+
 @dataclass(frozen=True)
 class _Load:
     """
@@ -78,6 +95,7 @@
         self,
         view: ClusterView,
         engines: Engines,
+        lives: EngineLives,
         lease: OrderLease,
         holder: str,
         keep_runs: Callable[[str], bool],
@@ -85,14 +103,13 @@
     ) -> None:
         self._view = view
         self._engines = engines
+        self._lives = lives
         self._lease = lease
         self._holder = holder
         self._keep_runs = keep_runs
         self._oldest_allowed = oldest_allowed
-        self._reached: dict[tuple[str, str], int] = {}
-        self._loading: dict[str, _Load] = {}
+        self._loaded: EngineTable[_Loaded] = view.memory.table(_Loaded)
         self._tasks: set[asyncio.Task] = set()
-        self._paused: dict[str, float] = {}
         self._times: deque[float] = deque(maxlen=_REMEMBERED)
 
     async def run(self) -> None:
@@ -109,16 +126,14 @@
         for service in self._view.pools():
             usable = self._view.directory.usable(service.name, now)
             engines = {engine.engine_id: engine for engine in usable}
-            under_way = [
-                load
-                for load in self._loading.values()
-                if load.engine.service == service.name
-            ]
+            loads = [row.load for row in self._loaded.rows() if row.load is not None]
+            under_way = [load for load in loads if load.engine.service == service.name]
             free = engines_at_once(len(engines)) - len(under_way)
             for name, model in wanted_loads(self._weights_of(service, engines)):
                 if free <= 0:
                     break
-                if name in self._loading or self._paused.get(name, 0.0) > now:
+                known = self._loaded[engines[name].incarnation]
+                if known.load is not None or known.paused_until > now:
                     continue
                 version = self._view.named_versions[model]
                 self._begin(_Load(engines[name], model, version))
@@ -146,11 +161,11 @@
         ]
 
     def _begin(self, load: _Load) -> None:
-        name = load.engine.engine_id
-        self._loading[name] = load
+        known = self._loaded[load.engine.incarnation]
+        known.load = load
         task = asyncio.create_task(self._bring(load))
         self._tasks.add(task)
-        task.add_done_callback(lambda task: self._ended(name, task))
+        task.add_done_callback(lambda task: self._ended(known, load, task))
 
     @property
     def _usual_time(self) -> float | None:
@@ -159,22 +174,38 @@
         """
         return min(self._times, default=None)
 
-    def _ended(self, name: str, task: asyncio.Task) -> None:
-        del self._loading[name]
+    def _ended(self, known: _Loaded, load: _Load, task: asyncio.Task) -> None:
+        known.load = None
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            _log.error("order_task_failed", engine=name, exc_info=task.exception())
-            self._paused[name] = boot_time() + _RETRY_PAUSE
+            _log.error(
+                "order_task_failed",
+                engine=load.engine.engine_id,
+                exc_info=task.exception(),
+            )
+            self._pause(load)
 
     def _version_of(self, engine: EngineEntry, model: str) -> int:
-        load = self._loading.get(engine.engine_id)
-        if load is not None and load.model == model:
-            return load.version
-        reached = self._reached.get((engine.engine_id, model), 0)
-        return max(reached, engine.versions.get(model, 0))
+        known = self._loaded[engine.incarnation]
+        if known.load is not None and known.load.model == model:
+            return known.load.version
+        return max(known.reached.get(model, 0), engine.versions.get(model, 0))
 
     async def _bring(self, load: _Load) -> None:
-        state = await self._engines.state(load.engine)
+        try:
+            async with self._lives.within(load.engine.incarnation):
+                await self._look_and_order(load)
+        except TimeoutError:
+            _log.info(
+                "load_lost",
+                engine=load.engine.engine_id,
+                model=load.model,
+                version=load.version,
+                reason="the engine has started again",
+            )
+
+    async def _look_and_order(self, load: _Load) -> None:
+        state = await self._state(load.engine)
         if state is None or state.busy:
             self._pause(load)
         elif not self._is_reached(load, state):
@@ -217,7 +248,7 @@
         first = _FIRST_POLL_UNKNOWN if usual is None else _FIRST_POLL * usual
         await asyncio.sleep(first)
         while boot_time() < began + _LOAD_LIMIT:
-            state = await self._engines.state(load.engine)
+            state = await self._state(load.engine)
             if state is not None:
                 if self._is_reached(load, state):
                     self._times.append(boot_time() - began)
@@ -228,14 +259,32 @@
             await asyncio.sleep(_POLL)
         self._pause(load)
 
+    async def _state(self, engine: EngineEntry) -> EngineState | None:
+        """
+        Ask an engine what it holds; what a later life says is not credited to this one.
+        """
+        state = await self._engines.state(engine)
+        if state is None or state.is_of(engine):
+            return state
+        _log.info(
+            "report_of_another_life",
+            engine=engine.engine_id,
+            started_at=engine.started_at,
+            reported=state.started_at,
+        )
+        return None
+
     def _pause(self, load: _Load) -> None:
-        self._paused[load.engine.engine_id] = boot_time() + _RETRY_PAUSE
+        known = self._loaded[load.engine.incarnation]
+        known.paused_until = boot_time() + _RETRY_PAUSE
 
     def _is_reached(self, load: _Load, state: EngineState) -> bool:
         now = state.versions.get(load.model, 0)
         if now < load.version or state.busy:
             return False
-        name = load.engine.engine_id
-        self._reached[name, load.model] = now
-        _log.info("engine_reached", engine=name, model=load.model, version=now)
+        engine = load.engine
+        self._loaded[engine.incarnation].reached[load.model] = now
+        _log.info(
+            "engine_reached", engine=engine.engine_id, model=load.model, version=now
+        )
         return True
--- a/packages/saddledoord/src/saddledoord/ports/engines.py
+++ b/packages/saddledoord/src/saddledoord/ports/engines.py
@@ -92,6 +92,8 @@
     BROKEN = "broken"
     #: The whole engine is silent and another one has room.
     STALLED = "stalled"
+    #: The engine has started again since; what it had is gone.
+    RESTARTED = "restarted"
     #: Another engine with room is much faster.
     SLOW = "slow"
 
@@ -115,6 +117,15 @@
     orders_taken: int
     started_at: int | None = None
 
+    def is_of(self, engine: EngineEntry) -> bool:
+        """
+        Return whether the life that an entry speaks of has told this, as far as both
+        say when they began.
+        """
+        if self.started_at is None or engine.started_at is None:
+            return True
+        return self.started_at == engine.started_at
+
 
 @dataclass(frozen=True)
 class VersionOrder:
--- a/packages/saddledoord/src/saddledoord/serving/pace.py
+++ b/packages/saddledoord/src/saddledoord/serving/pace.py
@@ -9,6 +9,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from saddledoor import EngineMemory, Incarnation
+
 
 __all__ = ["EnginePaces"]
 
@@ -22,10 +24,19 @@
 _PAUSE = 0.5
 
 
-@dataclass(frozen=True)
+@dataclass
 class _Pace:
-    gap: float
-    at: float
+    """
+    How fast an engine is.
+
+    :param gap: Mean between two events of a stream, in seconds; none before any.
+    :param at: When it was last told, monotonic, in seconds.
+    :param last_event: When any stream of it last brought something.
+    """
+
+    gap: float | None = None
+    at: float = float("-inf")
+    last_event: float = float("-inf")
 
 
 class EnginePaces:
@@ -33,42 +44,43 @@
     Running means of the gap between two events of one stream, by engine.
     """
 
-    def __init__(self) -> None:
-        self._paces: dict[str, _Pace] = {}
-        self._last_event: dict[str, float] = {}
+    def __init__(self, memory: EngineMemory) -> None:
+        self._paces = memory.table(_Pace)
 
-    def observe(self, engine_id: str, gap: float | None, now: float) -> None:
+    def observe(self, engine: Incarnation, gap: float | None, now: float) -> None:
         """
         Note an event.
 
         :param gap: Time since the stream's last one; none for its first, in seconds.
         :param now: Monotonic, in seconds.
         """
-        self._last_event[engine_id] = now
+        pace = self._paces[engine]
+        pace.last_event = now
         if gap is None or gap > _PAUSE:
             return
-        before = self.gap(engine_id, now)
-        mean = gap if before is None else before + _NEWEST * (gap - before)
-        self._paces[engine_id] = _Pace(mean, now)
+        before = self.gap(engine, now)
+        pace.gap = gap if before is None else before + _NEWEST * (gap - before)
+        pace.at = now
 
-    def gap(self, engine_id: str, now: float) -> float | None:
+    def gap(self, engine: Incarnation, now: float) -> float | None:
         """
         Return the mean gap, in seconds, or none if nothing is known by now.
         """
-        pace = self._paces.get(engine_id)
+        pace = self._paces.get(engine)
         if pace is None or now - pace.at > _FORGET:
             return None
         return pace.gap
 
-    def silent_for(self, engine_id: str, now: float) -> float:
+    def silent_for(self, engine: Incarnation, now: float) -> float:
         """
         Return how long no stream of an engine has brought anything, in seconds.
         """
-        return now - self._last_event.get(engine_id, float("-inf"))
+        pace = self._paces.get(engine) or _Pace()
+        return now - pace.last_event
 
-    def best_gap(self, engine_ids: Iterable[str], now: float) -> float | None:
+    def best_gap(self, engines: Iterable[Incarnation], now: float) -> float | None:
         """
         Return the smallest known mean gap among engines, in seconds.
         """
-        known = [self.gap(engine_id, now) for engine_id in engine_ids]
+        known = [self.gap(engine, now) for engine in engines]
         return min((gap for gap in known if gap is not None), default=None)
--- a/packages/saddledoord/src/saddledoord/serving/pass_through.py
+++ b/packages/saddledoord/src/saddledoord/serving/pass_through.py
@@ -16,6 +16,7 @@
 from saddledoor import (
     EngineEntry,
     GatewayRoute,
+    Incarnation,
     NotRun,
     OutcomeUnknown,
     ResultCode,
@@ -23,6 +24,7 @@
 )
 
 from .._clock import boot_time
+from ..cluster.lives import EngineLives
 from ..cluster.view import ClusterView
 from ..ports import EngineAnswer, Engines, ForwardedRequest
 from .pool import EnginePool
@@ -60,7 +62,7 @@
     request: ForwardedRequest
     deadline: float
     heard: Callable[[Outcome], None]
-    tried: list[str] = field(default_factory=list)
+    tried: list[Incarnation] = field(default_factory=list)
     engines: dict[asyncio.Task, EngineEntry] = field(default_factory=dict)
     last: Outcome | None = None
 
@@ -79,8 +81,10 @@
         view: ClusterView,
         pool: EnginePool,
         engines: Engines,
+        lives: EngineLives,
         count: Callable[[str, ResultCode, float], None],
     ) -> None:
+        self._lives = lives
         self._view = view
         self._pool = pool
         self._engines = engines
@@ -160,7 +164,7 @@
         engine = self._pool.choose(service, exclude=current.tried)
         if engine is None:
             return set()
-        current.tried.append(engine.engine_id)
+        current.tried.append(engine.incarnation)
         task = asyncio.create_task(self._attempt(current, engine))
         current.engines[task] = engine
         return {task}
@@ -202,13 +206,13 @@
         number = len(current.tried)
         with self._pool.take(engine):
             try:
-                async with asyncio.timeout(max(0.0, current.left)):
+                left = max(0.0, current.left)
+                async with self._lives.within(engine.incarnation, left):
                     outcome = await self._engines.call(
                         engine, current.request, current.left
                     )
             except TimeoutError:
-                code = ResultCode.OUTCOME_UNKNOWN
-                outcome = OutcomeUnknown(code, "no answer in time")
+                outcome = self._overdue(engine)
             except asyncio.CancelledError:
                 self._log_attempt(current, engine, number, "cancelled")
                 raise
@@ -226,6 +230,14 @@
             current.last = outcome
         return outcome
 
+    def _overdue(self, engine: EngineEntry) -> OutcomeUnknown:
+        """
+        Say why an attempt was given up; the engine may have run the request.
+        """
+        over = self._lives.is_over(engine.incarnation)
+        reason = "the engine has started again" if over else "no answer in time"
+        return OutcomeUnknown(ResultCode.OUTCOME_UNKNOWN, reason)
+
     def _log_attempt(
         self, current: _Try, engine: EngineEntry, number: int, outcome: str
     ) -> None:
@@ -248,7 +260,7 @@
             request=current.request.request_id,
             route=current.route.name,
             outcome=_describe(outcome),
-            tried=current.tried,
+            tried=[engine.engine_id for engine in current.tried],
             left=round(current.left, 3),
         )
         return outcome
--- a/packages/saddledoord/src/saddledoord/serving/pool.py
+++ b/packages/saddledoord/src/saddledoord/serving/pool.py
@@ -6,11 +6,10 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
-from saddledoor import Candidate, Choose, EngineEntry
+from saddledoor import Candidate, Choose, EngineEntry, Incarnation
 
 from .._clock import boot_time
 from ..cluster.view import ClusterView
@@ -70,6 +69,34 @@
     on_trial: bool = False
 
 
+@dataclass(eq=False)
+class _Use:
+    """
+    What this node has at an engine, and how the engine has done.
+
+    :param own: Requests in flight, a count.
+    :param paused_until: After failures, monotonic, in seconds.
+    :param overtaken_until: While it is asked after the others, monotonic, in seconds.
+    :param failures: In a row, a count.
+    :param refusals: By kind of request.
+    """
+
+    own: int = 0
+    paused_until: float = 0.0
+    overtaken_until: float = 0.0
+    failures: int = 0
+    refusals: dict[str, _Refusal] = field(default_factory=dict)
+
+    def is_rested(self, kind: str, now: float) -> bool:
+        """
+        Return whether it may get a request of a kind.
+        """
+        if self.paused_until > now:
+            return False
+        refusal = self.refusals.get(kind)
+        return refusal is None or (refusal.until <= now and not refusal.on_trial)
+
+
 class EnginePool:
     """
     Chooses engines among those that may get work.
@@ -85,14 +112,10 @@
     def __init__(self, view: ClusterView, choose: Choose) -> None:
         self._view = view
         self._choose = choose
-        self._own: Counter[str] = Counter()
-        self._paused: dict[str, float] = {}
-        self._overtaken: dict[str, float] = {}
-        self._failures: Counter[str] = Counter()
-        self._refusals: dict[tuple[str, str], _Refusal] = {}
+        self._uses = view.memory.table(_Use)
 
     def choose(
-        self, service: str, exclude: Iterable[str] = (), kind: str = ""
+        self, service: str, exclude: Iterable[Incarnation] = (), kind: str = ""
     ) -> EngineEntry | None:
         """
         Return an engine for one request that cannot wait, or none.
@@ -100,20 +123,20 @@
         It goes to an engine that is paused rather than to none: a pause is a guess, a
         refusal is certain.
 
-        :param exclude: Engines that were tried already, by id.
+        :param exclude: Engines that were tried already.
         :param kind: Kind of the request, for refusals.
         """
         now = boot_time()
         tried = set(exclude)
         usable = self._view.directory.usable(service, now)
-        untried = [engine for engine in usable if engine.engine_id not in tried]
+        untried = [engine for engine in usable if engine.incarnation not in tried]
         rested = [engine for engine in untried if self._rested(engine, kind, now)]
-        fast = [e for e in rested if self._overtaken.get(e.engine_id, 0.0) <= now]
+        fast = [e for e in rested if self._use(e).overtaken_until <= now]
         engines = {engine.engine_id: engine for engine in fast or rested or untried}
         if not engines:
             return None
         candidates = [
-            Candidate(engine_id, max(1, engine.slots), self._own[engine_id])
+            Candidate(engine_id, max(1, engine.slots), self._use(engine).own)
             for engine_id, engine in engines.items()
         ]
         return engines[self._choose(candidates).name]
@@ -127,68 +150,67 @@
         return [
             engine
             for engine in self._view.directory.usable(service, now)
-            if self._own[engine.engine_id] < engine.slots
-            and self._rested(engine, kind, now)
+            if self._use(engine).own < engine.slots and self._rested(engine, kind, now)
         ]
 
-    def own(self, engine_id: str) -> int:
+    def own(self, engine: EngineEntry) -> int:
         """
         Return how many requests this node has at an engine, a count.
         """
-        return self._own[engine_id]
+        return self._use(engine).own
 
     def take(self, engine: EngineEntry, kind: str = "") -> Place:
         """
         Take a place at an engine at once, so that the next choice counts it.
         """
-        self._own[engine.engine_id] += 1
-        refusal = self._refusals.get((engine.engine_id, kind))
+        use = self._use(engine)
+        use.own += 1
+        refusal = use.refusals.get(kind)
         if refusal is not None:
             refusal.on_trial = True
-        return Place(lambda: self._give_back(engine.engine_id, refusal))
+        return Place(lambda: _give_back(use, refusal))
 
     def answered(self, engine: EngineEntry, kind: str = "") -> None:
         """
         Note that an engine works, and takes requests of a kind.
         """
-        self._refusals.pop((engine.engine_id, kind), None)
-        self._failures.pop(engine.engine_id, None)
-        self._paused.pop(engine.engine_id, None)
+        use = self._use(engine)
+        use.refusals.pop(kind, None)
+        use.failures = 0
+        use.paused_until = 0.0
 
     def refused(self, engine: EngineEntry, kind: str = "") -> None:
         """
         Note that an engine takes no requests of a kind just now.
         """
-        key = (engine.engine_id, kind)
-        refusal = self._refusals.setdefault(key, _Refusal())
+        refusal = self._use(engine).refusals.setdefault(kind, _Refusal())
         pause = min(_REFUSED_PAUSE_MOST, _REFUSED_PAUSE * 2**refusal.count)
         refusal.count += 1
         refusal.until = boot_time() + pause
 
-    def _rested(self, engine: EngineEntry, kind: str, now: float) -> bool:
-        if self._paused.get(engine.engine_id, 0.0) > now:
-            return False
-        refusal = self._refusals.get((engine.engine_id, kind))
-        return refusal is None or (refusal.until <= now and not refusal.on_trial)
-
-    def _give_back(self, engine_id: str, refusal: _Refusal | None) -> None:
-        self._own[engine_id] -= 1
-        if not self._own[engine_id]:
-            del self._own[engine_id]
-        if refusal is not None:
-            refusal.on_trial = False
-
     def overtaken(self, engine: EngineEntry) -> None:
         """
         Note that another engine was asked later and answered first.
         """
-        self._overtaken[engine.engine_id] = boot_time() + _OVERTAKEN_PAUSE
+        self._use(engine).overtaken_until = boot_time() + _OVERTAKEN_PAUSE
 
     def failed(self, engine: EngineEntry) -> None:
         """
         Note that an engine did not answer, or not as it should.
         """
-        self._failures[engine.engine_id] += 1
-        doubled = _FAILED_PAUSE * 2 ** (self._failures[engine.engine_id] - 1)
-        pause = min(_FAILED_PAUSE_MOST, doubled)
-        self._paused[engine.engine_id] = boot_time() + pause
+        use = self._use(engine)
+        use.failures += 1
+        doubled = _FAILED_PAUSE * 2 ** (use.failures - 1)
+        use.paused_until = boot_time() + min(_FAILED_PAUSE_MOST, doubled)
+
+    def _use(self, engine: EngineEntry) -> _Use:
+        return self._uses[engine.incarnation]
+
+    def _rested(self, engine: EngineEntry, kind: str, now: float) -> bool:
+        return self._use(engine).is_rested(kind, now)
+
+
+def _give_back(use: _Use, refusal: _Refusal | None) -> None:
+    use.own -= 1
+    if refusal is not None:
+        refusal.on_trial = False
--- a/packages/saddledoord/src/saddledoord/serving/silence.py
+++ b/packages/saddledoord/src/saddledoord/serving/silence.py
@@ -10,7 +10,7 @@
 
 import structlog
 
-from saddledoor import EngineEntry
+from saddledoor import EngineEntry, EngineMemory, Incarnation
 
 from .._clock import boot_time
 from ..ports import Engines
@@ -38,27 +38,28 @@
     texts that steps waited for tried up to three silent engines, 1 s each.
     """
 
-    def __init__(self, engines: Engines) -> None:
+    def __init__(self, engines: Engines, memory: EngineMemory) -> None:
         self._engines = engines
-        self._asking: dict[str, asyncio.Task] = {}
+        self._asking = memory.table(set, _cancel)
 
     def note(self, engine: EngineEntry) -> None:
         """
         Leave an engine out until it answers.
         """
-        name = engine.engine_id
-        if name not in self._asking:
+        asking: set[asyncio.Task] = self._asking[engine.incarnation]
+        if not asking:
             task = asyncio.create_task(self._ask(engine))
-            self._asking[name] = task
-            task.add_done_callback(lambda task: self._asking.pop(name))
+            asking.add(task)
+            task.add_done_callback(asking.discard)
 
-    def __contains__(self, engine_id: str) -> bool:
-        return engine_id in self._asking
+    def __contains__(self, engine: Incarnation) -> bool:
+        return bool(self._asking.get(engine))
 
     async def _ask(self, engine: EngineEntry) -> None:
         began = boot_time()
         while boot_time() < began + _LIMIT:
-            if await self._engines.state(engine) is not None:
+            state = await self._engines.state(engine)
+            if state is not None and state.is_of(engine):
                 break
             await asyncio.sleep(_PAUSE)
         _log.info(
@@ -66,3 +67,8 @@
             engine=engine.engine_id,
             silent=round(boot_time() - began, 3),
         )
+
+
+def _cancel(asking: set[asyncio.Task]) -> None:
+    for task in asking:
+        task.cancel()
--- a/tests/test_attempt.py
+++ b/tests/test_attempt.py
@@ -11,8 +11,10 @@
 import pytest
 
 from builders import make_engine_entry, make_job, make_job_state, make_route
-from saddledoor import GeneratedEvent
+from saddledoor import GeneratedEvent, Incarnation
 from saddledoord._clock import boot_time
+from saddledoord.cluster.lives import EngineLives
+from saddledoord.cluster.view import ClusterView
 from saddledoord.jobs.attempt import Attempts
 from saddledoord.jobs.item_run import ItemRun
 from saddledoord.ports import GenerationFailedError
@@ -59,11 +61,13 @@
 
 
 def _play(events: int, gap: float) -> ItemRun:
-    paces = EnginePaces()
-    paces.observe("fast", 0.001, boot_time())
+    view = ClusterView()
+    paces = EnginePaces(view.memory)
+    paces.observe(Incarnation("fast"), 0.001, boot_time())
     job = make_job(1)
     run = ItemRun.begin(make_job_state(job), job.items[0])
-    attempts = Attempts(_Engines(events, gap), paces, _Placement())
+    lives = EngineLives(view)
+    attempts = Attempts(_Engines(events, gap), paces, _Placement(), lives)
     route = make_route("/train/")
     asyncio.run(attempts.run(run, route, make_engine_entry("slow")))
     return run
--- a/tests/test_pass_through.py
+++ b/tests/test_pass_through.py
@@ -13,6 +13,7 @@
 
 from builders import make_engine_entry, make_gateway_config, make_request, make_route
 from saddledoor import OutcomeUnknown, RouteKind, ScoreCall, least_outstanding
+from saddledoord.cluster.lives import EngineLives
 from saddledoord.cluster.view import ClusterView
 from saddledoord.jobs.scoring import ScoreImpossibleError, Scorer
 from saddledoord.ports import EngineAnswer, KeyedEntry
@@ -34,6 +35,10 @@
         return await self._answer(engine, request)
 
 
+def _uncounted(route, code, seconds):
+    pass
+
+
 def _pass_through(engines: _Engines, route, count: int = 2):
     view = ClusterView()
     view.apply_operator(KeyedEntry("config", 0, make_gateway_config(1, [route])))
@@ -41,7 +46,8 @@
         entry = make_engine_entry(f"desk-{index}")
         view.apply_engine(KeyedEntry(entry.engine_id, index, entry))
     pool = EnginePool(view, least_outstanding(lambda: 0.0))
-    serving = PassThrough(view, pool, engines, lambda route, code, seconds: None)
+    lives = EngineLives(view)
+    serving = PassThrough(view, pool, engines, lives, _uncounted)
     return serving, pool, view
 
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -17,7 +17,7 @@
     make_job_state,
     make_route,
 )
-from saddledoor import GatewayService, least_outstanding
+from saddledoor import EngineMemory, GatewayService, Incarnation, least_outstanding
 from saddledoord._clock import boot_time
 from saddledoord.cluster.view import ClusterView
 from saddledoord.jobs.item_run import ItemRun
@@ -46,9 +46,9 @@
         for index, version in enumerate(versions):
             entry = make_engine_entry(f"e-{index}", versions={"model-a": version})
             self.view.apply_engine(KeyedEntry(entry.engine_id, index, entry))
-        self.paces = EnginePaces()
+        self.paces = EnginePaces(self.view.memory)
         pool = EnginePool(self.view, least_outstanding(lambda: 0.0))
-        self.silent: set[str] = set()
+        self.silent: set[Incarnation] = set()
         self.placement = Placement(self.view, pool, self.paces, self.silent)
         self._oldest = oldest
         self.run = self.item()
@@ -59,10 +59,11 @@
         return ItemRun.begin(make_job_state(job, known_since), item)
 
     def pace(self, engine_id: str, gap: float) -> None:
-        self.paces.observe(engine_id, gap, boot_time())
+        self.paces.observe(Incarnation(engine_id), gap, boot_time())
 
     def chosen(self, *exclude: str) -> str | None:
-        engine = self.placement.choose(self.run, ROUTE, set(exclude))
+        left_out = {Incarnation(name) for name in exclude}
+        engine = self.placement.choose(self.run, ROUTE, left_out)
         return engine and engine.engine_id
 
 
@@ -108,7 +109,7 @@
     Until it has answered a report.
     """
     bed = _Bed([1, 1])
-    bed.silent.add("e-0")
+    bed.silent.add(Incarnation("e-0"))
     assert bed.chosen() == "e-1"
     assert bed.chosen("e-1") is None
     bed.silent.clear()
@@ -124,13 +125,13 @@
     now = boot_time()
     bed.placement.take(bed.run, engine)
     bed.run.times.enter(ItemPhase.EVENTS, now)
-    bed.paces.observe("e-0", None, now)
+    bed.paces.observe(engine.incarnation, None, now)
     other = bed.item()
     clock = "saddledoord.jobs.placement.boot_time"
     monkeypatch.setattr(clock, lambda: now + 0.1)
-    assert bed.placement.choose(other, ROUTE, {"e-1"}) is not None
+    assert bed.placement.choose(other, ROUTE, {Incarnation("e-1")}) is not None
     monkeypatch.setattr(clock, lambda: now + 0.2)
-    assert bed.placement.choose(other, ROUTE, {"e-1"}) is None
+    assert bed.placement.choose(other, ROUTE, {Incarnation("e-1")}) is None
 
 
 def test_long_texts_start_before_short_ones_of_the_same_age():
@@ -161,7 +162,7 @@
     """
     Weights that load under a stream hold it up for 0.9 s.
     """
-    paces = EnginePaces()
-    paces.observe("e-1", 0.04, 10.0)
-    paces.observe("e-1", 0.9, 10.9)
-    assert paces.gap("e-1", 11.0) == 0.04
+    paces, engine = EnginePaces(EngineMemory()), Incarnation("e-1")
+    paces.observe(engine, 0.04, 10.0)
+    paces.observe(engine, 0.9, 10.9)
+    assert paces.gap(engine, 11.0) == 0.04
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -9,6 +9,7 @@
 import asyncio
 
 from builders import make_engine_entry
+from saddledoor import EngineMemory, Incarnation
 from saddledoord.ports import EngineState
 from saddledoord.serving.silence import SilentEngines
 
@@ -37,13 +38,13 @@
 
     async def play():
         engines = _Engines(silent_for=3)
-        silent = SilentEngines(engines)
+        silent = SilentEngines(engines, EngineMemory())
         engine = make_engine_entry("e-1")
         for _ in range(5):
             silent.note(engine)
-        assert "e-1" in silent
-        assert "e-2" not in silent
-        while "e-1" in silent:
+        assert Incarnation("e-1") in silent
+        assert Incarnation("e-2") not in silent
+        while Incarnation("e-1") in silent:
             await asyncio.sleep(0.01)
         assert engines.asked == 4
 
@@ -57,11 +58,11 @@
 
     async def play():
         engines = _Engines(silent_for=0)
-        silent = SilentEngines(engines)
+        silent = SilentEngines(engines, EngineMemory())
         for asked in (1, 2):
             silent.note(make_engine_entry("e-1"))
             await asyncio.sleep(0.05)
-            assert "e-1" not in silent
+            assert Incarnation("e-1") not in silent
             assert engines.asked == asked
 
     asyncio.run(play())
@@ -74,11 +75,11 @@
     monkeypatch.setattr("saddledoord.serving.silence._LIMIT", 0.3)
 
     async def play():
-        silent = SilentEngines(_Engines(silent_for=1000))
+        silent = SilentEngines(_Engines(silent_for=1000), EngineMemory())
         silent.note(make_engine_entry("e-1"))
         await asyncio.sleep(0.2)
-        assert "e-1" in silent
+        assert Incarnation("e-1") in silent
         await asyncio.sleep(0.3)
-        assert "e-1" not in silent
+        assert Incarnation("e-1") not in silent
 
     asyncio.run(play())
