--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import re
+import tomllib
 from pathlib import Path
 
 import pytest
@@ -17,6 +18,8 @@
 
 
 _ROOT = Path(__file__).parent.parent
+#: Fields of a day's entry that name something of a site.
+_NAMED = {"class", "region", "service", "to_zone", "zone"}
 
 
 def test_the_table_of_codes_is_the_codes_own():
@@ -56,3 +59,19 @@
     if code.family is not Family.UNKNOWN:
         with pytest.raises(ValueError):
             OutcomeUnknown(code, "")
+
+
+def test_every_day_of_our_own_is_described_and_names_no_site():
+    """
+    deploy/days/README.md has one row per file; services, data centres and kinds of
+    request are named by their place.
+    """
+    days = _ROOT / "deploy" / "days"
+    rows = re.findall(r"^\| `([a-z-]+)` \|", (days / "README.md").read_text(), re.M)
+    assert sorted(rows) == sorted(path.stem for path in days.glob("*.toml"))
+    for path in sorted(days.glob("*.toml")):
+        [day] = tomllib.loads(path.read_text())["day"]
+        assert day["name"] == f"own-{path.stem}"
+        for entry in day["plan"] + day["faults"]:
+            named = {entry[key] for key in _NAMED & entry.keys()}
+            assert named <= {"@c0", "@s0", "@z0"}, (path.name, entry)
