Keep connections to an engine for one of its lives

Cause: a connection that was kept with an engine before it started again is reset at its next use, or silent if it crashed behind a cut; the failure counted against the life after. Ruled out: one connector for all, which gives no way to close the connections to one address. Now each engine that is asked has a session of its own, replaced with its life and given up after 120 s without use.

--- /dev/null
+++ b/tests/adapter/test_engine_sessions.py
@@ -0,0 +1,58 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Connections that are kept with an engine.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+
+import engine_sessions
+from builders import make_engine_entry
+from engine_sessions import EngineSessions
+
+
+def test_connections_are_kept_for_one_life_of_one_engine():
+    """
+    An engine that has started again, or another one at its address, gets new ones.
+    """
+
+    async def play():
+        sessions = EngineSessions(aiohttp.ClientSession)
+        first = sessions.of(make_engine_entry("e-1", started_at=1))
+        assert sessions.of(make_engine_entry("e-1", started_at=1)) is first
+        again = sessions.of(make_engine_entry("e-1", started_at=2))
+        other = sessions.of(make_engine_entry("e-2", started_at=2))
+        await asyncio.sleep(0)
+        assert len({first, again, other}) == 3
+        assert first.closed
+        assert again.closed
+        assert not other.closed
+        await sessions.close()
+        assert other.closed
+
+    asyncio.run(play())
+
+
+def test_connections_that_nobody_uses_are_given_up(monkeypatch):
+    """
+    Engines come and go, and each has an address of its own.
+    """
+
+    async def play():
+        sessions = EngineSessions(aiohttp.ClientSession)
+        unused = sessions.of(make_engine_entry("e-1", address="127.0.0.1:1"))
+        used = sessions.of(make_engine_entry("e-2", address="127.0.0.1:2"))
+        now = engine_sessions.boot_time()
+        monkeypatch.setattr(engine_sessions, "boot_time", lambda: now + 121.0)
+        sessions.of(make_engine_entry("e-2", address="127.0.0.1:2"))
+        sessions.of(make_engine_entry("e-3", address="127.0.0.1:3"))
+        await asyncio.sleep(0)
+        assert unused.closed
+        assert not used.closed
+        await sessions.close()
+
+    asyncio.run(play())
