--- /dev/null
+++ b/tests/guard_rows/__init__.py
@@ -0,0 +1,15 @@
+# SPDX-License-Identifier: MIT
+
+"""
+The guards, by subject.
+"""
+
+from __future__ import annotations
+
+from . import engines, jobs, nodes, requests
+from .guard import Guard
+
+
+__all__ = ["GUARDS", "Guard"]
+
+GUARDS = (*jobs.GUARDS, *requests.GUARDS, *engines.GUARDS, *nodes.GUARDS)
--- /dev/null
+++ b/tests/guard_rows/engines.py
@@ -0,0 +1,108 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Guards of engines: their lives, weights and orders, and which one an item goes to.
+"""
+
+from __future__ import annotations
+
+from .guard import DAEMON, LIBRARY, LIVES, PLACEMENT, REQUESTS, Guard
+
+
+__all__ = ["GUARDS"]
+
+GUARDS = (
+    Guard(
+        "a draining engine gets nothing",
+        f"{LIBRARY}/_engine_directory.py",
+        "if entry.service == service and not entry.draining",
+        "if entry.service == service",
+        (REQUESTS, "leaving_engine"),
+    ),
+    Guard(
+        "entries that lapse with the store are bridged",
+        f"{LIBRARY}/_engine_directory.py",
+        "            self._missing[engine_id] = (entry, returns_until)",
+        "            pass",
+        (REQUESTS, "are_bridged"),
+    ),
+    Guard(
+        "the configuration never goes back",
+        f"{DAEMON}/cluster/view.py",
+        "config.version <= self._config.version",
+        "False",
+        (REQUESTS, "never_goes_back"),
+    ),
+    Guard(
+        "long texts are placed apart",
+        f"{LIBRARY}/_item_placement.py",
+        "long_key if is_long else short_key",
+        "short_key",
+        (PLACEMENT, "fastest_engine"),
+    ),
+    Guard(
+        "short texts leave the engines of long ones alone",
+        f"{LIBRARY}/_item_placement.py",
+        "long_key if is_long else short_key",
+        "long_key",
+        (PLACEMENT, "no_long_one_runs"),
+    ),
+    Guard(
+        "a text that has moved moves again only for more",
+        f"{LIBRARY}/_item_placement.py",
+        " * 2**moves",
+        "",
+        (PLACEMENT, "only_for_more"),
+    ),
+    Guard(
+        "what an engine held is forgotten with its life",
+        f"{DAEMON}/cluster/view.py",
+        """            if incarnation.engine_id == entry.engine_id:
+                self.memory.forget(incarnation)
+""",
+        "            pass\n",
+        (LIVES, "place_at_the_life_before or also_if_its_entry or left_out"),
+    ),
+    Guard(
+        "an engine's life is part of the key",
+        f"{LIBRARY}/_engine_directory.py",
+        "return Incarnation(self.engine_id, self.started_at)",
+        "return Incarnation(self.engine_id, None)",
+        (LIVES, "is_forgotten or loaded_again"),
+    ),
+    Guard(
+        "what is in flight at an engine ends with its life",
+        f"{DAEMON}/cluster/lives.py",
+        "            limit.reschedule(now)\n",
+        "            pass\n",
+        (LIVES, "repeated_at_once or answer_at_once or leaves_an_engine"),
+    ),
+    Guard(
+        "a report of another life is credited to nobody",
+        f"{DAEMON}/orders/weights.py",
+        "if state is None or state.is_of(engine):",
+        "if True:",
+        (LIVES, "another_life_is_not_credited"),
+    ),
+    Guard(
+        "an entry of an earlier life is passed over",
+        f"{LIBRARY}/_engine_directory.py",
+        "if is_earlier and engine_id not in self._earlier:",
+        "if False:",
+        (LIVES, "earlier_life_is_passed_over"),
+    ),
+    Guard(
+        "a false start does not shut an engine out",
+        f"{LIBRARY}/_engine_directory.py",
+        "if is_earlier and engine_id not in self._earlier:",
+        "if is_earlier:",
+        (LIVES, "shut_an_engine_out"),
+    ),
+    Guard(
+        "kept connections are of one life",
+        "platform/engine_sessions.py",
+        "if kept is None or kept.incarnation != engine.incarnation:",
+        "if kept is None:",
+        ("tests/adapter/test_engine_sessions.py", "one_life"),
+    ),
+)
--- /dev/null
+++ b/tests/guard_rows/guard.py
@@ -0,0 +1,60 @@
+# SPDX-License-Identifier: MIT
+
+"""
+What a guard is, and where things are.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+__all__ = [
+    "DAEMON",
+    "DECISIONS",
+    "FOLLOW",
+    "Guard",
+    "ITEMS",
+    "JOBS",
+    "LIBRARY",
+    "LIVES",
+    "PASS",
+    "PLACEMENT",
+    "POOL",
+    "PROOFS",
+    "REQUESTS",
+    "SHARES",
+    "WATCH",
+    "WEIGHTS",
+]
+
+LIBRARY = "packages/saddledoor/src/saddledoor"
+DAEMON = "packages/saddledoord/src/saddledoord"
+JOBS = "tests/adapter/test_edge_jobs.py"
+ITEMS = "tests/adapter/test_edge_items.py"
+WEIGHTS = "tests/adapter/test_edge_weights.py"
+REQUESTS = "tests/adapter/test_edge_requests.py"
+PROOFS = "tests/test_proofs.py"
+DECISIONS = "tests/test_gateway_decisions.py"
+PASS = "tests/test_pass_through.py"
+POOL = "tests/test_pool.py"
+SHARES = "tests/test_work_shares.py"
+WATCH = "tests/test_store_watch.py"
+PLACEMENT = "tests/test_item_placement.py"
+FOLLOW = "tests/test_follow.py"
+LIVES = "tests/test_engine_lives.py"
+
+
+@dataclass(frozen=True)
+class Guard:
+    """
+    A guard, how it is taken out, and the test that has to fail then.
+
+    :param test: File and expression of test names.
+    """
+
+    name: str
+    path: str
+    before: str
+    after: str
+    test: tuple[str, str]
--- /dev/null
+++ b/tests/guard_rows/jobs.py
@@ -0,0 +1,165 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Guards of jobs: what is accepted, run, listed and read.
+"""
+
+from __future__ import annotations
+
+from .guard import DAEMON, DECISIONS, FOLLOW, ITEMS, JOBS, LIBRARY, PASS, PROOFS, Guard
+
+
+__all__ = ["GUARDS"]
+
+GUARDS = (
+    Guard(
+        "items start only with a known log end",
+        f"{DAEMON}/jobs/runner.py",
+        "if self._knows_ends():",
+        "if True:",
+        (JOBS, "long_silence"),
+    ),
+    Guard(
+        "nothing is taken up before the replay's end",
+        f"{DAEMON}/jobs/runner.py",
+        "if not self._jobs.caught_up:",
+        "if False:",
+        (JOBS, "reads_the_log_anew"),
+    ),
+    Guard(
+        "failed runs are counted before the log has them",
+        f"{DAEMON}/jobs/runner.py",
+        "run.failures += 1",
+        "run.failures = run.state.failures.get(item_id, 0)",
+        (ITEMS, "always_fails"),
+    ),
+    Guard(
+        "an append without an answer is no refusal",
+        f"{DAEMON}/jobs/service.py",
+        "may_be_there = True",
+        "may_be_there = False",
+        (JOBS, "not_called_not_run"),
+    ),
+    Guard(
+        "an item has one position",
+        f"{LIBRARY}/_job_book.py",
+        "if result.item_id not in state.listed:",
+        "if True:",
+        (PROOFS, "holds_with_its_mechanism and job_positions"),
+    ),
+    Guard(
+        "kept events go on in the chain where the others end",
+        f"{LIBRARY}/_job_book.py",
+        "record.first == before.count + 1 and record.follows == before.chain",
+        "record.first == before.count + 1",
+        (PROOFS, "holds_with_its_mechanism and kept_texts"),
+    ),
+    Guard(
+        "no event of weights that are too old",
+        f"{LIBRARY}/_event_text.py",
+        "event.version is None or event.version < oldest_version",
+        "event.version is None",
+        (PROOFS, "holds_with_its_mechanism and kept_texts"),
+    ),
+    Guard(
+        "a whole text takes the place of a shorter one only",
+        f"{LIBRARY}/_job_book.py",
+        "record.first == 1 and record.count > before.count",
+        "record.first == 1",
+        (DECISIONS, "takes_the_place"),
+    ),
+    Guard(
+        "a short text stays where it is",
+        f"{DAEMON}/jobs/attempt.py",
+        "and now - began_at >= _STAY_TIME",
+        "and stayed",
+        ("tests/test_attempt.py", "short_text"),
+    ),
+    Guard(
+        "what is refused of a text is given again, whole",
+        f"{DAEMON}/jobs/item_run.py",
+        '            self.kept, self.kept_chain = 0, ""\n',
+        "            pass\n",
+        ("tests/test_item_run.py", "another_run_s"),
+    ),
+    Guard(
+        "a scoring call fails no more often than allowed",
+        f"{DAEMON}/jobs/scoring.py",
+        "left = min(_AT_ONCE, route.max_attempts - failures)",
+        "left = _AT_ONCE",
+        (PASS, "as_often_as"),
+    ),
+    Guard(
+        "a failure that is appended twice counts once",
+        f"{LIBRARY}/_job_book.py",
+        "state.failed.add(record)",
+        "state.failed.add(ItemFailed(record.job_id, record.item_id,"
+        " str(len(state.failed)), record.scoring))",
+        (DECISIONS, "counts_once"),
+    ),
+    Guard(
+        "an open job is kept",
+        f"{LIBRARY}/_job_book.py",
+        "keep = ended_for if state.ended else open_for",
+        "keep = ended_for",
+        (DECISIONS, "kept_while_it_is_open"),
+    ),
+    Guard(
+        "texts are not read before they are asked for",
+        f"{DAEMON}/jobs/service.py",
+        "        self._changes.notify(job_id)\n",
+        "        self._changes.notify(job_id)\n"
+        "        for r in getattr(self._book.get(job_id), 'results', ()):\n"
+        "            asyncio.ensure_future(self._texts.read([r.text]))\n",
+        (JOBS, "reads_no_texts"),
+    ),
+    Guard(
+        "a text is cut into records that the store takes",
+        f"{DAEMON}/jobs/texts.py",
+        "size = self._largest_record",
+        "size = max(1, len(text))",
+        (ITEMS, "larger_than_a_record"),
+    ),
+    Guard(
+        "a silent engine is left out until it answers",
+        f"{DAEMON}/jobs/placement.py",
+        "if engine_id in self._silent:",
+        "if False:",
+        ("tests/test_placement.py", "gone_silent"),
+    ),
+    Guard(
+        "items do not move to an engine that is falling silent",
+        f"{DAEMON}/jobs/placement.py",
+        "return not streams or self._paces.silent_for(engine_id, now) <= _QUIET",
+        "return True",
+        ("tests/test_placement.py", "streams_have_stopped"),
+    ),
+    Guard(
+        "a job that is opened twice is taken once",
+        f"{LIBRARY}/_job_book.py",
+        "if job.job_id in self._jobs:",
+        "if False:",
+        (DECISIONS, "opened_twice"),
+    ),
+    Guard(
+        "a reader gets what was listed just now",
+        f"{DAEMON}/jobs/service.py",
+        "if self._gather() and self.store_reached:",
+        "if False:",
+        (FOLLOW, "listed_just_now"),
+    ),
+    Guard(
+        "a reading is answered with the texts that came in time",
+        f"{DAEMON}/jobs/texts.py",
+        "if read and missing and boot_time() >= deadline:",
+        "if False:",
+        ("tests/test_spread_texts.py", "spread_is_read"),
+    ),
+    Guard(
+        "a page that fails keeps back only what stands behind it",
+        f"{DAEMON}/jobs/texts.py",
+        "                if not read:\n                    raise\n",
+        "                raise\n",
+        ("tests/test_spread_texts.py", "before_a_page_failed"),
+    ),
+)
--- /dev/null
+++ b/tests/guard_rows/nodes.py
@@ -0,0 +1,120 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Guards of what nodes agree on: the log, leases, shares, planned stops.
+"""
+
+from __future__ import annotations
+
+from .guard import DAEMON, FOLLOW, REQUESTS, SHARES, WATCH, WEIGHTS, Guard
+
+
+__all__ = ["GUARDS"]
+
+GUARDS = (
+    Guard(
+        "a stopping node takes no share again",
+        f"{DAEMON}/cluster/work_shares.py",
+        "        self._stopped = True\n",
+        "",
+        (SHARES, "no_share_again"),
+    ),
+    Guard(
+        "another machine waits for the lease's term",
+        f"{DAEMON}/cluster/leases.py",
+        "if machine == self._machine:",
+        "if True:",
+        (WEIGHTS, "rising_fences"),
+    ),
+    Guard(
+        "a node knows the engines before it is ready",
+        f"{DAEMON}/gateway.py",
+        "engines_known = self._entries.known",
+        "engines_known = True",
+        (REQUESTS, "only_once_it_knows"),
+    ),
+    Guard(
+        "a node that the store does not answer asks for no callers",
+        f"{DAEMON}/gateway.py",
+        "return boot_time() - self._store.answered_at > _ALONE",
+        "return False",
+        (REQUESTS, "without_an_answer_of_the_store"),
+    ),
+    Guard(
+        "a share does not move for an outage of the store",
+        f"{DAEMON}/cluster/work_shares.py",
+        "boot_time() - regained_at < _TERM",
+        "False",
+        (SHARES, "while_the_store_is_away"),
+    ),
+    Guard(
+        "nobody claims a share while the store is away",
+        f"{DAEMON}/cluster/work_shares.py",
+        "not self._leases.reached or ",
+        "",
+        (SHARES, "nobody_claims"),
+    ),
+    Guard(
+        "a lease is renewed while its holder reads on",
+        f"{DAEMON}/cluster/work_shares.py",
+        "        if names:\n            self._renewed_at = now",
+        "        if self._held:\n            self._renewed_at = now",
+        (SHARES, "reads_on"),
+    ),
+    Guard(
+        "a stronger node takes a share",
+        f"{DAEMON}/cluster/work_shares.py",
+        "delay = self._delay + ",
+        "delay = ",
+        (SHARES, "stronger"),
+    ),
+    Guard(
+        "a silent connection to the store is given up",
+        f"{DAEMON}/cluster/store_watch.py",
+        "call.task.cancel()",
+        "pass",
+        (WATCH, "silent_connection"),
+    ),
+    Guard(
+        "a large page has the time it takes",
+        f"{DAEMON}/cluster/store_watch.py",
+        "expected = wait + max(0.0, patience - USUAL_PATIENCE)",
+        "expected = wait",
+        (WATCH, "large_page"),
+    ),
+    Guard(
+        "less is asked for after a read that failed",
+        f"{DAEMON}/cluster/follow.py",
+        "self._page_size.failed()",
+        "pass",
+        ("tests/test_page_size.py", "asks_for_less"),
+    ),
+    Guard(
+        "news of jobs are gathered",
+        f"{DAEMON}/cluster/follow.py",
+        "await asyncio.sleep(self._gather())",
+        "pass",
+        (FOLLOW, "as_it_gathers"),
+    ),
+    Guard(
+        "news of engines are gathered",
+        f"{DAEMON}/cluster/follow.py",
+        "await asyncio.sleep(_REGISTRY_GATHER)",
+        "pass",
+        (FOLLOW, "entries_that_change"),
+    ),
+    Guard(
+        "a planned stop waits for the store",
+        f"{DAEMON}/gateway.py",
+        "while not await self.jobs.sync() and boot_time() < began + patience:",
+        "while False:",
+        (WEIGHTS, "loses_no_text"),
+    ),
+    Guard(
+        "a share is taken with what the node before left",
+        f"{DAEMON}/cluster/work_shares.py",
+        "        await self._taken()\n",
+        "",
+        (SHARES, "keeps_it"),
+    ),
+)
--- /dev/null
+++ b/tests/guard_rows/requests.py
@@ -0,0 +1,125 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Guards of requests that are passed through, and of answers and settings.
+"""
+
+from __future__ import annotations
+
+from .guard import DAEMON, ITEMS, LIBRARY, PASS, POOL, REQUESTS, WEIGHTS, Guard
+
+
+__all__ = ["GUARDS"]
+
+GUARDS = (
+    Guard(
+        "a stream without its end is not whole",
+        "platform/engines.py",
+        """            raise GenerationFailedError(
+                GenerationFailedError.BROKEN, short(error)
+            ) from None
+""",
+        "            return\n",
+        (ITEMS, "without_its_end_marker"),
+    ),
+    Guard(
+        "an order names the count of orders taken",
+        "platform/engines.py",
+        '            "if_rev": order.orders_taken,\n',
+        "",
+        (WEIGHTS, "carried_out_late"),
+    ),
+    Guard(
+        "a request names the incarnation",
+        "platform/engines.py",
+        "        (wire.EXPECT_INSTANCE, engine.engine_id),\n    ]",
+        "    ]",
+        (REQUESTS, "comes_back_as_another"),
+    ),
+    Guard(
+        "an answer carries the request's id",
+        "platform/engines.py",
+        "return response.headers.get(wire.ATTEMPT_ID) == request.request_id",
+        "return True",
+        (REQUESTS, "of_another_request"),
+    ),
+    Guard(
+        "an unrepeatable request is not sent again",
+        f"{DAEMON}/serving/pass_through.py",
+        """        case OutcomeUnknown():
+            return route.kind is not RouteKind.SAFE""",
+        """        case OutcomeUnknown():
+            return False""",
+        (REQUESTS, "unrepeatable_request_runs_once"),
+    ),
+    Guard(
+        "the engine stops when the caller leaves",
+        "platform/front.py",
+        "            work.cancel()\n",
+        "",
+        (REQUESTS, "caller_leaves"),
+    ),
+    Guard(
+        "a second engine works beside a slow one",
+        f"{DAEMON}/serving/pass_through.py",
+        "if not self._may_overlap(current):\n            return left",
+        "if True:\n            return left",
+        (REQUESTS, "slow_engine"),
+    ),
+    Guard(
+        "what an engine still has is not called not run",
+        f"{DAEMON}/serving/pass_through.py",
+        "if pending and current.last is None:",
+        "if False:",
+        (PASS, "still_has"),
+    ),
+    Guard(
+        "a success carries the engine's mark",
+        "platform/engines.py",
+        "if response.status < 300 and not mark:",
+        "if False:",
+        (REQUESTS, "signature"),
+    ),
+    Guard(
+        "a refusal holds for the model that was refused",
+        f"{DAEMON}/serving/pool.py",
+        "self._refusals.get((engine.engine_id, kind))\n        return refusal is None",
+        "self._refusals.get((engine.engine_id, ''))\n        return refusal is None",
+        (POOL, "refus"),
+    ),
+    Guard(
+        "paused engines are asked rather than none",
+        f"{DAEMON}/serving/pool.py",
+        "for engine in fast or rested or untried}",
+        "for engine in fast or rested}",
+        (PASS, "rather_than_none"),
+    ),
+    Guard(
+        "each node has an order of engines of its own",
+        f"{LIBRARY}/_routing.py",
+        "return ties[rendezvous_order(node, ties)[0]]",
+        "return ties[min(ties)]",
+        ("tests/test_policies.py", "few_engines"),
+    ),
+    Guard(
+        "an engine that was overtaken comes after the others",
+        f"{DAEMON}/serving/pool.py",
+        "self._overtaken.get(e.engine_id, 0.0) <= now",
+        "True",
+        (POOL, "overtaken"),
+    ),
+    Guard(
+        "a settings file that needs a new process is refused",
+        "platform/settings_file.py",
+        "self._check_fixed(settings)",
+        "pass",
+        ("tests/adapter/test_edge_settings.py", "refused_whole"),
+    ),
+    Guard(
+        "a settings file that changes is noticed without a signal",
+        "platform/edge.py",
+        "watching = asyncio.create_task(file.watch(changed))",
+        "watching = asyncio.create_task(asyncio.sleep(3600))",
+        ("tests/adapter/test_edge_settings.py", "taken_while"),
+    ),
+)
