--- a/tests/adapter/engine_documents.py
+++ b/tests/adapter/engine_documents.py
@@ -6,15 +6,56 @@
 
 from __future__ import annotations
 
+import copy
 import json
+from collections.abc import Iterator
 from typing import Any
 
 
-__all__ = ["BORN", "as_bytes", "make_entry", "make_report"]
+__all__ = [
+    "BORN",
+    "HOSTILE_BYTES",
+    "HOSTILE_VALUES",
+    "as_bytes",
+    "make_entry",
+    "make_report",
+    "spoilt",
+]
 
 #: Start of a process, in Unix milliseconds.
 BORN = 1_700_000_000_123
 
+#: What a key may hold whoever writes it; none of it is a body of the protocol.
+HOSTILE_BYTES = {
+    "empty": b"",
+    "no JSON": b"{",
+    "no UTF-8": b'{"service": "\xff"}',
+    "half a character, encoded": b'{"service": "\xed\xa0\x80"}',
+    "UTF-16": '{"service": "pool"}'.encode("utf-16"),
+    "not a number": b'{"slots": NaN}',
+    "infinity": b'{"slots": -Infinity}',
+    "deep list": b"[" * 100_000,
+    "deep object": b'{"models": ' + b"[" * 100_000 + b"]" * 100_000 + b"}",
+    "deep keys": b'{"a":' * 100_000,
+    "a list": b"[]",
+    "null": b"null",
+    "a number of 10,000 digits": b'{"slots": ' + b"9" * 10_000 + b"}",
+}
+
+#: Texts of JSON that no field may hold.
+HOSTILE_VALUES = {
+    "beyond floats": "1e999",
+    "below floats": "-1e999",
+    "400 digits": "9" * 400,
+    "half a character": '"\\ud800"',
+    "an object": "{}",
+    "true": "true",
+    "null": "null",
+    "a list of numbers": "[1]",
+    "a list of lists": "[[]]",
+    "a fraction": "8.9",
+}
+
 
 def make_entry(**changes: object) -> dict[str, Any]:
     """
@@ -54,3 +95,36 @@
     Return a document as it stands in a body.
     """
     return json.dumps(document).encode()
+
+
+def spoilt(document: object, value: str) -> Iterator[bytes]:
+    """
+    Yield a document once for each of its fields, which then holds something else.
+
+    :param value: A text of JSON.
+    """
+    mark = "here it goes"
+    for *way, last in _places(document):
+        changed = copy.deepcopy(document)
+        holder = changed
+        for step in way:
+            holder = holder[step]
+        holder[last] = mark
+        yield json.dumps(changed).replace(json.dumps(mark), value).encode()
+
+
+def _places(node: object) -> Iterator[tuple]:
+    """
+    Yield the way to each field, however far in.
+    """
+    match node:
+        case dict():
+            children = list(node.items())
+        case list():
+            children = list(enumerate(node))
+        case _:
+            return
+    for key, child in children:
+        yield (key,)
+        for way in _places(child):
+            yield (key, *way)
