What cannot be used under a key is told apart from a removal

A value that could not be decoded was passed on as if its key had been removed. A tagged value says which it is now, and the directory drops the engine at once.

--- a/packages/saddledoor/src/saddledoor/_engine_directory.py
+++ b/packages/saddledoor/src/saddledoor/_engine_directory.py
@@ -101,6 +101,15 @@
         if now < returns_until:
             self._missing[engine_id] = (entry, returns_until)
 
+    def drop(self, engine_id: str) -> None:
+        """
+        Note that what stands under an engine's id names no engine any more.
+
+        At once, also after the store's return: nothing has lapsed.
+        """
+        self._entries.pop(engine_id, None)
+        self._missing.pop(engine_id, None)
+
     def store_regained(self, now: float) -> None:
         """
         Note that the store answers again.
--- a/packages/saddledoord/src/saddledoord/cluster/view.py
+++ b/packages/saddledoord/src/saddledoord/cluster/view.py
@@ -23,7 +23,7 @@
 )
 
 from .._clock import boot_time
-from ..ports import KeyedEntry, NamedVersion
+from ..ports import KeyedEntry, NamedVersion, Unusable
 
 
 __all__ = ["ClusterView"]
@@ -121,10 +121,13 @@
 
     def apply_engine(self, entry: KeyedEntry) -> None:
         """
-        Take an engine's entry, or its removal.
+        Take an engine's entry, its removal, or what names no engine any more.
         """
         if isinstance(entry.value, EngineEntry):
             self._put_engine(entry.value)
+        elif isinstance(entry.value, Unusable):
+            # Whoever read the entry has logged the reason.
+            self.directory.drop(entry.key)
         else:
             self._remove_engine(entry.key, entry.offset)
         self._forget_gone(boot_time())
--- a/packages/saddledoord/src/saddledoord/ports/__init__.py
+++ b/packages/saddledoord/src/saddledoord/ports/__init__.py
@@ -34,6 +34,7 @@
     SharedLog,
     StoreAwayError,
     UnknownAppend,
+    Unusable,
 )
 
 
@@ -59,5 +60,6 @@
     "StoreAwayError",
     "USUAL_PATIENCE",
     "UnknownAppend",
+    "Unusable",
     "VersionOrder",
 ]
--- a/packages/saddledoord/src/saddledoord/ports/store.py
+++ b/packages/saddledoord/src/saddledoord/ports/store.py
@@ -28,6 +28,7 @@
     "StoreAwayError",
     "USUAL_PATIENCE",
     "UnknownAppend",
+    "Unusable",
 ]
 
 
@@ -138,17 +139,31 @@
         """
 
 
+@dataclass(frozen=True)
+class Unusable:
+    """
+    Something stands under a key, and it is nothing that may be used.
+
+    Apart from a removal: a key that lapsed while the store was away may come back as it
+    was, but one that holds something else now has said so.
+
+    :param reason: Names the field.
+    """
+
+    reason: str
+
+
 @dataclass(frozen=True)
 class KeyedEntry:
     """
     A change of one key, decoded.
 
-    :param value: None if the key was removed or its value cannot be used.
+    :param value: None if the key was removed or says nothing here.
     """
 
     key: str
     offset: int
-    value: object | None
+    value: object | Unusable | None
 
 
 @dataclass(frozen=True)
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -35,6 +35,7 @@
 _WATCH = "tests/test_store_watch.py"
 _PLACEMENT = "tests/test_item_placement.py"
 _FOLLOW = "tests/test_follow.py"
+_REGISTRY = "tests/adapter/test_registry.py"
 
 
 @dataclass(frozen=True)
@@ -390,6 +391,20 @@
         "True",
         (_POOL, "overtaken"),
     ),
+    Guard(
+        "an entry that was overwritten is not one that lapsed",
+        f"{_DAEMON}/cluster/view.py",
+        "self.directory.drop(entry.key)",
+        "self.directory.remove(entry.key, boot_time())",
+        (_REGISTRY, "spoilt"),
+    ),
+    Guard(
+        "a reason is logged once, however often an engine writes",
+        "platform/store.py",
+        "if self._reasons.get(key) == reason:",
+        "if False:",
+        (_REGISTRY, "logged_once"),
+    ),
     Guard(
         "less is asked for after a read that failed",
         f"{_DAEMON}/cluster/follow.py",
