--- a/packages/saddledoord/src/saddledoord/cluster/view.py
+++ b/packages/saddledoord/src/saddledoord/cluster/view.py
@@ -23,7 +23,7 @@
 )
 
 from .._clock import boot_time
-from ..ports import KeyedEntry, NamedVersion
+from ..ports import KeyedEntry, NamedVersion, Unusable
 
 
 __all__ = ["ClusterView"]
@@ -121,10 +121,12 @@
 
     def apply_engine(self, entry: KeyedEntry) -> None:
         """
-        Take an engine's entry, or its removal.
+        Take an engine's entry, its removal, or what names no engine any more.
         """
         if isinstance(entry.value, EngineEntry):
             self._put_engine(entry.value)
+        elif isinstance(entry.value, Unusable):
+            self._drop_engine(entry.key)
         else:
             self._remove_engine(entry.key, entry.offset)
         self._forget_gone(boot_time())
@@ -188,10 +190,18 @@
 
     def _remove_engine(self, engine_id: str, offset: int | None) -> None:
         _log.info("engine_entry_gone", engine=engine_id, offset=offset)
+        self._note_gone(engine_id)
+        self.directory.remove(engine_id, boot_time())
+
+    def _drop_engine(self, engine_id: str) -> None:
+        # Whoever read the entry has logged the reason.
+        self._note_gone(engine_id)
+        self.directory.drop(engine_id)
+
+    def _note_gone(self, engine_id: str) -> None:
         known = self.directory.get(engine_id)
         if known is not None:
             self._gone[known.incarnation] = boot_time()
-        self.directory.remove(engine_id, boot_time())
 
     def _forget_gone(self, now: float) -> None:
         for incarnation, since in list(self._gone.items()):
--- a/tests/guard_rows/engines.py
+++ b/tests/guard_rows/engines.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from .guard import DAEMON, LIBRARY, LIVES, PLACEMENT, REQUESTS, Guard
+from .guard import DAEMON, LIBRARY, LIVES, PLACEMENT, REGISTRY, REQUESTS, Guard
 
 
 __all__ = ["GUARDS"]
@@ -105,4 +105,18 @@
         "if kept is None:",
         ("tests/adapter/test_engine_sessions.py", "one_life"),
     ),
+    Guard(
+        "an entry that was overwritten is not one that lapsed",
+        f"{DAEMON}/cluster/view.py",
+        "self._drop_engine(entry.key)",
+        "self._remove_engine(entry.key, entry.offset)",
+        (REGISTRY, "spoilt"),
+    ),
+    Guard(
+        "a reason is logged once, however often an engine writes",
+        "platform/store.py",
+        "if self._reasons.get(key) == reason:",
+        "if False:",
+        (REGISTRY, "logged_once"),
+    ),
 )
--- a/tests/guard_rows/guard.py
+++ b/tests/guard_rows/guard.py
@@ -22,6 +22,7 @@
     "PLACEMENT",
     "POOL",
     "PROOFS",
+    "REGISTRY",
     "REQUESTS",
     "SHARES",
     "WATCH",
@@ -41,6 +42,7 @@
 SHARES = "tests/test_work_shares.py"
 WATCH = "tests/test_store_watch.py"
 PLACEMENT = "tests/test_item_placement.py"
+REGISTRY = "tests/adapter/test_registry.py"
 FOLLOW = "tests/test_follow.py"
 LIVES = "tests/test_engine_lives.py"
 
