Fail: texts are asked for in pages that a slow link never brings

Cause: the follower of the jobs asks for less after a read that failed; the texts are always asked for in pages of 256 KB, also for one text of 6.5 KB. Where a page takes more than its patience (1.0 s, or 0.4 s while other calls are answered) no text is ever read.

Run: 1 failed, 4 passed in tests/test_spread_texts.py; the failing one is test_texts_are_asked_for_in_smaller_pages_after_one_that_did_not_come.

--- a/tests/test_spread_texts.py
+++ b/tests/test_spread_texts.py
@@ -190,3 +190,32 @@
             return await jobs.read("job-a", 0, 0.0)
 
     assert isinstance(asyncio.run(play()), Unsure)
+
+
+class _NarrowLog(FakeLog):
+    """
+    A log that answers no read of texts for more than so many bytes in time.
+    """
+
+    def __init__(self, log: FakeLog, room: int) -> None:
+        super().__init__(largest_record=_LARGEST)
+        self.records = log.records
+        self._room = room
+
+    async def read(self, stream, start, wait=0.0, largest=1 << 20, patience=1.0):
+        if stream == "texts" and largest > self._room:
+            raise StoreAwayError("too slow")
+        return await super().read(stream, start, wait, largest, patience)
+
+
+def test_texts_are_asked_for_in_smaller_pages_after_one_that_did_not_come():
+    """
+    A link that brings less than a page in a page's patience never brought any.
+    """
+    log = _ended_job()
+
+    async def play():
+        async with _node(_NarrowLog(log, room=100_000)) as jobs:
+            return await _read_whole(lambda at: _ask(jobs, at), most_asks=6)
+
+    assert asyncio.run(play()) == [_text(n) for n in range(_ITEMS)]
