--- a/tests/adapter/standin_engine.py
+++ b/tests/adapter/standin_engine.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+import time
 from dataclasses import asdict, dataclass, field
 
 import aiohttp
@@ -71,6 +72,7 @@
     load: float = 0.2
     version: int = 1
     busy: bool = False
+    born: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
     orders_taken: int = 0
     top_fence: int = -1
     faults: _Faults = field(default_factory=_Faults)
@@ -158,6 +160,7 @@
                 "models": [{"name": self.model, "version": self.version}],
                 "busy": self.busy,
                 "seq_no": self.orders_taken,
+                "born": self.born,
             }
         )
 
@@ -206,7 +209,9 @@
             "version": "v1",
             "slots": self.slots,
             "state": "ready",
+            "cold_left_ms": 0,
             "seq_no": 1,
+            "born": self.born,
             "models": models,
         }
         body = {"put": [["keyed.servers", self.engine_id, json.dumps(entry)]]}
