Test that two spread jobs are read at one node at once

Two readers share a node's link, so that each has half of it, and each drives the other's pages out of the node's memory of 2 MB.

--- a/tests/test_spread_texts.py
+++ b/tests/test_spread_texts.py
@@ -93,19 +93,20 @@
         await asyncio.gather(task, return_exceptions=True)
 
 
-def _ended_job() -> FakeLog:
+def _ended_jobs(*names: str) -> FakeLog:
     """
-    Return a log that holds a job, spread over 6.1 MB of texts.
+    Return a log that holds jobs, each spread over 6.1 MB of texts.
     """
     log = FakeLog(largest_record=_LARGEST)
-    records = [make_opened(make_job(_ITEMS))]
-    for n in range(_ITEMS):
-        place = len(log.records["texts"])
-        log.records["texts"] += [_text(n).encode(), bytes(_BETWEEN)]
-        result = ItemResult(f"item-{n}", True, StoredText((place,), _TEXT))
-        records.append(ItemListed("job-a", result))
-    records.append(JobEnded("job-a"))
-    log.records["jobs"] += map(encode_job_record, records)
+    for name in names:
+        records = [make_opened(make_job(_ITEMS, name))]
+        for n in range(_ITEMS):
+            place = len(log.records["texts"])
+            log.records["texts"] += [_text(n).encode(), bytes(_BETWEEN)]
+            result = ItemResult(f"item-{n}", True, StoredText((place,), _TEXT))
+            records.append(ItemListed(name, result))
+        records.append(JobEnded(name))
+        log.records["jobs"] += map(encode_job_record, records)
     return log
 
 
@@ -113,13 +114,15 @@
     return f"{n:05}" * (_TEXT // 5)
 
 
-async def _ask(jobs: JobService, position: int) -> JobReading | None:
+async def _ask(
+    jobs: JobService, position: int, job_id: str = "job-a"
+) -> JobReading | None:
     """
     Read as a caller does, who leaves when it has waited long enough.
     """
     try:
         async with asyncio.timeout(_CALLER_LIMIT):
-            reading = await jobs.read("job-a", position, 0.0)
+            reading = await jobs.read(job_id, position, 0.0)
     except TimeoutError:
         return None
     return reading if isinstance(reading, JobReading) else None
@@ -147,7 +150,7 @@
     In six asks; it was never read by a caller that goes to another node each time. One
     that stays may be lucky: its node remembers 2 MB of what it read in vain.
     """
-    log = _ended_job()
+    log = _ended_jobs("job-a")
 
     async def play():
         async with _node(_Link(log)) as same:
@@ -163,11 +166,30 @@
     assert asyncio.run(play()) == [_text(n) for n in range(_ITEMS)]
 
 
+def test_two_spread_jobs_are_read_at_one_node_at_once():
+    """
+    In four asks each. Each reader drove the other's pages out of the node's memory, and
+    neither had anything in 19 asks and 30 s.
+    """
+    names = ("job-a", "job-b")
+    log = _ended_jobs(*names)
+
+    async def play():
+        async with _node(_Link(log)) as jobs:
+            readers = (
+                _read_whole(lambda at, name=name: _ask(jobs, at, name), most_asks=6)
+                for name in names
+            )
+            return await asyncio.gather(*readers)
+
+    assert asyncio.run(play()) == [[_text(n) for n in range(_ITEMS)]] * 2
+
+
 def test_what_was_read_before_a_page_failed_is_answered():
     """
     Otherwise one page in twenty that does not come keeps the whole job from its reader.
     """
-    log = _ended_job()
+    log = _ended_jobs("job-a")
 
     async def play():
         async with _node(_Link(log, fail_after=2)) as jobs:
@@ -183,7 +205,7 @@
     """
     The node says that it is not sure.
     """
-    log = _ended_job()
+    log = _ended_jobs("job-a")
 
     async def play():
         async with _node(_Link(log, fail_after=0)) as jobs:
@@ -213,7 +235,7 @@
     A link that brings less than a page in a page's patience never brought any. Now an
     ask ends when the page has grown too large again, and all is there after 15 of them.
     """
-    log = _ended_job()
+    log = _ended_jobs("job-a")
 
     async def play():
         async with _node(_NarrowLog(log, room=100_000)) as jobs:
