An entry names an engine only if every field is what engines state

Null for a service became the service 'None', 'nonsense' an address, true or 8.9 a number of slots, and any state but 'ready' was a draining engine. Each field is checked for type and range now; what each engine states (service, address, zone, version, slots, state, cold_left_ms, seq_no) must be there, whether it is used or not, since an entry without it was written by someone else. models and stage may be missing: plain services state neither. Unknown fields may hold anything.

Whether reports state born was not seen. The stand-ins state the same now, with the start of the engine in whose place they write: an entry without it was passed over as one of an earlier life, and test_a_leaving_engine_gets_nothing_more failed by that.

--- a/tests/adapter/engine_documents.py
+++ b/tests/adapter/engine_documents.py
@@ -71,7 +71,8 @@
         "cold_left_ms": 0,
         "seq_no": 3,
         "born": BORN,
-        "models": [{"name": "model-a", "version": 4}],
+        "stage": "both",
+        "models": [{"name": "model-a", "version": 4, "adapters": []}],
     }
     return {**fields, **changes}
 
--- a/tests/adapter/platform_bed.py
+++ b/tests/adapter/platform_bed.py
@@ -23,6 +23,7 @@
 from email.message import Message
 from pathlib import Path
 
+from engine_documents import BORN
 from platform_documents import HOST, MODEL, SETTINGS, make_config
 
 
@@ -170,8 +171,10 @@
         state: str = "ready",
     ) -> None:
         """
-        Write an entry in an engine's place.
+        Write an entry in an engine's place, of the life that it has if it was started.
         """
+        started = engine_id in self.engine_ports
+        born = self.fake_engine(engine_id)["born"] if started else BORN
         entry = {
             "service": service,
             "address": f"127.0.0.1:{port}",
@@ -180,8 +183,12 @@
             "slots": 4,
             "state": state,
             "seq_no": 1,
-            "models": [{"name": model, "version": 1}] if model else [],
+            "cold_left_ms": 0,
+            "born": born,
         }
+        if model:
+            held = {"name": model, "version": 1, "adapters": []}
+            entry |= {"stage": "both", "models": [held]}
         self.put("keyed.servers", engine_id, json.dumps(entry))
 
     def remove_entry(self, engine_id: str) -> None:
--- a/tests/adapter/standin_engine.py
+++ b/tests/adapter/standin_engine.py
@@ -201,7 +201,6 @@
         """
         Tell the store of this engine.
         """
-        models = [{"name": self.model, "version": self.version}] if self.model else []
         entry = {
             "service": self.service,
             "address": self.address,
@@ -212,8 +211,10 @@
             "cold_left_ms": 0,
             "seq_no": 1,
             "born": self.born,
-            "models": models,
         }
+        if self.model:
+            model = {"name": self.model, "version": self.version, "adapters": []}
+            entry |= {"stage": "both", "models": [model]}
         body = {"put": [["keyed.servers", self.engine_id, json.dumps(entry)]]}
         async with (
             aiohttp.ClientSession() as session,
@@ -240,6 +241,7 @@
                 "orders": self.orders,
                 "version": self.version,
                 "history": self.history,
+                "born": self.born,
             }
         )
 
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import re
+
 import pytest
 
 from documents import (
@@ -125,3 +127,176 @@
             _entry(head + b"nonsense")
         reasons.add(str(caught.value))
     assert len(reasons) == 1
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        *(("service", value) for value in (None, "", 7, ["desk"])),
+        *(("zone", value) for value in (None, "", 7, ["dc-a"])),
+        *(("slots", value) for value in (None, True, "8", 8.9, 8.0, 0, -1, 2**60)),
+        *(("state", value) for value in (None, "", "Ready", "gone", True, ["ready"])),
+        *(("version", value) for value in (None, 1, ["v1"])),
+        *(("cold_left_ms", value) for value in (None, "0", True, [0])),
+        *(("seq_no", value) for value in (None, "3", True, 1.5, -1)),
+        *(("stage", value) for value in (None, 1, ["both"])),
+    ],
+)
+def test_a_field_of_another_type_or_range_names_no_engine(name, value):
+    """
+    Used or not: whoever wrote it is none of the engines known. The reason names it.
+    """
+    with pytest.raises(UnusableBodyError, match=f"^{name}: "):
+        _entry(as_bytes(make_entry(**{name: value})))
+
+
+@pytest.mark.parametrize(
+    "name",
+    [
+        "service",
+        "address",
+        "zone",
+        "slots",
+        "state",
+        "version",
+        "cold_left_ms",
+        "seq_no",
+    ],
+)
+def test_an_entry_without_what_each_engine_states_names_no_engine(name):
+    """
+    The reason names the field.
+    """
+    with pytest.raises(UnusableBodyError, match=f"'{name}' is missing"):
+        _entry(_without(make_entry(), name))
+
+
+@pytest.mark.parametrize(
+    "address",
+    [
+        None,
+        7,
+        "",
+        "nonsense",
+        "127.0.0.1",
+        "127.0.0.1:",
+        ":8000",
+        "127.0.0.1:0",
+        "127.0.0.1:65536",
+        "127.0.0.1:-1",
+        "127.0.0.1:8e3",
+        "127.0.0.1:\u0663",
+        "127.0.0.1:000008000",
+        "127.0.0.1 :8000",
+        " 127.0.0.1:8000",
+        "127.0.0.1:8000\n",
+        "http://127.0.0.1:8000",
+        "host/path:8000",
+        "user@host:8000",
+        "host?x:8000",
+        "::1:8000",
+        "[]:8000",
+    ],
+)
+def test_an_address_is_a_host_and_a_port(address):
+    """
+    Anything else would be asked for in place of an engine.
+    """
+    with pytest.raises(UnusableBodyError, match=r"^address: "):
+        _entry(as_bytes(make_entry(address=address)))
+
+
+@pytest.mark.parametrize(
+    "address",
+    ["10.1.64.30:8729", "engine-1.dc-a.example:1", "[::1]:65535", "host:080"],
+)
+def test_an_address_by_name_or_number_is_taken(address):
+    """
+    As the engine wrote it.
+    """
+    assert _entry(as_bytes(make_entry(address=address))).address == address
+
+
+@pytest.mark.parametrize(
+    ("models", "place"),
+    [
+        (None, "models"),
+        ({}, "models"),
+        ("model-a", "models"),
+        (["model-a"], "models[0]"),
+        ([{"version": 4}], "models[0]"),
+        ([{"name": None, "version": 4}], "models[0].name"),
+        ([{"name": "", "version": 4}], "models[0].name"),
+        ([{"name": 7, "version": 4}], "models[0].name"),
+        ([{"name": "model-a"}], "models[0]"),
+        ([{"name": "model-a", "version": None}], "models[0].version"),
+        ([{"name": "model-a", "version": "3"}], "models[0].version"),
+        ([{"name": "model-a", "version": True}], "models[0].version"),
+        ([{"name": "model-a", "version": 3.5}], "models[0].version"),
+        ([{"name": "model-a", "version": -1}], "models[0].version"),
+        ([{"name": "model-a", "version": 3, "adapters": 1}], "models[0].adapters"),
+    ],
+)
+def test_models_are_named_and_have_versions(models, place):
+    """
+    An item is sent to an engine for a version that it must really hold.
+    """
+    with pytest.raises(UnusableBodyError, match=f"^{re.escape(place)}: "):
+        _entry(as_bytes(make_entry(models=models)))
+
+
+@pytest.mark.parametrize("key", ["", "engine a", "engine\n", "engine-\u00e9", "\ud800"])
+def test_an_id_that_no_header_can_carry_names_no_engine(key):
+    """
+    Requests tell the engine by its id that it is meant.
+    """
+    with pytest.raises(UnusableBodyError, match=r"^key: "):
+        decode_engine_entry(key, as_bytes(make_entry()))
+
+
+def test_fields_that_nobody_knows_are_passed_over():
+    """
+    Whatever they hold: engines of tomorrow may state more.
+    """
+    entry = make_entry(of_tomorrow=[None, {"x": "y"}, -1])
+    data = as_bytes(entry).replace(b"-1", b"1e999")
+    assert _entry(data) == _entry(as_bytes(make_entry()))
+
+
+def test_an_engine_without_models_states_none():
+    """
+    Neither models nor the stage that they are at.
+    """
+    entry = make_entry(service="desk")
+    del entry["models"], entry["stage"]
+    assert _entry(as_bytes(entry)).versions == {}
+
+
+@pytest.mark.parametrize(("state", "draining"), [("ready", False), ("draining", True)])
+def test_an_engine_says_whether_it_is_leaving(state, draining):
+    """
+    By one of two states.
+    """
+    assert _entry(as_bytes(make_entry(state=state))).draining is draining
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("models", None),
+        ("models", [{"name": "model-a", "version": "4"}]),
+        ("busy", None),
+        ("busy", 1),
+        ("busy", "false"),
+        ("seq_no", None),
+        ("seq_no", True),
+        ("seq_no", "2"),
+        ("seq_no", -1),
+    ],
+)
+def test_a_report_says_what_is_held_and_how_many_orders_were_taken(name, value):
+    """
+    An order is only given on a count that is sure.
+    """
+    with pytest.raises(UnusableBodyError, match=f"^{name}"):
+        decode_report(as_bytes(make_report(**{name: value})))
--- a/tests/adapter/test_edge_requests.py
+++ b/tests/adapter/test_edge_requests.py
@@ -250,6 +250,17 @@
     assert platform_bed.ask("POST", "/look/x", b"b", "r-1").status == 200
 
 
+def test_an_engine_whose_entry_was_overwritten_gets_nothing_more(platform_bed):
+    """
+    The others of its service answer.
+    """
+    platform_bed.put("keyed.servers", "desk-1", "overwritten")
+    until(lambda: _logged(platform_bed, "record_skipped"))
+    for number in range(4):
+        assert platform_bed.ask("GET", "/look/x", b"", f"r-{number}").status == 200
+    assert platform_bed.fake_engine("desk-1")["runs"] == []
+
+
 def test_a_body_over_the_limit_is_refused(platform_bed):
     """
     With 413, and no engine sees it.
--- a/tests/guard_rows/engines.py
+++ b/tests/guard_rows/engines.py
@@ -112,6 +112,13 @@
         "self._remove_engine(entry.key, entry.offset)",
         (REGISTRY, "spoilt"),
     ),
+    Guard(
+        "an entry in a state that is not known names no engine",
+        "platform/documents.py",
+        "    if draining is None:\n",
+        "    if False:\n",
+        ("tests/adapter/test_documents.py", "another_type_or_range"),
+    ),
     Guard(
         "a reason is logged once, however often an engine writes",
         "platform/store.py",
