Try every decoder of the platform's bodies on whatever may be written

Over bytes, values of JSON and good bodies with fields gone, changed or bytes cut: either a value that keeps what its type promises (an address that can be connected to, numbers that can be divided by, a job that the log gives back as it was) or the one error. Rows and records of a keyed topic never hide the good one among them.

--- /dev/null
+++ b/tests/adapter/document_strategies.py
@@ -0,0 +1,83 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Strategies for bodies that anybody may have written.
+"""
+
+from __future__ import annotations
+
+import copy
+import json
+
+from hypothesis import strategies as st
+from hypothesis.strategies import DrawFn, SearchStrategy
+
+from engine_documents import HOSTILE_VALUES, places
+
+
+__all__ = ["json_bytes", "json_values", "mutated"]
+
+#: Stands for a value that only a text of JSON can spell.
+_MARK = "here it goes"
+
+_SCALARS = (
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.integers(min_value=-(10**30), max_value=10**30)
+    | st.floats()
+    | st.text(max_size=8)
+    | st.sampled_from(["ready", "127.0.0.1:1", "safe", "e30=", "model-a"])
+)
+
+
+def json_values() -> SearchStrategy:
+    """
+    Any value of JSON, and some numbers that only Python's JSON has.
+    """
+    return st.recursive(
+        _SCALARS,
+        lambda inner: (
+            st.lists(inner, max_size=3)
+            | st.dictionaries(st.text(max_size=8), inner, max_size=3)
+        ),
+        max_leaves=6,
+    )
+
+
+def json_bytes() -> SearchStrategy[bytes]:
+    """
+    Bodies that hold any value of JSON.
+    """
+    return json_values().map(lambda value: json.dumps(value).encode())
+
+
+@st.composite
+def mutated(draw: DrawFn, document: dict) -> bytes:
+    """
+    A good body with a few of its fields gone or changed, or with a few bytes changed.
+    """
+    changed = copy.deepcopy(document)
+    for _ in range(draw(st.integers(0, 3))):
+        _change(draw, changed)
+    hostile = draw(st.sampled_from(list(HOSTILE_VALUES.values())))
+    data = json.dumps(changed).replace(json.dumps(_MARK), hostile).encode()
+    if draw(st.booleans()):
+        return data
+    place = draw(st.integers(0, len(data)))
+    length = draw(st.integers(0, 4))
+    return data[:place] + draw(st.binary(max_size=4)) + data[place + length :]
+
+
+def _change(draw: DrawFn, document: dict) -> None:
+    ways = list(places(document))
+    if not ways:
+        return
+    *way, last = draw(st.sampled_from(ways))
+    holder = document
+    for step in way:
+        holder = holder[step]
+    if draw(st.integers(0, 3)):
+        holder[last] = draw(st.just(_MARK) | json_values())
+    else:
+        del holder[last]
--- a/tests/adapter/engine_documents.py
+++ b/tests/adapter/engine_documents.py
@@ -19,6 +19,7 @@
     "as_bytes",
     "make_entry",
     "make_report",
+    "places",
     "spoilt",
 ]
 
@@ -105,7 +106,7 @@
     :param value: A text of JSON.
     """
     mark = "here it goes"
-    for *way, last in _places(document):
+    for *way, last in places(document):
         changed = copy.deepcopy(document)
         holder = changed
         for step in way:
@@ -114,7 +115,7 @@
         yield json.dumps(changed).replace(json.dumps(mark), value).encode()
 
 
-def _places(node: object) -> Iterator[tuple]:
+def places(node: object) -> Iterator[tuple]:
     """
     Yield the way to each field, however far in.
     """
@@ -127,5 +128,5 @@
             return
     for key, child in children:
         yield (key,)
-        for way in _places(child):
+        for way in places(child):
             yield (key, *way)
