--- a/tests/adapter/engine_documents.py
+++ b/tests/adapter/engine_documents.py
@@ -19,6 +19,7 @@
     "as_bytes",
     "make_entry",
     "make_report",
+    "places",
     "spoilt",
 ]
 
@@ -71,7 +72,8 @@
         "cold_left_ms": 0,
         "seq_no": 3,
         "born": BORN,
-        "models": [{"name": "model-a", "version": 4}],
+        "stage": "both",
+        "models": [{"name": "model-a", "version": 4, "adapters": []}],
     }
     return {**fields, **changes}
 
@@ -104,7 +106,7 @@
     :param value: A text of JSON.
     """
     mark = "here it goes"
-    for *way, last in _places(document):
+    for *way, last in places(document):
         changed = copy.deepcopy(document)
         holder = changed
         for step in way:
@@ -113,7 +115,7 @@
         yield json.dumps(changed).replace(json.dumps(mark), value).encode()
 
 
-def _places(node: object) -> Iterator[tuple]:
+def places(node: object) -> Iterator[tuple]:
     """
     Yield the way to each field, however far in.
     """
@@ -126,5 +128,5 @@
             return
     for key, child in children:
         yield (key,)
-        for way in _places(child):
+        for way in places(child):
             yield (key, *way)
