--- a/packages/saddledoord/src/saddledoord/cluster/follow.py
+++ b/packages/saddledoord/src/saddledoord/cluster/follow.py
@@ -117,6 +117,7 @@
         self._page_size = PageSize(LARGEST_PAGE)
         self._reach = _Reachable(stream, reachable)
         self._caught_up = asyncio.Event()
+        self._began = boot_time()
         self._syncing = asyncio.Lock()
         self._confirmed_at = float("-inf")
 
@@ -224,10 +225,20 @@
                 self._next = offset + 1
                 self._apply(offset, record)
         if self._next >= page.end:
+            if not self.caught_up:
+                self._log_caught_up()
             self._caught_up.set()
             # The answer may have been held up on its way, the question not.
             self._confirmed_at = max(self._confirmed_at, began)
 
+    def _log_caught_up(self) -> None:
+        _log.info(
+            "caught_up",
+            reading=self._stream,
+            records=self._next,
+            seconds=round(boot_time() - self._began, 3),
+        )
+
 
 class RegistryFollower:
     """
--- a/packages/saddledoord/src/saddledoord/jobs/service.py
+++ b/packages/saddledoord/src/saddledoord/jobs/service.py
@@ -261,6 +261,14 @@
         except StoreAwayError as error:
             _log.info("texts_not_read", job=job_id, reason=str(error))
             return Unsure()
+        if len(texts) < len(results):
+            _log.info(
+                "reading_in_part",
+                job=job_id,
+                position=position,
+                given=len(texts),
+                listed=len(results),
+            )
         # Results whose texts did not come in time are left to the next reading.
         read = tuple(
             ReadResult(result, text.decode())
@@ -319,8 +327,12 @@
         if state is not None:
             return state
         if not await self._follower.sync():
+            _log.info("job_unsure", job=job_id, caught_up=self.caught_up)
             return Unsure()
-        return self._book.get(job_id) or NoSuchJob()
+        state = self._book.get(job_id)
+        if state is None:
+            _log.info("job_unknown", job=job_id)
+        return state or NoSuchJob()
 
     async def _open(
         self, job: Job, deadline: float
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -6,10 +6,12 @@
 
 from __future__ import annotations
 
+import json
 import re
 
 import pytest
 
+import wire
 from documents import (
     UnusableBodyError,
     decode_config,
@@ -17,6 +19,7 @@
     decode_job,
     decode_named_version,
     decode_report,
+    encode_reading,
 )
 from engine_documents import (
     BORN,
@@ -28,6 +31,8 @@
     spoilt,
 )
 from platform_documents import make_config, make_job
+from saddledoor import ItemResult, StoredText
+from saddledoord.jobs.service import JobReading, ReadResult
 
 
 def _entry(data: bytes) -> object:
@@ -300,3 +305,60 @@
     """
     with pytest.raises(UnusableBodyError, match=f"^{name}"):
         decode_report(as_bytes(make_report(**{name: value})))
+
+
+def test_an_answer_to_a_reader_stays_below_its_bound():
+    """
+    Whatever its texts are made of; what does not fit is left to the next reading.
+    """
+    texts = ["\n" * 300_000] * 3
+    reading = JobReading(9, 5, tuple(_read(n, text) for n, text in enumerate(texts)))
+    answer = encode_reading(reading)
+    assert len(answer) < 1_000_000
+    body = json.loads(answer)
+    assert body["total"] == 9
+    assert [result["id"] for result in body["results"]] == ["item-0"]
+    assert body["next_token"] == 3
+
+
+def test_an_answer_to_a_reader_holds_one_result_at_least():
+    """
+    However long its text is, since the reader would ask for it again for ever.
+    """
+    reading = JobReading(1, 1, (_read(0, "\n" * 600_000),))
+    body = json.loads(encode_reading(reading))
+    assert [result["message"] for result in body["results"]] == ["\n" * 600_000]
+    assert body["next_token"] == 1
+
+
+def test_an_answer_to_a_reader_may_hold_no_result():
+    """
+    Nothing is listed from the position on.
+    """
+    body = json.loads(encode_reading(JobReading(4, 2, ())))
+    assert body == {"total": 4, "next_token": 2, "results": []}
+
+
+def _read(number: int, text: str) -> ReadResult:
+    stored = StoredText((number,), len(text))
+    return ReadResult(ItemResult(f"item-{number}", True, stored, (1,), "mark"), text)
+
+
+@pytest.mark.parametrize(
+    ("text", "count"),
+    [
+        ("0", 0),
+        ("12", 12),
+        ("", None),
+        ("-1", None),
+        ("1.5", None),
+        ("\u00b2", None),
+        ("\u0663", None),
+        ("9" * 5000, None),
+    ],
+)
+def test_a_count_in_a_header_is_a_count_or_nothing(text, count):
+    """
+    Whoever sent it, no request ends by an error of ours.
+    """
+    assert wire.read_count(text) == count
