A record of the project's own that cannot be read is counted and survived

A job's record with fields of other types was folded: a list for an id raised TypeError in the follower of the jobs, which ends the VM and each one that starts later; a text for the size or the oldest version did so at the next look at the open jobs. A result whose text is no UTF-8 ended each reading that came to it. Ruled out: catching these where records are folded, since half of one may have been applied by then.

saddledoor_records_skipped counts what could not be used, by what it holds. Records of leases were sound before: their decoder raises one error for whatever was tried.

--- a/packages/saddledoor/src/saddledoor/_job_records.py
+++ b/packages/saddledoor/src/saddledoor/_job_records.py
@@ -60,7 +60,7 @@
 
 def decode_job_record(data: bytes) -> JobRecord:
     """
-    Read a record.
+    Read a record; each field is checked, since what is folded cannot be taken back.
 
     :raises UndecodableRecordError: If it is none of the known types.
     """
@@ -75,29 +75,94 @@
     return [list(text.offsets), text.size]
 
 
-def _opened(*fields) -> JobOpened:
-    *head, offsets, size = fields
-    return JobOpened(*head, StoredText(tuple(offsets), size))
+def _text(value: object) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"a text is needed, not {type(value).__name__}")
+    return value
 
 
-def _listed(job_id, item_id, done, versions, score, offsets, size) -> ItemListed:
-    text = StoredText(tuple(offsets), size)
-    return ItemListed(job_id, ItemResult(item_id, done, text, tuple(versions), score))
+def _whole(value: object) -> int:
+    # For Python a boolean is a whole number.
+    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+        raise TypeError(f"a whole number is needed, not {type(value).__name__}")
+    return value
+
+
+def _flag(value: object) -> bool:
+    if not isinstance(value, bool):
+        raise TypeError(f"true or false is needed, not {type(value).__name__}")
+    return value
+
+
+def _bytes(value: object) -> bytes:
+    if not isinstance(value, bytes):
+        raise TypeError(f"bytes are needed, not {type(value).__name__}")
+    return value
+
+
+def _array(value: object) -> list:
+    if not isinstance(value, list):
+        raise TypeError(f"a list is needed, not {type(value).__name__}")
+    return value
+
+
+def _wholes(value: object) -> tuple[int, ...]:
+    return tuple(_whole(number) for number in _array(value))
+
+
+def _stored(offsets: object, size: object) -> StoredText:
+    return StoredText(_wholes(offsets), _whole(size))
+
+
+def _opened(job_id, host, path, model, *fields) -> JobOpened:
+    step, oldest_version, groups_wanted, size, *place = fields
+    return JobOpened(
+        _text(job_id),
+        _text(host),
+        _text(path),
+        _text(model),
+        _whole(step),
+        _whole(oldest_version),
+        _whole(groups_wanted),
+        _whole(size),
+        _stored(*place),
+    )
+
+
+def _listed(job_id, item_id, done, versions, score, *place) -> ItemListed:
+    result = ItemResult(
+        _text(item_id), _flag(done), _stored(*place), _wholes(versions), _text(score)
+    )
+    return ItemListed(_text(job_id), result)
+
+
+def _failed(job_id, item_id, failure_id, scoring) -> ItemFailed:
+    return ItemFailed(_text(job_id), _text(item_id), _text(failure_id), _flag(scoring))
 
 
 def _kept(job_id, item_id, first, count, follows, chain, versions, *place) -> ItemKept:
-    offsets, size = place
-    text = StoredText(tuple(offsets), size)
-    made = (chain, tuple(versions))
-    return ItemKept(job_id, item_id, first, count, follows, *made, text)
+    return ItemKept(
+        _text(job_id),
+        _text(item_id),
+        _whole(first),
+        _whole(count),
+        _text(follows),
+        _text(chain),
+        _wholes(versions),
+        _stored(*place),
+    )
+
+
+def _ended(job_id) -> JobEnded:
+    return JobEnded(_text(job_id))
 
 
 _DECODERS = {
     "o": _opened,
     "r": _listed,
-    "f": ItemFailed,
+    "f": _failed,
     "k": _kept,
-    "e": JobEnded,
+    "e": _ended,
 }
 
 
@@ -115,7 +180,7 @@
     :raises UndecodableRecordError: If it is none.
     """
     try:
-        return tuple(str(event) for event in msgpack.unpackb(data))
+        return tuple(_text(event) for event in _array(msgpack.unpackb(data)))
     except (ValueError, TypeError, msgpack.UnpackException) as error:
         raise UndecodableRecordError(f"kept events: {error!r}") from None
 
@@ -134,7 +199,7 @@
     :raises UndecodableRecordError: If they are none.
     """
     try:
-        return tuple(_item(*fields) for fields in msgpack.unpackb(data))
+        return tuple(_item(*fields) for fields in _array(msgpack.unpackb(data)))
     except (ValueError, TypeError, msgpack.UnpackException) as error:
         raise UndecodableRecordError(f"job items: {error!r}") from None
 
@@ -147,6 +212,17 @@
 
 
 def _item(item_id, path, headers, body, tokens, group, call, expected) -> JobItem:
-    pairs = tuple((name, value) for name, value in headers)
-    score = ScoreCall(*call) if call else None
-    return JobItem(item_id, path, pairs, body, tokens, group, score, expected)
+    return JobItem(
+        _text(item_id),
+        _text(path),
+        tuple((_text(name), _text(value)) for name, value in _array(headers)),
+        _bytes(body),
+        _whole(tokens),
+        _text(group),
+        None if call is None else _score_call(*_array(call)),
+        _whole(expected),
+    )
+
+
+def _score_call(request_id, host, path, body) -> ScoreCall:
+    return ScoreCall(_text(request_id), _text(host), _text(path), _bytes(body))
--- a/packages/saddledoord/src/saddledoord/cluster/follow.py
+++ b/packages/saddledoord/src/saddledoord/cluster/follow.py
@@ -12,6 +12,7 @@
 import structlog
 
 from saddledoor import PageSize
+from saddledoor.exceptions import UndecodableRecordError
 
 from .._clock import boot_time
 from ..ports import (
@@ -24,6 +25,7 @@
     Registry,
     SharedLog,
     StoreAwayError,
+    Unusable,
 )
 
 
@@ -90,7 +92,11 @@
     """
     Applies a stream's records in order, each once.
 
-    :param apply: Called with each record and its offset.
+    A record that cannot be read is logged, counted and passed over: it must not hide
+    what comes behind it, at this start or any later one.
+
+    :param apply: Called with each record and its offset; raises
+        `UndecodableRecordError` for one that it cannot read.
     :param reachable: Told when the store is lost (false) and regained (true).
     :param wait: How long a read waits at the store for news, in seconds.
     :param patience: Longest wait for an answer beyond that, in seconds.
@@ -114,6 +120,7 @@
         self._stream = stream
         self._apply = apply
         self._next = 0
+        self._skipped = 0
         self._page_size = PageSize(LARGEST_PAGE)
         self._reach = _Reachable(stream, reachable)
         self._caught_up = asyncio.Event()
@@ -128,6 +135,13 @@
         """
         return self._reach.reached
 
+    @property
+    def skipped(self) -> int:
+        """
+        Records that could not be read, a count.
+        """
+        return self._skipped
+
     @property
     def confirmed_at(self) -> float:
         """
@@ -223,7 +237,7 @@
             # A second read may have brought it meanwhile.
             if offset >= self._next:
                 self._next = offset + 1
-                self._apply(offset, record)
+                self._apply_record(offset, record)
         if self._next >= page.end:
             if not self.caught_up:
                 self._log_caught_up()
@@ -239,6 +253,18 @@
             seconds=round(boot_time() - self._began, 3),
         )
 
+    def _apply_record(self, offset: int, record: bytes) -> None:
+        try:
+            self._apply(offset, record)
+        except UndecodableRecordError as error:
+            self._skipped += 1
+            _log.error(
+                "record_skipped",
+                topic=self._stream,
+                offset=offset,
+                reason=str(error),
+            )
+
 
 class RegistryFollower:
     """
@@ -264,6 +290,7 @@
         self._offsets: dict[str, int] = {}
         self._next: int | None = None
         self._known = False
+        self._skipped = 0
         self._reach = _Reachable(name, reachable)
 
     @property
@@ -273,6 +300,13 @@
         """
         return self._known
 
+    @property
+    def skipped(self) -> int:
+        """
+        Changes that could not be used, a count.
+        """
+        return self._skipped
+
     async def run(self) -> None:
         """
         Follow until cancelled.
@@ -306,6 +340,7 @@
             # Pages of the newest values are no snapshot: they may run ahead.
             if entry.offset > self._offsets.get(entry.key, -1):
                 self._offsets[entry.key] = entry.offset
+                self._skipped += isinstance(entry.value, Unusable)
                 self._apply(entry)
         if page.whole:
             self._known = True
--- a/packages/saddledoord/src/saddledoord/cluster/leases.py
+++ b/packages/saddledoord/src/saddledoord/cluster/leases.py
@@ -9,8 +9,6 @@
 import secrets
 from collections.abc import Iterable, Sequence
 
-import structlog
-
 from saddledoor import (
     Lease,
     LeaseClaim,
@@ -21,7 +19,6 @@
     decode_record,
     encode_record,
 )
-from saddledoor.exceptions import UndecodableRecordError
 
 from .._clock import boot_time
 from ..ports import Appended, NotAppended, SharedLog, UnknownAppend
@@ -31,8 +28,6 @@
 
 __all__ = ["LeaseLog"]
 
-_log = structlog.get_logger()
-
 #: The stream that holds the leases' records.
 CONTROL_STREAM = "control"
 #: Between a machine's name and what tells its processes apart.
@@ -81,6 +76,13 @@
         """
         return self._follower.reached
 
+    @property
+    def skipped(self) -> int:
+        """
+        Records of leases that could not be read, a count.
+        """
+        return self._follower.skipped
+
     @property
     def regained_at(self) -> float:
         """
@@ -184,12 +186,7 @@
         return await self._log.append(CONTROL_STREAM, data, _PATIENCE)
 
     def _apply(self, offset: int, data: bytes) -> None:
-        try:
-            record = decode_record(data)
-            self._fold = self._fold.apply(offset, record)
-        except UndecodableRecordError as error:
-            _log.error("record_skipped", offset=offset, reason=str(error))
-            return
+        self._fold = self._fold.apply(offset, decode_record(data))
         # The wait for a takeover begins when the newest renewal has been read.
         for name, watch in self._watches.items():
             watch.observe(self.get(name), boot_time())
--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -197,6 +197,18 @@
         """
         return self._stopping
 
+    def skipped_records(self) -> dict[str, int]:
+        """
+        Return how many records of the store could not be used, by what they hold.
+        """
+        return {
+            "operator": self._operator.skipped,
+            "engines": self._entries.skipped,
+            "leases": self._leases.skipped,
+            "jobs": self.jobs.skipped,
+            "texts": self.jobs.unreadable_texts,
+        }
+
     def set_bounds(self, cancel_time: float, read_for: float, retention: float) -> None:
         """
         Change bounds while the node runs; see `GatewaySettings`.
--- a/packages/saddledoord/src/saddledoord/jobs/service.py
+++ b/packages/saddledoord/src/saddledoord/jobs/service.py
@@ -156,6 +156,7 @@
         self._changes = changes
         self._changed = lambda: None
         self._forgot_at = boot_time()
+        self._unreadable: set[tuple[str, str]] = set()
         self._follower = LogFollower(log, JOBS_STREAM, self._apply, gather=self._gather)
 
     @property
@@ -172,6 +173,20 @@
         """
         return self._follower.reached
 
+    @property
+    def skipped(self) -> int:
+        """
+        Records of jobs that could not be read, a count.
+        """
+        return self._follower.skipped
+
+    @property
+    def unreadable_texts(self) -> int:
+        """
+        Results asked for whose text cannot be read, a count.
+        """
+        return len(self._unreadable)
+
     def age_of_view(self) -> float:
         """
         Return how long ago this node knew the log's end, in seconds.
@@ -271,11 +286,31 @@
             )
         # Results whose texts did not come in time are left to the next reading.
         read = tuple(
-            ReadResult(result, text.decode())
+            self._read_result(job_id, result, text)
             for result, text in zip(results, texts, strict=False)
         )
         return JobReading(state.job.size, position + len(read), read)
 
+    def _read_result(self, job_id: str, result: ItemResult, text: bytes) -> ReadResult:
+        """
+        Return a result; one whose text cannot be read is one that was given up.
+
+        At every node, since all read the same bytes, and the results behind it are
+        still read.
+        """
+        try:
+            return ReadResult(result, text.decode())
+        except UnicodeDecodeError as error:
+            if (job_id, result.item_id) not in self._unreadable:
+                self._unreadable.add((job_id, result.item_id))
+                _log.error(
+                    "text_unreadable",
+                    job=job_id,
+                    item=result.item_id,
+                    reason=str(error.reason),
+                )
+            return ReadResult(ItemResult(result.item_id, done=False), "")
+
     async def body(self, job_id: str, item_id: str) -> bytes | NoSuchJob | Unsure:
         """
         Return the body of an item.
@@ -377,11 +412,7 @@
         return 0.0 if self._runs_jobs() or self._changes.awaited else _GATHER
 
     def _apply(self, offset: int, data: bytes) -> None:
-        try:
-            job_id = self._book.apply(decode_job_record(data), boot_time())
-        except (UndecodableRecordError, ValueError) as error:
-            _log.error("record_skipped", offset=offset, reason=str(error))
-            return
+        job_id = self._book.apply(decode_job_record(data), boot_time())
         if boot_time() - self._forgot_at > _FORGET_EVERY:
             self._forgot_at = boot_time()
             self._book.forget(self._forgot_at, self._ended_for, self._open_for)
--- a/packages/saddledoord/src/saddledoord/observability/gateway_metrics.py
+++ b/packages/saddledoord/src/saddledoord/observability/gateway_metrics.py
@@ -21,12 +21,16 @@
 
 class GatewayMetrics:
     """
-    Requests by route and result code, how long they took, and the settings in force.
+    Requests by route and result code, how long they took, the settings in force, and
+    records of the store that could not be used.
 
     :param settings: Returns the version of the settings in force.
+    :param skipped: Returns counts of such records, by what they hold.
     """
 
-    def __init__(self, settings: Callable[[], str]) -> None:
+    def __init__(
+        self, settings: Callable[[], str], skipped: Callable[[], dict[str, int]]
+    ) -> None:
         meter = MeterProvider(metric_readers=[PrometheusMetricReader()]).get_meter(
             "saddledoord"
         )
@@ -39,6 +43,11 @@
             [lambda _: [Observation(1, {"version": settings()})]],
             description="The settings in force, as the label",
         )
+        meter.create_observable_counter(
+            "saddledoor_records_skipped",
+            [lambda _: [Observation(n, {"of": of}) for of, n in skipped().items()]],
+            description="Records of the store that could not be used",
+        )
         self._seconds = meter.create_histogram(
             "saddledoor_gateway_seconds",
             unit="s",
--- a/tests/adapter/platform_bed.py
+++ b/tests/adapter/platform_bed.py
@@ -262,12 +262,17 @@
         """
         Return the version that an edge's metrics tell.
         """
-        url = f"http://127.0.0.1:{self.metrics_ports[name]}/metrics"
-        with urllib.request.urlopen(url, timeout=5.0) as response:
-            text = response.read().decode()
-        (version,) = re.findall(r'saddledoor_settings\{.*version="(\w+)".*\} 1', text)
+        pattern = r'saddledoor_settings\{.*version="(\w+)".*\} 1'
+        (version,) = re.findall(pattern, self._metrics(name))
         return version
 
+    def skipped_records(self, name: str) -> dict[str, int]:
+        """
+        Return the records that an edge could not use, by what they hold.
+        """
+        pattern = r'saddledoor_records_skipped_total\{.*?of="(\w+)".*\} (\d+)'
+        return {of: int(n) for of, n in re.findall(pattern, self._metrics(name))}
+
     def signal(self, name: str, number: signal.Signals) -> None:
         os.kill(self.processes[name].handle.pid, number)
 
@@ -341,6 +346,11 @@
             )
         self.processes[name] = _Process(handle, out)
 
+    def _metrics(self, name: str) -> str:
+        url = f"http://127.0.0.1:{self.metrics_ports[name]}/metrics"
+        with urllib.request.urlopen(url, timeout=5.0) as response:
+            return response.read().decode()
+
     def _answers(self, port: int) -> bool:
         with contextlib.suppress(OSError):
             return self._fake(port, {}) is not None
--- a/tests/adapter/test_edge_requests.py
+++ b/tests/adapter/test_edge_requests.py
@@ -250,6 +250,18 @@
     assert platform_bed.ask("POST", "/look/x", b"b", "r-1").status == 200
 
 
+def test_records_that_cannot_be_used_are_counted(platform_bed):
+    """
+    By what they hold, so that faults of ours stand out.
+    """
+    none = dict.fromkeys(("operator", "engines", "leases", "jobs", "texts"), 0)
+    assert platform_bed.skipped_records("edge-0") == none
+    platform_bed.put("keyed.op", "config", "nonsense")
+    platform_bed.put("keyed.servers", "odd", "nonsense")
+    wanted = {**none, "operator": 1, "engines": 1}
+    until(lambda: platform_bed.skipped_records("edge-0") == wanted)
+
+
 def test_an_engine_whose_entry_was_overwritten_gets_nothing_more(platform_bed):
     """
     The others of its service answer.
--- a/tests/guard_rows/nodes.py
+++ b/tests/guard_rows/nodes.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from .guard import DAEMON, FOLLOW, REQUESTS, SHARES, WATCH, WEIGHTS, Guard
+from .guard import DAEMON, FOLLOW, LIBRARY, REQUESTS, SHARES, WATCH, WEIGHTS, Guard
 
 
 __all__ = ["GUARDS"]
@@ -117,4 +117,18 @@
         "",
         (SHARES, "keeps_it"),
     ),
+    Guard(
+        "a record that cannot be read hides nothing behind it",
+        f"{DAEMON}/cluster/follow.py",
+        "except UndecodableRecordError as error:",
+        "except ZeroDivisionError as error:",
+        ("tests/test_unreadable_records.py", "hides_nothing"),
+    ),
+    Guard(
+        "a record of a job is checked field by field",
+        f"{LIBRARY}/_job_records.py",
+        "if not isinstance(value, int) or isinstance(value, bool) or value < 0:",
+        "if False:",
+        ("tests/test_unreadable_records.py", "hides_nothing"),
+    ),
 )
