Report the runs of items that were cut, by reason, from logs

Nothing counted why a run was cut, nor what that cost; `report steps` has only a list of attempts that ended early.

`saddledoorctl report runs LOG` counts cuts by reason, the events made before, the time until the next event and what a move gained, as far as the lines tell: times are in the line of the item that its group waited for last, and runs of jobs that have ended leave no line. A move whose next engine refuses is told apart. The reader of log lines moves out of the steps report, unchanged, into a module that both use.

--- a/packages/saddledoorctl/src/saddledoorctl/_report.py
+++ b/packages/saddledoorctl/src/saddledoorctl/_report.py
@@ -29,6 +29,7 @@
 
 from ._html import render_html
 from ._platform import ConfigStream, LogStream, PlatformAwayError
+from ._runs import runs
 from ._steps import steps
 
 
@@ -59,6 +60,7 @@
     """
 
 
+report.add_command(runs)
 report.add_command(steps)
 
 
--- a/packages/saddledoorctl/src/saddledoorctl/_steps.py
+++ b/packages/saddledoorctl/src/saddledoorctl/_steps.py
@@ -9,36 +9,22 @@
 import json
 import re
 from collections import Counter
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass, field
-from datetime import datetime
 from pathlib import Path
 from statistics import mean
 
 import click
 
+from ._log_lines import LogLine, read_lines
+
 
 __all__ = ["StepRow", "read_steps", "steps"]
 
-#: A time in seconds before a line's JSON, as collectors write it; it goes before the
-#: line's own time of day, which may be wrong on one VM.
-_COLLECTED = re.compile(r"\s*(-?\d+(?:\.\d+)?)\s")
 #: Phases of an item in the order in which it goes through them.
 _PHASES = ("place", "first_event", "events", "pause", "score", "log")
 
 
-@dataclass(frozen=True)
-class _Line:
-    """
-    A log line.
-
-    :param at: In seconds, of one clock for all lines that a collector has timed.
-    """
-
-    at: float
-    fields: dict
-
-
 @dataclass
 class _Step:
     """
@@ -47,8 +33,8 @@
     :param groups: By group, the line of the item that made it whole.
     """
 
-    line: _Line
-    groups: dict[str, _Line] = field(default_factory=dict)
+    line: LogLine
+    groups: dict[str, LogLine] = field(default_factory=dict)
     ended_at: float | None = None
 
 
@@ -90,7 +76,7 @@
     """
     Show the steps in log FILES: how long each took, and what its last item waited for.
     """
-    lines = [line for file in files for line in _read(file)]
+    lines = [line for file in files for line in read_lines(file)]
     lines.sort(key=lambda line: line.at)
     rows = read_steps((line.at, line.fields) for line in lines)
     if not rows:
@@ -114,14 +100,14 @@
     for at, fields in lines:
         event, job = fields["event"], fields.get("job")
         if event == "job_submitted" and fields["outcome"] == "done":
-            found.setdefault(job, _Step(_Line(at, fields)))
+            found.setdefault(job, _Step(LogLine(at, fields)))
         elif job in found:
-            _take(found[job], _Line(at, fields))
+            _take(found[job], LogLine(at, fields))
     rows = [_row(step) for step in found.values()]
     return sorted(rows, key=lambda row: (row.model, row.step))
 
 
-def _take(step: _Step, line: _Line) -> None:
+def _take(step: _Step, line: LogLine) -> None:
     if line.fields["event"] == "group_listed":
         # A node that was cut off may list it again, in vain.
         step.groups.setdefault(line.fields["group"], line)
@@ -157,34 +143,13 @@
     )
 
 
-def _whole_groups(step: _Step) -> list[_Line]:
+def _whole_groups(step: _Step) -> list[LogLine]:
     """
     Return the line of each whole group, in the order in which they became whole.
     """
     return sorted(step.groups.values(), key=lambda line: line.at)
 
 
-def _read(file: Path) -> Iterator[_Line]:
-    with file.open(errors="replace") as text:
-        for line in text:
-            head, brace, rest = line.partition("{")
-            if not brace:
-                continue
-            try:
-                fields = json.loads(brace + rest)
-                yield _Line(_time_of(head, fields), fields)
-            except (ValueError, KeyError, TypeError):
-                # A line of another program, or one that was cut.
-                continue
-
-
-def _time_of(head: str, fields: dict) -> float:
-    collected = _COLLECTED.match(head)
-    if collected:
-        return float(collected[1])
-    return datetime.fromisoformat(fields["timestamp"]).timestamp()
-
-
 def _table(rows: list[StepRow]) -> str:
     head = (
         f"{'MODEL':<14} {'STEP':>4} {'AT':>9} {'TOOK':>6} {'WHOLE':>7} {'EVENTS':>6} "
@@ -219,7 +184,7 @@
     return "\n".join(lines)
 
 
-def _endings(lines: list[_Line]) -> str:
+def _endings(lines: list[LogLine]) -> str:
     """
     Return how the attempts that did not bring an item home ended, as counts.
     """
