--- a/packages/saddledoorctl/src/saddledoorctl/_runs.py
+++ b/packages/saddledoorctl/src/saddledoorctl/_runs.py
@@ -82,7 +82,7 @@
     """
     submitted: dict[str, float] = {}
     cuts: dict[str, list[LogLine]] = defaultdict(list)
-    listed: dict[str, LogLine] = {}
+    groups: dict[tuple[str, str], LogLine] = {}
     taken_up: Counter[str] = Counter()
     for line in lines:
         match line.fields["event"]:
@@ -93,7 +93,9 @@
             case "job_taken_up":
                 taken_up[line.fields["job"]] += 1
             case "group_listed":
-                listed.setdefault(line.fields["item"], line)
+                # A node that was cut off lists it once more, in vain.
+                groups.setdefault((line.fields["job"], line.fields["group"]), line)
+    listed = {line.fields["item"]: line for line in groups.values()}
     found: list[Cut] = []
     for item, own in cuts.items():
         late, last = None, listed.get(item)
--- a/tests/test_cut_runs.py
+++ b/tests/test_cut_runs.py
@@ -109,6 +109,22 @@
     assert moved.gained == pytest.approx(10 * 0.2 - 6.0)
 
 
+def test_a_group_that_is_listed_in_vain_is_not_counted():
+    """
+    By a node that was cut off while another one ran its share.
+    """
+    lines = [
+        *_begun(),
+        _cut(11.0, 5, "slow", "e2 is faster"),
+        _cut(11.0, 5, "slow", "e2 is faster", item="i2"),
+        _listed(14.0, 21, 2, events=3.0),
+    ]
+    in_vain = _listed(19.0, 21, 2, events=8.0)
+    in_vain.fields["item"] = "i2"
+    told = {cut.item: cut.late for cut in read_cuts([*lines, in_vain], OBJECTIVE)}
+    assert told == {"i1": False, "i2": None}
+
+
 def test_what_goes_from_node_to_node_is_counted_with_its_events():
     """
     An item without a line was at a node that was lost; no gain is told of either, since
