Stand-in engines write down runs, events and orders

What an engine saw is lost when a test kills it. A soak that kills engines has to know it all the same: whether a request ran twice, which weights made an event, in which order fencing numbers came. Asking the engine before its end was ruled out: a crash comes without notice.

Each stand-in engine appends a line for each to a file of its own, which outlives it. Tests that don't read it are unchanged.

--- a/tests/adapter/platform_bed.py
+++ b/tests/adapter/platform_bed.py
@@ -159,9 +159,18 @@
         port = port or free_port()
         self.engine_ports[engine_id] = port
         store = f"127.0.0.1:{self.store_port}"
-        self._run(engine_id, "engine", str(port), engine_id, service, store, model)
+        journal = str(self.journal(engine_id))
+        self._run(
+            engine_id, "engine", str(port), engine_id, service, store, model, journal
+        )
         until(lambda: self._answers(port))
 
+    def journal(self, engine_id: str) -> Path:
+        """
+        Return the file that tells what an engine did in all its lives.
+        """
+        return self.folder / f"{engine_id}.journal"
+
     def put_entry(
         self,
         engine_id: str,
--- a/tests/adapter/standin_engine.py
+++ b/tests/adapter/standin_engine.py
@@ -10,6 +10,7 @@
 import json
 import time
 from dataclasses import asdict, dataclass, field
+from pathlib import Path
 
 import aiohttp
 from aiohttp import web
@@ -66,6 +67,7 @@
     address: str
     service: str
     store: str
+    journal: Path | None = None
     slots: int = 4
     events: int = 5
     pace: float = 0.01
@@ -96,6 +98,7 @@
             headers = {"Saddledoor-Not-Executed": "1"}
             return web.Response(status=503, headers=headers)
         self.runs.append(run)
+        self._note("run", id=name, target=run.target, body=run.body)
         try:
             if self.faults.fail:
                 headers = {"Saddledoor-Attempt-Id": name}
@@ -140,6 +143,7 @@
                 said = self.version
                 head = f"saddledoor-weight-versions: {said}\n"
             event = f"{head}id: {number}\ndata: {name}-{number}\n\n".encode()
+            self._note("event", id=name, number=number, version=said)
             if self.faults.cut_after and number == self.faults.cut_after + 1:
                 await response.write(event[: len(event) // 2])
                 request.transport.close()
@@ -167,6 +171,7 @@
     async def order(self, request: web.Request) -> web.StreamResponse:
         order = await request.json()
         self.orders.append(order)
+        self._note("order", holder=order["holder"], fence=order["fence_token"])
         if self.faults.late_orders > 0:
             self.faults.late_orders -= 1
             self._spawn(self._take_late(order))
@@ -222,6 +227,16 @@
         ):
             response.raise_for_status()
 
+    def _note(self, what: str, **fields: object) -> None:
+        """
+        Write a line to the journal, which outlives this process.
+        """
+        if self.journal is None:
+            return
+        line = {"what": what, "engine": self.engine_id, "born": self.born, **fields}
+        with self.journal.open("a") as stream:
+            stream.write(json.dumps({**line, "at": time.monotonic()}) + "\n")
+
     def _spawn(self, work) -> None:
         task = asyncio.create_task(work)
         self.tasks.add(task)
@@ -263,12 +278,20 @@
 
 
 def engine_app(
-    address: str, engine_id: str, service: str, store: str, model: str = ""
+    address: str,
+    engine_id: str,
+    service: str,
+    store: str,
+    model: str = "",
+    journal: str = "",
 ) -> web.Application:
     """
     Return an engine; without a model it is a plain service.
+
+    :param journal: File that is told of runs, events and orders; empty for none.
     """
-    engine = _Engine(engine_id, model, address, service, store)
+    path = Path(journal) if journal else None
+    engine = _Engine(engine_id, model, address, service, store, path)
 
     async def started(_: web.Application) -> None:
         await engine.write_entry()
