A soak: real edges under faults drawn from a seed

The proofs and the tests of the edge program bring one fault at a time.

Three edges, four engines and a store run as processes; signals, crashes, failing engines, a failing store, configurations and named versions come in series that overlap, all drawn from one seed. Ruled out: faults in the product's own processes, which would have needed hooks there, and a plan that waits for one fault to end before the next.

Nothing of the product is changed. Not watched: connections that are delayed or cut one way by a proxy.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 WORKERS ?= 4
 PACKAGES := saddledoor saddledoord saddledoorctl saddledoor-standins
 
-.PHONY: demo test lint format prove bench traces wire
+.PHONY: demo test lint format prove soak bench traces wire
 
 $(VENV)/.made: requirements.txt $(PACKAGES:%=packages/%/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -28,6 +28,12 @@
 	@$(BIN)/python tests/prove.py -n $(WORKERS)
 	@$(BIN)/python tests/guards.py
 
+SEEDS ?= 1,2,3
+SECONDS ?= 14
+soak: $(VENV)/.made
+	@PYTHONPATH=tests:tests/adapter $(BIN)/python -m soak \
+	  --seeds="$(SEEDS)" --seconds="$(SECONDS)"
+
 bench: $(VENV)/.made
 	@$(BIN)/pip install --quiet --disable-pip-version-check -r requirements-plots.txt
 	@$(BIN)/python -m saddledoor_standins bench all
--- /dev/null
+++ b/tests/adapter/test_soak_run.py
@@ -0,0 +1,21 @@
+# SPDX-License-Identifier: MIT
+
+"""
+A short run of the soak; ``make soak`` runs more and longer ones.
+"""
+
+from __future__ import annotations
+
+from soak.plan import SoakSettings
+from soak.run import run_seed
+
+
+def test_a_short_soak_keeps_every_promise(tmp_path):
+    """
+    Some faults on each side, callers served and samples read, and nothing broken.
+    """
+    verdict = run_seed(1, SoakSettings(seconds=6.0), tmp_path / "soak")
+    assert verdict.findings == ()
+    assert sum(verdict.faults.values()) >= 10
+    assert verdict.served > 100
+    assert verdict.samples > 0
--- /dev/null
+++ b/tests/soak/load.py
@@ -0,0 +1,222 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Callers and trainers that go on while edges come and go.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import http.client
+import json
+import random
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from platform_bed import PlatformBed
+from platform_documents import HOST, MODEL, make_job
+
+from .observed import Asked, Ended, Observed, Read, Submitted
+from .plan import EDGES
+
+
+__all__ = ["Load", "ask_once"]
+
+#: Longer than a route's time limit of 2 s, in seconds.
+_PATIENCE = 2.6
+#: How long a trainer waits for the results of a job, in seconds, at least and at most.
+_SHORTEST_WAIT, _LONGEST_WAIT = 0.8, 5.0
+#: Times that a job is submitted, a count.
+_SUBMITS = 4
+_ITEMS = 6
+
+
+@dataclass
+class Load:
+    """
+    What callers and trainers share.
+
+    :ivar lives: Starts of each edge, a count.
+    :ivar version: The newest named version of the weights.
+    :ivar routes: The newest configuration's version; ``/r1/`` up to it are routes.
+    :ivar open_jobs: Accepted and not ended yet, with their items.
+    :ivar closing: Set when trainers submit no more jobs; callers go on until ``over``.
+    """
+
+    bed: PlatformBed
+    seen: Observed
+    lives: dict[str, int] = field(default_factory=lambda: dict.fromkeys(EDGES, 1))
+    version: int = 1
+    routes: int = 1
+    open_jobs: dict[str, int] = field(default_factory=dict)
+    closing: threading.Event = field(default_factory=threading.Event)
+    over: threading.Event = field(default_factory=threading.Event)
+
+    def call(self, name: str, draw: random.Random) -> None:
+        """
+        Send requests over connections that are kept until the edge is gone.
+        """
+        connection, edge = None, ""
+        for number in range(100_000):
+            if self.over.wait(draw.uniform(0.01, 0.06)):
+                return
+            if connection is None or draw.random() < 0.03:
+                edge = draw.choice(EDGES)
+                connection = self._connect(edge)
+            target = draw.choice(
+                ("/look/x", "/book/x", f"/r{draw.randint(1, self.routes)}/")
+            )
+            asked = self._send(connection, edge, f"{name}-{number}", target)
+            self.seen.asked.append(asked)
+            if not asked.status:
+                connection.close()
+                connection = None
+
+    def _connect(self, edge: str) -> http.client.HTTPConnection:
+        port = self.bed.front_ports[edge]
+        return http.client.HTTPConnection("127.0.0.1", port, timeout=_PATIENCE)
+
+    def _send(
+        self, connection: http.client.HTTPConnection, edge: str, name: str, target: str
+    ) -> Asked:
+        life, began = self.lives[edge], time.monotonic()
+        headers = {"Host": HOST, "Saddledoor-Attempt-Id": name}
+        try:
+            connection.request("POST", target, b"x", headers)
+            response = connection.getresponse()
+            body = response.read().decode("latin-1")
+        except (OSError, http.client.HTTPException):
+            return Asked(name, target, edge, life, began, time.monotonic(), 0)
+        mark = response.headers.get("Saddledoor-Server-Seal", "")
+        now, status = time.monotonic(), response.status
+        # An answer that a process gave shortly before its end counts as that one's.
+        return Asked(name, target, edge, life, began, now, status, mark, body)
+
+    def train(self, name: str, draw: random.Random) -> None:
+        """
+        Submit jobs, read them at any edge, and end them; some are left open.
+        """
+        for number in range(100_000):
+            if self.closing.is_set():
+                return
+            job = f"{name}-{number}"
+            if not self._submit(job, draw):
+                self.over.wait(0.2)
+                continue
+            self._follow(job, draw)
+            if draw.random() < 0.8:
+                self.end(job, draw)
+            for earlier in range(max(0, number - 3), number):
+                self.read(f"{name}-{earlier}", draw.randint(0, 2), draw)
+
+    def _submit(self, job: str, draw: random.Random) -> bool:
+        oldest = max(1, self.version - 1)
+        body = json.dumps(_job(job, oldest)).encode()
+        statuses = []
+        while len(statuses) < _SUBMITS and 202 not in statuses:
+            edge = draw.choice(EDGES)
+            status, _ = self._job_call("POST", "/train/x", edge, job, body)
+            statuses.append(status)
+            time.sleep(0.1)
+        submitted = Submitted(job, _ITEMS, oldest, tuple(statuses), time.monotonic())
+        if submitted.accepted:
+            self.open_jobs[job] = _ITEMS
+        self.seen.submitted.append(submitted)
+        return submitted.accepted
+
+    def _follow(self, job: str, draw: random.Random) -> None:
+        until = time.monotonic() + draw.uniform(_SHORTEST_WAIT, _LONGEST_WAIT)
+        have = 0
+        while time.monotonic() < until and have < _ITEMS:
+            read = self.read(job, draw.choice((0, have)), draw)
+            have = max(have, read.since + len(read.results))
+            time.sleep(0.1)
+
+    def read(self, job: str, since: int, draw: random.Random, edge: str = "") -> Read:
+        """
+        Read a job at an edge, which is drawn unless it is named.
+        """
+        edge = edge or draw.choice(EDGES)
+        began = time.monotonic()
+        target = f"/v1/lots/{job}?since_rev={since}"
+        status, body = self._job_call("GET", target, edge)
+        now = time.monotonic()
+        if status != 200:
+            read = Read(job, edge, began, now, status)
+        else:
+            table = json.loads(body)
+            results = tuple(table["results"])
+            read = Read(job, edge, began, now, 200, since, table["total"], results)
+        self.seen.read.append(read)
+        return read
+
+    def end(self, job: str, draw: random.Random) -> None:
+        """
+        End a job, at edges drawn anew until one acknowledges it.
+        """
+        self.open_jobs.pop(job, None)
+        began = time.monotonic()
+        while not self.over.is_set():
+            status, _ = self._job_call("DELETE", f"/v1/lots/{job}", draw.choice(EDGES))
+            if status == 200:
+                self.seen.ended.append(Ended(job, began, time.monotonic()))
+                return
+            time.sleep(0.1)
+
+    def _job_call(
+        self, method: str, target: str, edge: str, job: str = "", body: bytes = b""
+    ) -> tuple[int, bytes]:
+        return ask_once(
+            self._connect(edge), method, target, body, {"Saddledoor-Attempt-Id": job}
+        )
+
+    def start(self, seed: int, callers: int, trainers: int) -> list[threading.Thread]:
+        """
+        Start all; they end once ``over`` is set.
+        """
+        works: list[tuple[Callable, str]] = [
+            *((self.call, f"q{index}") for index in range(callers)),
+            *((self.train, f"job{index}") for index in range(trainers)),
+        ]
+        threads = [
+            threading.Thread(
+                target=work, args=(name, random.Random(f"{seed} {name}")), name=name
+            )
+            for work, name in works
+        ]
+        for thread in threads:
+            thread.start()
+        return threads
+
+
+def ask_once(
+    connection: http.client.HTTPConnection,
+    method: str,
+    target: str,
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+) -> tuple[int, bytes]:
+    """
+    Send one request and close; the status is 0 without a whole answer.
+    """
+    fields = {"Host": HOST, **(headers or {})}
+    with contextlib.closing(connection):
+        try:
+            connection.request(method, target, body or None, fields)
+            response = connection.getresponse()
+            return response.status, response.read()
+        except (OSError, http.client.HTTPException):
+            return 0, b""
+
+
+def _job(job: str, oldest: int) -> dict:
+    """
+    Return a job whose items and scoring calls have names of their own.
+    """
+    table = make_job(_ITEMS, min_version=oldest, model=MODEL)
+    for index, item in enumerate(table["requests"]):
+        item["id"] = f"{job}.i{index}"
+        item["scorer"]["id"] = f"{job}.s{index}"
+    return table
--- /dev/null
+++ b/tests/soak/plan.py
@@ -0,0 +1,187 @@
+# SPDX-License-Identifier: MIT
+
+"""
+The faults of a run, drawn from one seed.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+__all__ = [
+    "DESKS",
+    "EDGES",
+    "OPERATOR",
+    "POOL",
+    "STORE",
+    "Fault",
+    "Kind",
+    "SoakPlan",
+    "SoakSettings",
+    "UnusableSoakError",
+]
+
+#: The processes: with the store eight, and the soak itself.
+EDGES = ("edge-0", "edge-1", "edge-2")
+POOL = ("engine-0", "engine-1")
+DESKS = ("desk-0", "desk-1")
+STORE = "store"
+OPERATOR = "operator"
+#: Time that faults are injected for, in seconds, by default and at most.
+_SECONDS, _MOST_SECONDS = 14.0, 120.0
+#: Time without faults at the start, in seconds, so that each run has served before.
+_QUIET = 0.5
+
+
+class Kind(StrEnum):
+    """
+    What goes wrong, or is changed.
+    """
+
+    FREEZE = "freeze"
+    KILL = "kill"
+    STOP = "stop"
+    FREEZE_KILL = "freeze_kill"
+    FREEZE_STOP = "freeze_stop"
+    CRASH = "crash"
+    HANG = "hang"
+    CUT = "cut"
+    LATE_ORDER = "late_order"
+    WRONG_ID = "wrong_id"
+    UNSIGNED = "unsigned"
+    REFUSE = "refuse"
+    SLOW = "slow"
+    BUSY = "busy"
+    SILENT = "silent"
+    RESET = "reset"
+    LOSE_DONE = "lose_done"
+    LOSE_UNDONE = "lose_undone"
+    LOSE_LATE = "lose_late"
+    CONFIGURE = "configure"
+    NAME_VERSION = "name_version"
+
+
+#: What may happen to each kind of process. A frozen edge outlasts the lease's term of
+#: 1 s, or not; the loss of a store's answers is counted in appends, not in seconds.
+_EDGE_KINDS = (
+    *(Kind.FREEZE,) * 3,
+    *(Kind.KILL, Kind.STOP) * 2,
+    Kind.FREEZE_KILL,
+    Kind.FREEZE_STOP,
+)
+_POOL_KINDS = (
+    *(Kind.CRASH,) * 3,
+    *(Kind.HANG, Kind.CUT, Kind.LATE_ORDER) * 2,
+    Kind.REFUSE,
+)
+_DESK_KINDS = (
+    *(Kind.CRASH,) * 2,
+    *(Kind.WRONG_ID, Kind.UNSIGNED, Kind.REFUSE, Kind.SLOW),
+)
+_STORE_KINDS = (
+    *(Kind.BUSY, Kind.SILENT, Kind.RESET),
+    *(Kind.LOSE_DONE, Kind.LOSE_UNDONE, Kind.LOSE_LATE),
+)
+_OPERATOR_KINDS = (Kind.CONFIGURE, *(Kind.NAME_VERSION,) * 2)
+
+
+class UnusableSoakError(ValueError):
+    """
+    A seed or a setting cannot be used; the message names the field.
+    """
+
+
+@dataclass(frozen=True)
+class SoakSettings:
+    """
+    What a run may be told.
+
+    :param seconds: How long faults are injected.
+    """
+
+    seconds: float = _SECONDS
+
+    @classmethod
+    def from_text(cls, seconds: str) -> SoakSettings:
+        """
+        Check the settings.
+
+        :raises UnusableSoakError: If one cannot be used.
+        """
+        try:
+            number = float(seconds)
+        except ValueError:
+            number = 0.0
+        if not 1.0 <= number <= _MOST_SECONDS:
+            wanted = f"a number from 1 to {_MOST_SECONDS:g} is needed"
+            raise UnusableSoakError(f"seconds: {wanted}, not {seconds!r}")
+        return cls(number)
+
+
+@dataclass(frozen=True)
+class Fault:
+    """
+    One fault.
+
+    :param at: Its start, in seconds after that of the run.
+    :param lasts: In seconds; of a process that ends, until it is started again.
+    """
+
+    at: float
+    target: str
+    kind: Kind
+    lasts: float
+
+
+@dataclass(frozen=True)
+class SoakPlan:
+    """
+    One series of faults for each process; the series overlap.
+    """
+
+    seed: int
+    faults: tuple[Fault, ...]
+
+    @classmethod
+    def from_seed(cls, seed: int, settings: SoakSettings) -> SoakPlan:
+        """
+        Draw the faults.
+        """
+        draw = random.Random(seed)
+        series = [
+            *(_series(draw, name, _EDGE_KINDS, 2.5, settings) for name in EDGES),
+            *(_series(draw, name, _POOL_KINDS, 2.0, settings) for name in POOL),
+            *(_series(draw, name, _DESK_KINDS, 2.0, settings) for name in DESKS),
+            _series(draw, STORE, _STORE_KINDS, 2.5, settings),
+            _series(draw, OPERATOR, _OPERATOR_KINDS, 0.6, settings),
+        ]
+        faults = [fault for one in series for fault in one]
+        return cls(seed, tuple(sorted(faults, key=lambda fault: fault.at)))
+
+    def of(self, target: str) -> list[Fault]:
+        return [fault for fault in self.faults if fault.target == target]
+
+
+def _series(
+    draw: random.Random,
+    target: str,
+    kinds: Sequence[Kind],
+    pause: float,
+    settings: SoakSettings,
+) -> list[Fault]:
+    """
+    Draw faults of one process that follow one another.
+
+    :param pause: Mean time between two of them, in seconds.
+    """
+    faults = []
+    at = _QUIET + draw.uniform(0, pause)
+    while at < settings.seconds:
+        fault = Fault(at, target, draw.choice(kinds), draw.uniform(0.2, 2.4))
+        faults.append(fault)
+        at += fault.lasts + draw.uniform(0.3, 1.7) * pause
+    return faults
--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,195 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Runs one seed: starts the processes, injects, checks all the while, and judges.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+from platform_bed import PlatformBed
+
+from .checks import Finding, judge
+from .faults import PACE, Injector, config_with_routes
+from .load import Load
+from .observed import EngineLine, Observed
+from .plan import DESKS, EDGES, POOL, SoakPlan, SoakSettings
+
+
+__all__ = ["SoakBrokenError", "Verdict", "run_seed"]
+
+_CALLERS, _TRAINERS = 4, 3
+#: How often the promises are checked, in seconds.
+_EVERY = 1.0
+#: How long everything may take to be served again after the last fault, in seconds;
+#: the platform's rules allow 12.
+_RECOVERY = 12.0
+
+
+class SoakBrokenError(Exception):
+    """
+    The soak itself failed, so that the run says nothing.
+    """
+
+
+@dataclass(frozen=True)
+class Verdict:
+    """
+    What came out of a seed.
+
+    :param faults: Injected, by kind.
+    :param requests: Of callers, a count.
+    :param samples: Results read whole, a count.
+    :param worst_recovery: Longest time from the end of a fault to the next look-up that
+        was answered, in seconds.
+    """
+
+    seed: int
+    faults: dict[str, int]
+    requests: int
+    served: int
+    jobs: int
+    samples: int
+    worst_recovery: float
+    seconds: float
+    findings: tuple[Finding, ...]
+
+
+def run_seed(
+    seed: int,
+    settings: SoakSettings,
+    folder: Path,
+    progress: Callable[[str], None] = lambda text: None,
+) -> Verdict:
+    """
+    Run a seed.
+
+    :param folder: Keeps the logs of all processes.
+    :param progress: Told a line now and then.
+    :raises SoakBrokenError: If the soak itself failed.
+    """
+    began = time.monotonic()
+    folder.mkdir(parents=True)
+    plan = SoakPlan.from_seed(seed, settings)
+    seen = Observed()
+    with PlatformBed.open(folder, edges=len(EDGES), engines=len(POOL)) as bed:
+        for engine in POOL:
+            bed.fake_engine(engine, pace=PACE)
+        load = Load(bed, seen)
+        bed.configure(config_with_routes(load.routes))
+        injector = Injector(bed, load, seen)
+        journals = _Journals(bed, seen)
+        callers = load.start(seed, _CALLERS, _TRAINERS)
+        series = injector.start(plan)
+        try:
+            while any(thread.is_alive() for thread in series):
+                time.sleep(_EVERY)
+                journals.follow()
+                broken = len(judge(seen))
+                progress(
+                    f"seed {seed}: {time.monotonic() - injector.began:.0f} s,"
+                    f" {injector.counts.total()} faults, {len(seen.asked)} requests,"
+                    f" {broken} broken"
+                )
+            load.closing.set()
+            _await_recovery(load, seen)
+        finally:
+            load.closing.set()
+            load.over.set()
+            for thread in (*series, *callers):
+                thread.join()
+        _read_everything(load, seen)
+        journals.follow()
+    if injector.broken:
+        raise SoakBrokenError(f"seed {seed}: {injector.broken[0]!r}")
+    findings = tuple(dict.fromkeys(judge(seen)))
+    served = [a for a in seen.asked if a.status == 200]
+    samples = {
+        (read.job, result["id"])
+        for read in seen.read
+        for result in read.results
+        if result["state"] == "completed"
+    }
+    return Verdict(
+        seed=seed,
+        faults=dict(sorted(injector.counts.items())),
+        requests=len(seen.asked),
+        served=len(served),
+        jobs=sum(submitted.accepted for submitted in seen.submitted),
+        samples=len(samples),
+        worst_recovery=_worst_recovery(injector.ends, seen),
+        seconds=round(time.monotonic() - began, 1),
+        findings=findings,
+    )
+
+
+class _Journals:
+    """
+    Reads what the engines wrote down since the last time.
+    """
+
+    def __init__(self, bed: PlatformBed, seen: Observed) -> None:
+        self._paths = {name: bed.journal(name) for name in (*POOL, *DESKS)}
+        self._read_to = dict.fromkeys(self._paths, 0)
+        self._seen = seen
+
+    def follow(self) -> None:
+        for name, path in self._paths.items():
+            if not path.exists():
+                continue
+            with path.open("rb") as stream:
+                stream.seek(self._read_to[name])
+                data = stream.read()
+            # An engine may be writing its last line.
+            whole = data[: data.rfind(b"\n") + 1]
+            self._read_to[name] += len(whole)
+            for line in whole.splitlines():
+                self._seen.engines.append(EngineLine(**json.loads(line)))
+
+
+def _await_recovery(load: Load, seen: Observed) -> None:
+    """
+    Wait until each edge serves the newest configuration and open jobs are whole.
+    """
+    deadline = time.monotonic() + _RECOVERY
+    left: set[str] = set()
+    while time.monotonic() < deadline:
+        left = _not_recovered(load)
+        if not left:
+            return
+        time.sleep(0.2)
+    seen.never.extend(f"{what} after {_RECOVERY:g} s" for what in sorted(left))
+
+
+def _not_recovered(load: Load) -> set[str]:
+    left = set()
+    for edge in EDGES:
+        answer = load.bed.ask("POST", f"/r{load.routes}/", b"x", "last", edge)
+        if answer.status != 200:
+            left.add(f"{edge} answers {answer.status} on the newest route")
+    draw = random.Random(0)
+    for job, items in list(load.open_jobs.items()):
+        read = load.read(job, 0, draw)
+        if len(read.results) < items:
+            left.add(f"{job}: {len(read.results)} of {items} results")
+    return left
+
+
+def _read_everything(load: Load, seen: Observed) -> None:
+    draw = random.Random(0)
+    for submitted in list(seen.submitted):
+        for edge in EDGES:
+            if submitted.accepted:
+                load.read(submitted.job, 0, draw, edge)
+
+
+def _worst_recovery(ends: list[float], seen: Observed) -> float:
+    served = sorted(a.at for a in seen.asked if a.status == 200)
+    waits = [min((at - end for at in served if at >= end), default=0.0) for end in ends]
+    return round(max(waits, default=0.0), 2)
