Soak: broken builds are caught, and the faults that this takes

Two holders were seldom both in a position to give orders, and answers about results were seldom the ones that got lost.

The edge that gave the last order is now frozen for longer than its lease, and versions are named while it is and afterwards. The store loses answers about jobs and results for as long as the fault lasts. Orders are also held against those at other engines, a term later. Ruled out: longer texts, which would have left fewer samples to check. tests/guards.py gives its scratch copy to the mutants as well.

--- a/tests/adapter/standin_store.py
+++ b/tests/adapter/standin_store.py
@@ -42,7 +42,7 @@
     :ivar late_by: Seconds after which the appends of ``lose_undone`` are done all the
         same; 0 for never.
     :ivar page: Records in one answer to a read, a count.
-    :ivar lose_in: The topic that ``lose_undone`` is about; empty for all.
+    :ivar lose_in: The topic that both are about; empty for all.
     :ivar busy_after: After so many appends to ``texts`` every call fails; 0 for never.
     :ivar slow_by: Time that each read takes, in seconds.
     :ivar slow_in: The topic that ``slow_by`` is about; empty for all.
@@ -104,7 +104,7 @@
         if expected is not None and int(expected) != self.topic(name).end:
             return web.json_response({"end": self.topic(name).end}, status=412)
         offset = await self.put(name, records)
-        if self.lose_done > 0:
+        if self.lose_done > 0 and self.lose_in in ("", name):
             self.lose_done -= 1
             return await _no_answer(request)
         return web.json_response({"offset": offset, "end": self.topic(name).end})
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -8,17 +8,19 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import shutil
 import subprocess
 import sys
 import tempfile
+from collections.abc import Iterable, Iterator
 from pathlib import Path
 
 from guard_rows import GUARDS, Guard
 
 
-__all__ = ["is_noticed"]
+__all__ = ["is_noticed", "scratch_copy"]
 
 _ROOT = Path(__file__).parent.parent
 _PACKAGES = ("saddledoor", "saddledoord", "saddledoorctl", "saddledoor-standins")
@@ -30,23 +32,13 @@
 
     :raises ValueError: If the guard's text does not stand once in its file.
     """
-    with tempfile.TemporaryDirectory() as folder:
-        copy = Path(folder)
-        for name in ("packages", "platform", "tests"):
-            ignore = shutil.ignore_patterns("__pycache__", "*.egg-info")
-            shutil.copytree(_ROOT / name, copy / name, ignore=ignore)
-        shutil.copy(_ROOT / "pyproject.toml", copy)
-        path = copy / guard.path
-        text = path.read_text()
-        if text.count(guard.before) != 1:
-            raise ValueError(f"{guard.name}: not once in {guard.path}")
-        path.write_text(text.replace(guard.before, guard.after))
-        sources = [str(copy / "packages" / name / "src") for name in _PACKAGES]
+    change = (guard.path, guard.before, guard.after)
+    with scratch_copy(guard.name, [change]) as (copy, environment):
         file, expression = guard.test
         done = subprocess.run(
             [sys.executable, "-m", "pytest", "-q", "-x", file, "-k", expression],
             cwd=copy,
-            env={**os.environ, "PYTHONPATH": os.pathsep.join(sources)},
+            env=environment,
             capture_output=True,
             check=False,
         )
@@ -56,6 +48,32 @@
         return done.returncode == 1
 
 
+@contextlib.contextmanager
+def scratch_copy(
+    name: str, changes: Iterable[tuple[str, str, str]]
+) -> Iterator[tuple[Path, dict[str, str]]]:
+    """
+    Copy the code and change it; with the environment that makes programs use the copy.
+
+    :param changes: Path, text before and text after of each.
+    :raises ValueError: If a text does not stand once in its file.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        copy = Path(folder)
+        for part in ("packages", "platform", "tests"):
+            ignore = shutil.ignore_patterns("__pycache__", "*.egg-info")
+            shutil.copytree(_ROOT / part, copy / part, ignore=ignore)
+        shutil.copy(_ROOT / "pyproject.toml", copy)
+        for file, before, after in changes:
+            path = copy / file
+            text = path.read_text()
+            if text.count(before) != 1:
+                raise ValueError(f"{name}: not once in {file}")
+            path.write_text(text.replace(before, after))
+        sources = [str(copy / "packages" / part / "src") for part in _PACKAGES]
+        yield copy, {**os.environ, "PYTHONPATH": os.pathsep.join(sources)}
+
+
 def main(words: list[str]) -> int:
     """
     Print a row per guard.
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -22,6 +22,7 @@
 #: Times of the settings that the edges run with, in seconds.
 _CANCEL_TIME = 3.0
 _GRACE = 8.0
+_LEASE_TERM = 1.0
 #: Allowances of the platform's rules, in seconds: for a job that has just been accepted
 #: and a position that has just been read; for a configuration; for orders of an edge
 #: that was continued just now.
@@ -214,6 +215,7 @@
 def _fences(seen: Observed) -> Iterator[str]:
     highest: dict[tuple[str, int], int] = {}
     holders: dict[int, str] = {}
+    successors: list[EngineLine] = []
     orders = [line for line in list(seen.engines) if line.what == "order"]
     for order in sorted(orders, key=lambda line: line.at):
         life = (order.engine, order.born)
@@ -223,6 +225,14 @@
         if order.fence < highest.get(life, -1) and not _just_thawed(seen, order):
             seen_before = f"{order.engine} had seen {highest[life]}"
             yield f"fence {order.fence} of {order.holder}, {seen_before}"
+        over = [
+            later
+            for later in successors
+            if later.fence > order.fence and later.at < order.at - _LEASE_TERM
+        ]
+        if over and not _just_thawed(seen, order):
+            yield f"{order.holder} orders long after {over[0].holder} has begun to"
+        successors.append(order)
         highest[life] = max(highest.get(life, -1), order.fence)
 
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -18,7 +18,7 @@
 
 from .load import Load
 from .observed import Configured, Observed, Stopped
-from .plan import DESKS, EDGES, OPERATOR, POOL, STORE, Fault, Kind, SoakPlan
+from .plan import DESKS, EDGES, HOLDER, OPERATOR, POOL, STORE, Fault, Kind, SoakPlan
 
 
 __all__ = ["Injector"]
@@ -28,6 +28,10 @@
 #: How soon an edge has to be ready after its start, in seconds: the platform's rules
 #: allow 12 for everything to be served again.
 READY_WITHIN = 12.0
+#: Longer than the term of the lease for orders, in seconds, so that it passes on.
+_OUTLAST = 1.2
+#: Between two versions that are named after a holder was continued, in seconds.
+_AWAKE = 0.6
 #: How long a planned stop is waited for, in seconds; the settings allow 8.
 _STOP_WAIT = 12.0
 
@@ -41,13 +45,19 @@
     Kind.REFUSE: ({"fail": 503}, {"fail": 0}),
     Kind.SLOW: ({"delay": 3.0}, {"delay": 0.0}),
 }
+#: More appends than come while a fault lasts, a count.
+_ALL = 100_000
 _AT_STORE = {
     Kind.BUSY: ({"mode": "busy"}, {"mode": "ok"}),
     Kind.SILENT: ({"mode": "silent"}, {"mode": "ok"}),
     Kind.RESET: ({"mode": "reset"}, {"mode": "ok"}),
-    Kind.LOSE_DONE: ({"lose_done": 4}, {"lose_done": 0}),
-    Kind.LOSE_UNDONE: ({"lose_undone": 4, "late_by": 0.0}, {"lose_undone": 0}),
-    Kind.LOSE_LATE: ({"lose_undone": 4, "late_by": 1.5}, {"lose_undone": 0}),
+    # Only of jobs and results: a lost answer about their texts would come before.
+    Kind.LOSE_DONE: (
+        {"lose_done": _ALL, "lose_in": "jobs"},
+        {"lose_done": 0, "lose_in": ""},
+    ),
+    Kind.LOSE_UNDONE: ({"lose_undone": _ALL, "late_by": 0.0}, {"lose_undone": 0}),
+    Kind.LOSE_LATE: ({"lose_undone": _ALL, "late_by": 1.5}, {"lose_undone": 0}),
 }
 
 
@@ -68,6 +78,10 @@
     ends: list[float] = field(default_factory=list)
     broken: list[BaseException] = field(default_factory=list)
     began: float = field(default_factory=time.monotonic)
+    naming: threading.Lock = field(default_factory=threading.Lock)
+    locks: dict[str, threading.Lock] = field(
+        default_factory=lambda: {edge: threading.Lock() for edge in EDGES}
+    )
 
     def start(self, plan: SoakPlan) -> list[threading.Thread]:
         """
@@ -75,7 +89,7 @@
         """
         threads = [
             threading.Thread(target=self._play, args=(plan.of(target),), name=target)
-            for target in (*EDGES, *POOL, *DESKS, STORE, OPERATOR)
+            for target in (*EDGES, *POOL, *DESKS, STORE, OPERATOR, HOLDER)
         ]
         for thread in threads:
             thread.start()
@@ -96,12 +110,14 @@
         if fault.kind is Kind.CONFIGURE:
             self.configure()
         elif fault.kind is Kind.NAME_VERSION:
-            self.bed.name_version(self.load.version + 1)
-            self.load.version += 1
+            self._name_version()
         elif fault.kind is Kind.CRASH:
             self._crash(fault)
+        elif fault.kind is Kind.FREEZE_HOLDER:
+            self._freeze_holder(fault)
         elif fault.target in EDGES:
-            self._harm_edge(fault)
+            with self.locks[fault.target]:
+                self._harm_edge(fault)
         elif fault.target == STORE:
             before, after = _AT_STORE[fault.kind]
             self.bed.fake_store(**before)
@@ -157,6 +173,30 @@
         except AssertionError:
             self.seen.never.append(f"{edge} was not ready {READY_WITHIN:g} s after")
 
+    def _freeze_holder(self, fault: Fault) -> None:
+        """
+        Freeze the edge that gave the last order for longer than its lease lasts.
+
+        Versions are named meanwhile and afterwards, so that its successor gives orders,
+        and the frozen one would go on if it still believed to hold the lease.
+        """
+        orders = [line for line in list(self.seen.engines) if line.what == "order"]
+        edge = max(orders, key=lambda line: line.at).holder if orders else EDGES[0]
+        with self.locks[edge]:
+            self.bed.signal(edge, signal.SIGSTOP)
+            time.sleep(_OUTLAST)
+            self._name_version()
+            time.sleep(fault.lasts / 2)
+            self._thaw(edge)
+        for _ in range(2):
+            time.sleep(_AWAKE)
+            self._name_version()
+
+    def _name_version(self) -> None:
+        with self.naming:
+            self.bed.name_version(self.load.version + 1)
+            self.load.version += 1
+
     def _thaw(self, edge: str) -> None:
         self.seen.thaws.append((edge, time.monotonic()))
         self.bed.signal(edge, signal.SIGCONT)
--- /dev/null
+++ b/tests/soak/mutants.py
@@ -0,0 +1,119 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Runs the soak over broken builds: ``python -m soak.mutants [SEEDS]``.
+
+Each has to be caught within five seeds, or the checks watch nothing.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+from collections import Counter
+from dataclasses import dataclass
+
+from guard_rows.guard import DAEMON, LIBRARY
+from guards import scratch_copy
+
+
+__all__ = ["MUTANTS", "Mutant"]
+
+_SEEDS = "1,2,3,4,5"
+_LEASE = f"{DAEMON}/orders/lease.py"
+
+
+@dataclass(frozen=True)
+class Mutant:
+    """
+    A broken build.
+
+    :param changes: Path, text before and text after of each.
+    """
+
+    name: str
+    changes: tuple[tuple[str, str, str], ...]
+
+
+MUTANTS = (
+    Mutant(
+        "an unrepeatable request is sent again",
+        (
+            (
+                f"{DAEMON}/serving/pass_through.py",
+                "case OutcomeUnknown():\n"
+                "            return route.kind is not RouteKind.SAFE",
+                "case OutcomeUnknown():\n            return False",
+            ),
+        ),
+    ),
+    Mutant(
+        "a holder goes on after its lease",
+        (
+            (
+                _LEASE,
+                "return held if held and held.may_act(boot_time(), margin) else None",
+                "return held",
+            ),
+            (
+                _LEASE,
+                "return held.may_act(now) and lease is not None"
+                " and lease.fence == held.fence",
+                "return True",
+            ),
+        ),
+    ),
+    Mutant(
+        "a result is listed twice",
+        (
+            (
+                f"{LIBRARY}/_job_book.py",
+                "if result.item_id not in state.listed:",
+                "if True:",
+            ),
+        ),
+    ),
+)
+
+
+def main(seeds: str = _SEEDS, word: str = "") -> int:
+    """
+    Print a row for each mutant and seed.
+
+    :param word: Only mutants whose name holds it.
+
+    :returns: 0 if every mutant was caught.
+    """
+    good = True
+    for mutant in MUTANTS:
+        if word not in mutant.name:
+            continue
+        caught = [seed for seed in seeds.split(",") if _is_caught(mutant, seed)]
+        good = good and bool(caught)
+        print(f"{mutant.name:<40} {','.join(caught) or 'NOT CAUGHT'}", flush=True)
+    return 0 if good else 1
+
+
+def _is_caught(mutant: Mutant, seed: str) -> bool:
+    with scratch_copy(mutant.name, mutant.changes) as (copy, environment):
+        paths = [environment["PYTHONPATH"], "tests", "tests/adapter"]
+        done = subprocess.run(
+            [sys.executable, "-m", "soak", f"--seeds={seed}"],
+            cwd=copy,
+            env={**environment, "PYTHONPATH": os.pathsep.join(paths)},
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+            check=False,
+        )
+    if done.returncode not in (0, 1):
+        raise ValueError(f"{mutant.name}: the soak ended with {done.returncode}")
+    findings = json.loads(done.stdout)["findings"]
+    checks = dict(Counter(finding["check"] for finding in findings))
+    print(f"{mutant.name:<40} seed {seed}: {checks}", flush=True)
+    return done.returncode == 1
+
+
+if __name__ == "__main__":
+    sys.exit(main(*sys.argv[1:]))
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -15,6 +15,7 @@
 __all__ = [
     "DESKS",
     "EDGES",
+    "HOLDER",
     "OPERATOR",
     "POOL",
     "STORE",
@@ -31,6 +32,8 @@
 DESKS = ("desk-0", "desk-1")
 STORE = "store"
 OPERATOR = "operator"
+#: Whichever edge gave the last order to an engine.
+HOLDER = "holder"
 #: Time that faults are injected for, in seconds, by default and at most.
 _SECONDS, _MOST_SECONDS = 14.0, 120.0
 #: Time without faults at the start, in seconds, so that each run has served before.
@@ -43,6 +46,7 @@
     """
 
     FREEZE = "freeze"
+    FREEZE_HOLDER = "freeze_holder"
     KILL = "kill"
     STOP = "stop"
     FREEZE_KILL = "freeze_kill"
@@ -65,8 +69,7 @@
     NAME_VERSION = "name_version"
 
 
-#: What may happen to each kind of process. A frozen edge outlasts the lease's term of
-#: 1 s, or not; the loss of a store's answers is counted in appends, not in seconds.
+#: What may happen to each kind of process.
 _EDGE_KINDS = (
     *(Kind.FREEZE,) * 3,
     *(Kind.KILL, Kind.STOP) * 2,
@@ -84,7 +87,7 @@
 )
 _STORE_KINDS = (
     *(Kind.BUSY, Kind.SILENT, Kind.RESET),
-    *(Kind.LOSE_DONE, Kind.LOSE_UNDONE, Kind.LOSE_LATE),
+    *(Kind.LOSE_DONE, Kind.LOSE_DONE, Kind.LOSE_UNDONE, Kind.LOSE_LATE),
 )
 _OPERATOR_KINDS = (Kind.CONFIGURE, *(Kind.NAME_VERSION,) * 2)
 
@@ -158,6 +161,7 @@
             *(_series(draw, name, _DESK_KINDS, 2.0, settings) for name in DESKS),
             _series(draw, STORE, _STORE_KINDS, 2.5, settings),
             _series(draw, OPERATOR, _OPERATOR_KINDS, 0.6, settings),
+            _series(draw, HOLDER, (Kind.FREEZE_HOLDER,), 2.5, settings),
         ]
         faults = [fault for one in series for fault in one]
         return cls(seed, tuple(sorted(faults, key=lambda fault: fault.at)))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,7 +17,17 @@
 from soak.__main__ import main
 from soak.checks import CHECKS, judge
 from soak.observed import Ended, Stopped, Submitted
-from soak.plan import DESKS, EDGES, OPERATOR, POOL, STORE, Kind, SoakPlan, SoakSettings
+from soak.plan import (
+    DESKS,
+    EDGES,
+    HOLDER,
+    OPERATOR,
+    POOL,
+    STORE,
+    Kind,
+    SoakPlan,
+    SoakSettings,
+)
 
 
 _ROOT = Path(__file__).parent.parent
@@ -39,7 +49,7 @@
     Those of one process follow one another, within the time of the run.
     """
     plan = SoakPlan.from_seed(seed, _SETTINGS)
-    for target in (*EDGES, *POOL, *DESKS, STORE, OPERATOR):
+    for target in (*EDGES, *POOL, *DESKS, STORE, OPERATOR, HOLDER):
         series = plan.of(target)
         for before, after in itertools.pairwise(series):
             assert before.at + before.lasts <= after.at
@@ -108,6 +118,15 @@
             ]
         },
     ),
+    (
+        "fences",
+        {
+            "engines": [
+                make_line("order", holder="edge-0", fence=7, at=7.0),
+                make_line("order", engine="e", holder="edge-1", fence=3, at=8.1),
+            ]
+        },
+    ),
     (
         "fences",
         {
