Keep requests that end engines away from them, at every VM

Cause: a failure was remembered against the engine, for 2 s at most, at the VM that saw it, and nothing against the request. Each attempt of a caller has a new id, so the same request was new to every VM, every time, and a repeatable one went on to a second engine as well. Class: what is learnt of a shared resource's failure is kept with the resource and with one process, not with its cause.

Ruled out: engines that end by themselves (the ends of the play come only with an attempt at them, and stop with it).

Change: a request is told from others by its host, method, target and body (and its name where it keeps one: items, scoring calls). A VM that sees one break off asks the engine's address; if it refuses, or the entry speaks of a later life, it writes the end into the stream of the leases, with all requests that had begun there within 1.5 s. All VMs fold these records alike: barred is what was at three ends, at one of them without another suspect; what a barred request explains speaks against nobody else, and an answer clears. A VM that has stood still asks first; one without the store goes by what it knows.

--- a/packages/saddledoor/src/saddledoor/__init__.py
+++ b/packages/saddledoor/src/saddledoor/__init__.py
@@ -46,6 +46,7 @@
 )
 from ._drain import Drain, Stage
 from ._engine_directory import EngineDirectory, EngineEntry
+from ._engine_ends import EngineEnds, Standing, request_key
 from ._engine_memory import EngineMemory, EngineTable
 from ._event_text import EventText, GeneratedEvent, KeptText
 from ._incarnation import Incarnation
@@ -90,12 +91,14 @@
     ConfigProposal,
     ConfigSnapshot,
     ConfigVerdict,
+    EngineEnded,
     KeyClaim,
     LeaseClaim,
     LeaseRelease,
     LeaseRenewal,
     PendingProposal,
     Record,
+    RequestsCleared,
     decode_record,
     encode_record,
     pack_document,
@@ -130,6 +133,11 @@
 
 
 __all__ = [
+    "request_key",
+    "RequestsCleared",
+    "Standing",
+    "EngineEnded",
+    "EngineEnds",
     "Accepted",
     "Answer",
     "AnswerBuilder",
--- a/packages/saddledoor/src/saddledoor/_codes.py
+++ b/packages/saddledoor/src/saddledoor/_codes.py
@@ -39,6 +39,7 @@
     NO_COLLECTOR = 206
     RESYNC = 207
     NO_CONFIGURATION = 208
+    ENDS_ENGINES = 209
 
     OUTCOME_UNKNOWN = 300
     KEY_SPENT = 301
@@ -118,6 +119,11 @@
         "the VM has no accepted configuration yet",
         "ask again after `Retry-After`",
     ),
+    ResultCode.ENDS_ENGINES: (
+        503,
+        "three engines have ended under this request, and no engine gets it again",
+        "do not send it again; it is forgotten after `Retry-After` without it",
+    ),
     ResultCode.OUTCOME_UNKNOWN: (
         502,
         "the request was handed over and no whole answer came back",
--- a/packages/saddledoor/src/saddledoor/_records.py
+++ b/packages/saddledoor/src/saddledoor/_records.py
@@ -23,12 +23,14 @@
     "ConfigProposal",
     "ConfigSnapshot",
     "ConfigVerdict",
+    "EngineEnded",
     "KeyClaim",
     "LeaseClaim",
     "LeaseRelease",
     "LeaseRenewal",
     "PendingProposal",
     "Record",
+    "RequestsCleared",
     "decode_record",
     "encode_record",
     "pack_document",
@@ -186,6 +188,31 @@
     kind: Literal["burn_totals"] = "burn_totals"
 
 
+@dataclass(frozen=True)
+class EngineEnded:
+    """
+    An engine's process ended while it ran requests.
+
+    :param started_at: Of the life that ended, in Unix milliseconds; none if unknown.
+    :param requests: That it had begun to run just before, by `request_key`.
+    """
+
+    engine: str
+    started_at: int | None
+    requests: tuple[str, ...]
+    kind: Literal["engine_ended"] = "engine_ended"
+
+
+@dataclass(frozen=True)
+class RequestsCleared:
+    """
+    Engines have run these requests, by `request_key`, and gone on.
+    """
+
+    requests: tuple[str, ...]
+    kind: Literal["requests_cleared"] = "requests_cleared"
+
+
 Record = (
     BurnTotals
     | ConfigProposal
@@ -196,6 +223,8 @@
     | LeaseRelease
     | ClaimBatch
     | ClaimRelease
+    | EngineEnded
+    | RequestsCleared
 )
 
 _ADAPTER: TypeAdapter[Record] = TypeAdapter(
--- a/packages/saddledoord/src/saddledoord/cluster/leases.py
+++ b/packages/saddledoord/src/saddledoord/cluster/leases.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import secrets
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from saddledoor import (
     Lease,
@@ -58,6 +58,7 @@
         self._watches: dict[str, LeaseWatch] = {}
         self._regained_at = float("-inf")
         self._changes = Changes()
+        self._other: Callable[[object], None] = lambda record: None
         self._follower = LogFollower(
             log, CONTROL_STREAM, self._apply, self._store_reached, _WAIT, _PATIENCE
         )
@@ -90,6 +91,25 @@
         """
         return self._regained_at
 
+    @property
+    def confirmed_at(self) -> float:
+        """
+        When all records were known, monotonic, in seconds.
+        """
+        return self._follower.confirmed_at
+
+    def on_other(self, fold: Callable[[object], None]) -> None:
+        """
+        Have the stream's other records folded by a function.
+        """
+        self._other = fold
+
+    async def sync(self) -> bool:
+        """
+        Learn all records there are by now; false if the store did not answer.
+        """
+        return await self._follower.sync()
+
     async def run(self) -> None:
         """
         Follow the log until cancelled.
@@ -186,7 +206,9 @@
         return await self._log.append(CONTROL_STREAM, data, _PATIENCE)
 
     def _apply(self, offset: int, data: bytes) -> None:
-        self._fold = self._fold.apply(offset, decode_record(data))
+        record = decode_record(data)
+        self._fold = self._fold.apply(offset, record)
+        self._other(record)
         # The wait for a takeover begins when the newest renewal has been read.
         for name, watch in self._watches.items():
             watch.observe(self.get(name), boot_time())
--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -32,6 +32,7 @@
 from .orders.lease import OrderLease
 from .orders.weights import WeightKeeper
 from .ports import Engines, Registry, SharedLog
+from .serving.engine_ends import EngineEndWatch
 from .serving.pace import EnginePaces
 from .serving.pass_through import PassThrough
 from .serving.pool import EnginePool
@@ -131,7 +132,11 @@
         )
         pool = EnginePool(self.view, own_order(settings.vm))
         lives = EngineLives(self.view)
-        self.pass_through = PassThrough(self.view, pool, ports.engines, lives, count)
+        self._leases = LeaseLog(log, f"{settings.vm}@{settings.address}")
+        self._ends = EngineEndWatch(ports.engines, self.view.memory, self._leases, log)
+        self.pass_through = PassThrough(
+            self.view, pool, ports.engines, lives, self._ends, count
+        )
         book = JobBook()
         texts = TextStore(log, settings.largest_record, settings.largest_append)
         self.jobs = JobService(
@@ -145,7 +150,6 @@
             lambda: self._shares.any_held,
         )
         self._writer = RecordWriter(log, texts)
-        self._leases = LeaseLog(log, f"{settings.vm}@{settings.address}")
         self._shares = WorkShares(
             self._leases,
             self._wanted_shares,
@@ -162,7 +166,8 @@
             pool,
             silent,
             placement,
-            Attempts(ports.engines, paces, placement, lives),
+            Attempts(ports.engines, paces, placement, lives, self._ends),
+            self._ends,
             self._writer,
             texts,
             Scorer(self.view, self.pass_through),
@@ -187,7 +192,8 @@
         Whether this node should get callers.
         """
         engines_known = self._entries.known
-        known = self.view.config is not None and engines_known and self.jobs.caught_up
+        caught_up = self.jobs.caught_up and self._leases.caught_up
+        known = self.view.config is not None and engines_known and caught_up
         return known and not self._store_is_silent() and not self._stopping
 
     @property
@@ -228,6 +234,7 @@
             self.jobs.run(),
             self._writer.run(),
             self._leases.run(),
+            self._ends.run(),
             self._shares.run(),
             self._runner.run(),
             self._runner.keep(),
--- a/packages/saddledoord/src/saddledoord/jobs/attempt.py
+++ b/packages/saddledoord/src/saddledoord/jobs/attempt.py
@@ -13,6 +13,7 @@
 from .._clock import boot_time
 from ..cluster.lives import EngineLives
 from ..ports import Engines, Generation, GenerationFailedError
+from ..serving.engine_ends import EngineEndWatch, RunAtEngine
 from ..serving.pace import EnginePaces
 from .item_run import ItemRun
 from .item_times import ItemPhase
@@ -43,6 +44,8 @@
 _STAY_TIME = 0.25
 #: Urgency of items; the platform's default is 5.
 _URGENCY = 5
+#: Outcomes by which the engine shows that it has run the item and lives.
+_ANSWERED = frozenset({GenerationFailedError.FAILED, GenerationFailedError.IMPOSSIBLE})
 
 
 class Attempts:
@@ -56,7 +59,9 @@
         paces: EnginePaces,
         placement: Placement,
         lives: EngineLives,
+        ends: EngineEndWatch,
     ) -> None:
+        self._ends = ends
         self._lives = lives
         self._engines = engines
         self._paces = paces
@@ -69,13 +74,34 @@
         :raises GenerationFailedError: If the text is not whole after this.
         """
         try:
-            async with self._lives.within(engine.incarnation):
-                await self._take_events(run, route, engine)
+            with self._ends.running(engine.incarnation, run.key) as at_engine:
+                async with self._lives.within(engine.incarnation):
+                    await self._take_watched(run, route, engine, at_engine)
         except TimeoutError:
             raise GenerationFailedError(
                 GenerationFailedError.RESTARTED, "the engine has started again"
             ) from None
 
+    async def _take_watched(
+        self,
+        run: ItemRun,
+        route: GatewayRoute,
+        engine: EngineEntry,
+        at_engine: RunAtEngine,
+    ) -> None:
+        """
+        Take the events, and note what the end of the run says of the engine.
+        """
+        try:
+            await self._take_events(run, route, engine)
+        except GenerationFailedError as error:
+            if error.outcome == GenerationFailedError.BROKEN:
+                at_engine.broke_off(engine)
+            elif error.outcome in _ANSWERED:
+                at_engine.survived()
+            raise
+        at_engine.survived()
+
     async def _take_events(
         self, run: ItemRun, route: GatewayRoute, engine: EngineEntry
     ) -> None:
--- a/packages/saddledoord/src/saddledoord/jobs/item_run.py
+++ b/packages/saddledoord/src/saddledoord/jobs/item_run.py
@@ -9,7 +9,7 @@
 import asyncio
 import secrets
 from dataclasses import dataclass, field
-from functools import partial
+from functools import cached_property, partial
 
 from saddledoor import (
     EventText,
@@ -21,6 +21,7 @@
     KeptText,
     decode_events,
     encode_events,
+    request_key,
 )
 
 from .._clock import boot_time
@@ -50,6 +51,7 @@
     :param loaded: Whether what others made of the text has been read.
     :param stalls: Moves away from silent engines, a count.
     :param pace_moves: Moves to faster engines, a count.
+    :param barred: Whether engines are kept from it, which ended under it.
     :param unfit: Engines that cannot run it now.
     :param engines: Where it was sent, by id, in order.
     :param times: Where its time has gone.
@@ -69,6 +71,7 @@
     loaded: bool = False
     stalls: int = 0
     pace_moves: int = 0
+    barred: bool = False
     unfit: set[Incarnation] = field(default_factory=set)
     engines: list[str] = field(default_factory=list)
     times: ItemTimes = field(default_factory=lambda: ItemTimes(boot_time()))
@@ -98,6 +101,16 @@
         self.kept_chain = kept.chain
         self.loaded = True
 
+    @cached_property
+    def key(self) -> str:
+        """
+        What tells the item from others, in this job or another one.
+        """
+        sent = self.request
+        return request_key(
+            sent.host, sent.method, sent.target, sent.body, sent.request_id
+        )
+
     @property
     def held_by_log(self) -> KeptParts:
         """
--- a/packages/saddledoord/src/saddledoord/jobs/runner.py
+++ b/packages/saddledoord/src/saddledoord/jobs/runner.py
@@ -20,12 +20,14 @@
     ItemResult,
     JobItem,
     JobState,
+    Standing,
 )
 from saddledoor.exceptions import UndecodableRecordError
 
 from .._clock import boot_time
 from ..cluster.view import ClusterView
 from ..ports import GenerationFailedError, StoreAwayError
+from ..serving.engine_ends import EngineEndWatch
 from ..serving.pool import EnginePool, Place
 from ..serving.silence import SilentEngines
 from .attempt import Attempts
@@ -77,6 +79,7 @@
         silent: SilentEngines,
         placement: Placement,
         attempts: Attempts,
+        ends: EngineEndWatch,
         writer: RecordWriter,
         texts: TextStore,
         scorer: Scorer,
@@ -93,6 +96,7 @@
         self._owns = owns
         self.set_cancel_time(cancel_time)
         self._attempts = attempts
+        self._ends = ends
         self._placement = placement
         self._runs: dict[Key, ItemRun] = {}
         self._items = ItemLoader(jobs, self.wake)
@@ -117,6 +121,8 @@
         """
         while True:
             self._wake.clear()
+            # Whoever has stood still asks first which items have ended engines.
+            await self._ends.ask()
             self._reconcile()
             if self._knows_ends():
                 self._dispatch()
@@ -230,13 +236,44 @@
             if needs in no_room and not run.unfit:
                 continue
             self._placement.weigh(run)
-            engine = self._placement.choose(run, route, run.unfit)
+            standing = self._ends.standing(run.key)
+            if standing is Standing.BARRED:
+                self._log_barred(run)
+                continue
+            engine = self._choose(run, route, standing)
             if engine is None:
-                no_room.add(needs)
+                if standing is not Standing.UNCLEAR:
+                    no_room.add(needs)
                 run.unfit.clear()
                 continue
             self._begin(run, route, engine)
 
+    def _choose(
+        self, run: ItemRun, route: GatewayRoute, standing: Standing
+    ) -> EngineEntry | None:
+        """
+        Return an engine for an item by what is known of it, or none.
+        """
+        if standing is Standing.FREE:
+            return self._placement.choose(run, route, run.unfit)
+        taken = self._ends.with_suspects(run.key)
+        alone = self._placement.choose(run, route, run.unfit | taken)
+        if alone is not None or standing is Standing.UNCLEAR:
+            return alone
+        return self._placement.choose(run, route, run.unfit)
+
+    def _log_barred(self, run: ItemRun) -> None:
+        if run.barred:
+            return
+        run.barred = True
+        _log.warning(
+            "item_barred",
+            job=run.state.job.job_id,
+            item=run.item.item_id,
+            content=run.key,
+            engines=run.engines,
+        )
+
     def _begin(self, run: ItemRun, route: GatewayRoute, engine: EngineEntry) -> None:
         place = self._placement.take(run, engine)
         run.engines.append(engine.engine_id)
--- a/packages/saddledoord/src/saddledoord/jobs/scoring.py
+++ b/packages/saddledoord/src/saddledoord/jobs/scoring.py
@@ -85,6 +85,7 @@
                 _request(call),
                 boot_time() + route.timeout,
                 heard,
+                call.request_id,
             )
             match outcome:
                 case EngineAnswer(status=status, mark=mark) if status < 300 and mark:
--- a/packages/saddledoord/src/saddledoord/ports/engines.py
+++ b/packages/saddledoord/src/saddledoord/ports/engines.py
@@ -186,6 +186,11 @@
         Ask an engine what it holds; none without a usable answer.
         """
 
+    async def is_gone(self, engine: EngineEntry) -> bool:
+        """
+        Whether nobody serves at an engine's address; false if that is not certain.
+        """
+
     async def order(self, engine: EngineEntry, order: VersionOrder) -> str:
         """
         Give an order.
--- /dev/null
+++ b/packages/saddledoord/src/saddledoord/serving/engine_ends.py
@@ -0,0 +1,324 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Keeps requests that end engines away from them, by what all nodes have seen.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+import structlog
+
+from saddledoor import (
+    EngineEnded,
+    EngineEnds,
+    EngineEntry,
+    EngineMemory,
+    Incarnation,
+    RequestsCleared,
+    Standing,
+    encode_record,
+)
+
+from .._clock import boot_time
+from ..cluster.leases import CONTROL_STREAM, LeaseLog
+from ..jobs.appending import append_until_done
+from ..ports import Engines, SharedLog
+
+
+__all__ = ["EngineEndWatch", "RunAtEngine"]
+
+_log = structlog.get_logger()
+
+#: Longest time from a request's arrival at an engine to the engine's end for which it
+#: may be the cause, in seconds; instances were seen to end 0.1 s after the run began.
+#: An engine that runs a request for longer is not ended by it, so that texts of many
+#: seconds are not blamed for engines that end by themselves.
+_SOON = 1.5
+#: How late a timer may fire and still show that an engine lived until then, in seconds;
+#: after a standstill of this node nothing is known.
+_ON_TIME = 0.2
+#: Age from which what is known of the log is asked for anew before a request is judged,
+#: in seconds. A node reads this stream every 0.2 s, with a patience of 0.5 s: whoever
+#: knows less has stood still.
+_STALE = 1.0
+#: Longest time that a request waits for that, in seconds.
+_ASK_LIMIT = 0.3
+#: How long nobody is asked after that was in vain, in seconds: a store that is away
+#: holds up what comes for a seventh of the time.
+_NOT_AGAIN = 2.0
+#: How long records are gathered for one append, in seconds: all requests of an engine
+#: break off within some ms.
+_GATHER = 0.02
+#: Requests in one record, a count: 16 of them take 450 bytes.
+_MOST_REQUESTS = 16
+#: Records that wait for the store, a count; the oldest go first. So many come of ends
+#: of 16 engines with 16 requests each.
+_MOST_WAITING = 256
+
+_Record = EngineEnded | RequestsCleared
+
+
+@dataclass(eq=False)
+class _Run:
+    """
+    A request at an engine.
+
+    :param began: Monotonic, in seconds.
+    :param left: When it was given up; none while it is there.
+    """
+
+    key: str
+    began: float
+    left: float | None = None
+    broke: bool = False
+
+
+@dataclass(eq=False)
+class _Life:
+    """
+    What this node has and lately had at one life of an engine.
+
+    :param broke_at: When a request broke off; none if none has since it was asked.
+    """
+
+    engine: Incarnation | None = None
+    runs: set[_Run] = field(default_factory=set)
+    broke_at: float | None = None
+    is_over: bool = False
+
+
+class RunAtEngine:
+    """
+    Tells the watch what becomes of one request at one engine.
+    """
+
+    def __init__(self, watch: EngineEndWatch, life: _Life, run: _Run) -> None:
+        self._watch = watch
+        self._life = life
+        self._run = run
+
+    def survived(self) -> None:
+        """
+        Note that the engine has run the request and lives.
+        """
+        self._watch.note_survived(self._run.key)
+
+    def broke_off(self, engine: EngineEntry) -> None:
+        """
+        Note that the request ended without an answer, and the engine may have as well.
+        """
+        self._run.broke = True
+        self._watch.note_broken(engine, self._life)
+
+
+class EngineEndWatch:
+    """
+    Knows which requests were at which engine when it ended, and tells the other nodes.
+
+    An end is told only when it is certain: the engine's address refuses connections, or
+    its entry speaks of a later life. It holds while the store is away for all that was
+    known, and is read again from the log after the loss of all nodes.
+    """
+
+    def __init__(
+        self, engines: Engines, memory: EngineMemory, leases: LeaseLog, log: SharedLog
+    ) -> None:
+        self._engines = engines
+        self._leases = leases
+        self._log = log
+        self._ends = EngineEnds()
+        self._vain_at = float("-inf")
+        self._lives = memory.table(_Life, self._forgotten)
+        self._asking: set[asyncio.Task] = set()
+        self._waiting: deque[EngineEnded | RequestsCleared] = deque(
+            maxlen=_MOST_WAITING
+        )
+        self._some = asyncio.Event()
+        leases.on_other(self._fold)
+
+    def standing(self, key: str) -> Standing:
+        """
+        Return what is known of a request, by `request_key`.
+        """
+        now = boot_time()
+        standing = self._ends.standing(key, now)
+        if standing is Standing.BARRED:
+            self._tell(self._ends.to_tell_again(key, now))
+        if standing is Standing.FREE and self._has_broken(key):
+            return Standing.SUSPECT
+        return standing
+
+    def is_current(self) -> bool:
+        """
+        Whether this node knows what others have told, or has just asked in vain.
+
+        Not by whether the store answered the last read: after a standstill its time
+        limit is over before the answer that waits there is looked at.
+        """
+        now = boot_time()
+        is_known = now - self._leases.confirmed_at <= _STALE
+        return is_known or now - self._vain_at <= _NOT_AGAIN
+
+    async def ask(self) -> None:
+        """
+        Learn what others have told if this node may have missed it; for a short while.
+        """
+        if self.is_current():
+            return
+        try:
+            async with asyncio.timeout(_ASK_LIMIT):
+                is_known = await self._leases.sync()
+        except TimeoutError:
+            is_known = False
+        if not is_known:
+            self._vain_at = boot_time()
+            _log.info("engine_ends_not_asked", known=len(self._ends))
+
+    def with_suspects(self, key: str) -> set[Incarnation]:
+        """
+        Return the engines that run other suspects of this node's.
+
+        Two suspects at one engine would both be there when it ends.
+        """
+        return {
+            engine
+            for engine in self._lives
+            if any(self._is_other_suspect(run, key) for run in self._lives[engine].runs)
+        }
+
+    @contextmanager
+    def running(self, engine: Incarnation, key: str) -> Iterator[RunAtEngine]:
+        """
+        Have a request watched while it is at an engine.
+        """
+        life = self._lives[engine]
+        life.engine = engine
+        run = _Run(key, boot_time())
+        life.runs.add(run)
+        timer = None
+        if self.standing(key) is not Standing.FREE:
+            timer = asyncio.get_running_loop().call_later(_SOON, self._lasted, run)
+        try:
+            yield RunAtEngine(self, life, run)
+        finally:
+            run.left = boot_time()
+            self._drop_old(life)
+            if timer is not None:
+                timer.cancel()
+
+    def note_survived(self, key: str) -> None:
+        """
+        Take back what speaks against a request.
+        """
+        if self._ends.speaks_against(key):
+            self._tell([RequestsCleared((key,))])
+
+    def note_broken(self, engine: EngineEntry, life: _Life) -> None:
+        """
+        Find out whether an engine has ended, once for all that broke off.
+        """
+        if life.is_over or life.broke_at is not None:
+            return
+        life.broke_at = boot_time()
+        task = asyncio.create_task(self._find_out(engine, life))
+        self._asking.add(task)
+        task.add_done_callback(self._asking.discard)
+
+    async def run(self) -> None:
+        """
+        Bring what this node has seen into the log, until cancelled.
+        """
+        while True:
+            await self._some.wait()
+            await asyncio.sleep(_GATHER)
+            self._some.clear()
+            records = [encode_record(record).encode() for record in self._waiting]
+            self._waiting.clear()
+            await append_until_done(self._log, CONTROL_STREAM, records)
+
+    async def _find_out(self, engine: EngineEntry, life: _Life) -> None:
+        if await self._engines.is_gone(engine):
+            self._over(life, life.broke_at or boot_time())
+        life.broke_at = None
+
+    def _forgotten(self, life: _Life) -> None:
+        # Its entry speaks of a later life, or it has been gone for long.
+        self._over(life, boot_time())
+
+    def _over(self, life: _Life, ended_at: float) -> None:
+        """
+        Tell which requests an engine had begun to run just before its end.
+        """
+        if life.is_over or life.engine is None:
+            return
+        life.is_over = True
+        # Whoever left just before may have begun to run all the same.
+        keys = sorted(
+            {
+                run.key
+                for run in life.runs
+                if run.began <= ended_at <= run.began + _SOON
+                and (run.left is None or run.broke or run.left + _SOON >= ended_at)
+            }
+        )
+        if not keys:
+            return
+        _log.info("engine_ended", engine=life.engine.engine_id, requests=keys)
+        self._tell(
+            [
+                EngineEnded(
+                    life.engine.engine_id,
+                    life.engine.started_at,
+                    tuple(keys[first : first + _MOST_REQUESTS]),
+                )
+                for first in range(0, len(keys), _MOST_REQUESTS)
+            ]
+        )
+
+    def _tell(self, records: list[_Record]) -> None:
+        """
+        Know something at once, and have the other nodes know it.
+        """
+        for record in records:
+            self._fold(record)
+            if len(self._waiting) == _MOST_WAITING:
+                _log.warning("engine_ends_dropped", kept=_MOST_WAITING)
+            self._waiting.append(record)
+            self._some.set()
+
+    def _fold(self, record: object) -> None:
+        self._ends.apply(record, boot_time())
+
+    def _lasted(self, run: _Run) -> None:
+        if boot_time() - run.began <= _SOON + _ON_TIME:
+            self.note_survived(run.key)
+
+    def _has_broken(self, key: str) -> bool:
+        """
+        Whether a request broke off at an engine that is being asked.
+        """
+        return any(
+            life.broke_at is not None
+            and any(r.key == key and r.broke for r in life.runs)
+            for life in self._lives.rows()
+        )
+
+    def _is_other_suspect(self, run: _Run, key: str) -> bool:
+        if run.left is not None or run.key == key:
+            return False
+        return self._ends.standing(run.key, boot_time()) is not Standing.FREE
+
+    def _drop_old(self, life: _Life) -> None:
+        """
+        Forget the runs that left too long ago to be the cause of an end.
+        """
+        now = boot_time()
+        life.runs = {
+            run for run in life.runs if run.left is None or run.left + _SOON >= now
+        }
--- a/packages/saddledoord/src/saddledoord/serving/pass_through.py
+++ b/packages/saddledoord/src/saddledoord/serving/pass_through.py
@@ -21,12 +21,15 @@
     OutcomeUnknown,
     ResultCode,
     RouteKind,
+    Standing,
+    request_key,
 )
 
 from .._clock import boot_time
 from ..cluster.lives import EngineLives
 from ..cluster.view import ClusterView
 from ..ports import EngineAnswer, Engines, ForwardedRequest
+from .engine_ends import EngineEndWatch, RunAtEngine
 from .pool import EnginePool
 
 
@@ -41,6 +44,9 @@
 _OVERLAP_AFTER = 0.5
 #: Least time left that an attempt is worth, in seconds.
 _LEAST_TIME = 0.01
+#: When a caller may send a request again that ends engines, in seconds: when it is
+#: forgotten if nobody sends it meanwhile.
+_FORGOTTEN_AFTER = 240.0
 
 Outcome = EngineAnswer | NotRun | OutcomeUnknown
 
@@ -54,6 +60,7 @@
     """
     One request on its way: who had it, until when, and the worst that was seen.
 
+    :param key: Tells it from others when it comes again.
     :param heard: Told of each attempt's outcome.
     :param engines: By the attempts there, in order.
     """
@@ -62,6 +69,7 @@
     request: ForwardedRequest
     deadline: float
     heard: Callable[[Outcome], None]
+    key: str
     tried: list[Incarnation] = field(default_factory=list)
     engines: dict[asyncio.Task, EngineEntry] = field(default_factory=dict)
     last: Outcome | None = None
@@ -82,9 +90,11 @@
         pool: EnginePool,
         engines: Engines,
         lives: EngineLives,
+        ends: EngineEndWatch,
         count: Callable[[str, ResultCode, float], None],
     ) -> None:
         self._lives = lives
+        self._ends = ends
         self._view = view
         self._pool = pool
         self._engines = engines
@@ -121,13 +131,17 @@
         request: ForwardedRequest,
         deadline: float,
         heard: Callable[[Outcome], None] = _ignore,
+        name: str = "",
     ) -> Outcome:
         """
         Run a request of a known route until a monotonic time.
 
         :param heard: Told of each attempt's outcome.
+        :param name: Of a request that keeps its name when it is sent again.
         """
-        current = _Try(route, request, deadline, heard)
+        key = _key_of(request, name)
+        current = _Try(route, request, deadline, heard, key)
+        await self._ends.ask()
         service = route.service(random.random())
         pending: set[asyncio.Task[Outcome]] = set()
         try:
@@ -161,7 +175,7 @@
         """
         if len(current.tried) >= current.route.max_attempts:
             return set()
-        engine = self._pool.choose(service, exclude=current.tried)
+        engine = self._choose(current, service)
         if engine is None:
             return set()
         current.tried.append(engine.incarnation)
@@ -169,6 +183,21 @@
         current.engines[task] = engine
         return {task}
 
+    def _choose(self, current: _Try, service: str) -> EngineEntry | None:
+        """
+        Return an engine for a request by what is known of it, or none.
+        """
+        standing = self._ends.standing(current.key)
+        if standing is Standing.BARRED:
+            return None
+        if standing is Standing.FREE:
+            return self._pool.choose(service, exclude=current.tried)
+        taken = self._ends.with_suspects(current.key)
+        alone = self._pool.choose(service, exclude=[*current.tried, *taken])
+        if alone is not None or standing is Standing.UNCLEAR:
+            return alone
+        return self._pool.choose(service, exclude=current.tried)
+
     def _note_overtaken(
         self,
         current: _Try,
@@ -188,8 +217,12 @@
     def _may_overlap(self, current: _Try) -> bool:
         """
         Whether a second engine may work on the request beside the first.
+
+        Not on one that was at an engine's end: 0.1 s later both might end.
         """
-        return current.route.kind is RouteKind.SAFE
+        if current.route.kind is not RouteKind.SAFE:
+            return False
+        return self._ends.standing(current.key) is Standing.FREE
 
     def _patience(self, current: _Try) -> float:
         """
@@ -204,7 +237,10 @@
 
     async def _attempt(self, current: _Try, engine: EngineEntry) -> Outcome:
         number = len(current.tried)
-        with self._pool.take(engine):
+        with (
+            self._pool.take(engine),
+            self._ends.running(engine.incarnation, current.key) as run,
+        ):
             try:
                 left = max(0.0, current.left)
                 async with self._lives.within(engine.incarnation, left):
@@ -216,6 +252,8 @@
             except asyncio.CancelledError:
                 self._log_attempt(current, engine, number, "cancelled")
                 raise
+            else:
+                _note_end(run, engine, outcome)
         current.heard(outcome)
         match outcome:
             case EngineAnswer():
@@ -245,6 +283,7 @@
             "attempt_failed",
             request=current.request.request_id,
             engine=engine.engine_id,
+            content=current.key,
             attempt=number,
             outcome=outcome,
             left=round(current.left, 3),
@@ -252,13 +291,18 @@
 
     def _give_up(self, current: _Try) -> Outcome:
         outcome = current.last
-        if outcome is None:
+        barred = self._ends.standing(current.key) is Standing.BARRED
+        if outcome is None and barred:
+            code = ResultCode.ENDS_ENGINES
+            outcome = NotRun(code, "engines have ended under it", _FORGOTTEN_AFTER)
+        elif outcome is None:
             code = ResultCode.NO_BACKEND if not current.tried else ResultCode.OVERLOADED
             outcome = NotRun(code, "no back end took it", _COME_BACK)
         _log.info(
             "request_given_up",
             request=current.request.request_id,
             route=current.route.name,
+            content=current.key,
             outcome=_describe(outcome),
             tried=[engine.engine_id for engine in current.tried],
             left=round(current.left, 3),
@@ -276,6 +320,18 @@
             return route.kind is not RouteKind.SAFE
 
 
+def _note_end(run: RunAtEngine, engine: EngineEntry, outcome: Outcome) -> None:
+    match outcome:
+        case EngineAnswer():
+            run.survived()
+        case OutcomeUnknown():
+            run.broke_off(engine)
+
+
+def _key_of(request: ForwardedRequest, name: str) -> str:
+    return request_key(request.host, request.method, request.target, request.body, name)
+
+
 def _describe(outcome: Outcome) -> str:
     if isinstance(outcome, EngineAnswer):
         return f"status {outcome.status}"
--- /dev/null
+++ b/tests/end_watches.py
@@ -0,0 +1,78 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Builders of the watch over engines that end, without a store or engines.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from saddledoor import EngineEnded, RequestsCleared, encode_record
+from saddledoord._clock import boot_time
+from saddledoord.cluster.view import ClusterView
+from saddledoord.ports import Appended
+from saddledoord.serving.engine_ends import EngineEndWatch
+
+
+__all__ = ["Told", "make_end_watch"]
+
+
+class _Engines:
+    def __init__(self, gone: bool) -> None:
+        self._gone = gone
+
+    async def is_gone(self, engine) -> bool:
+        return self._gone
+
+
+class Told:
+    """
+    A log of leases that nobody holds, and what is told besides.
+
+    :ivar confirmed_at: When all records were known.
+    :ivar missed: Records that come with the next question.
+    :ivar records: What the watch has appended.
+    """
+
+    reached = True
+
+    def __init__(self, confirmed_at: float = float("inf")) -> None:
+        self.confirmed_at = confirmed_at
+        self.missed: list[EngineEnded | RequestsCleared] = []
+        self.records: list[bytes] = []
+        self._fold: Callable[[object], None] = lambda record: None
+
+    def on_other(self, fold: Callable[[object], None]) -> None:
+        self._fold = fold
+
+    async def sync(self) -> bool:
+        for record in self.missed:
+            self.hear(record)
+        self.confirmed_at = boot_time()
+        return True
+
+    async def append(self, stream, records, patience=1.0) -> Appended:
+        self.records += records
+        return Appended(0)
+
+    def hear(self, record: EngineEnded | RequestsCleared) -> None:
+        """
+        Have the watch read a record.
+        """
+        self._fold(record)
+
+    def holds(self, record: EngineEnded | RequestsCleared) -> bool:
+        return encode_record(record).encode() in self.records
+
+
+def make_end_watch(
+    view: ClusterView, told: Told | None = None, gone: bool = False
+) -> EngineEndWatch:
+    """
+    Return a watch.
+
+    :param gone: Whether engines that are asked are found to be gone.
+    """
+    told = told or Told()
+    return EngineEndWatch(_Engines(gone), view.memory, told, told)
--- a/tests/test_attempt.py
+++ b/tests/test_attempt.py
@@ -9,6 +9,7 @@
 import asyncio
 
 import pytest
+from end_watches import make_end_watch
 
 from builders import make_engine_entry, make_job, make_job_state, make_route
 from saddledoor import GeneratedEvent, Incarnation
@@ -67,7 +68,9 @@
     job = make_job(1)
     run = ItemRun.begin(make_job_state(job), job.items[0])
     lives = EngineLives(view)
-    attempts = Attempts(_Engines(events, gap), paces, _Placement(), lives)
+    attempts = Attempts(
+        _Engines(events, gap), paces, _Placement(), lives, make_end_watch(view)
+    )
     route = make_route("/train/")
     asyncio.run(attempts.run(run, route, make_engine_entry("slow")))
     return run
--- a/tests/test_engine_lives.py
+++ b/tests/test_engine_lives.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass, replace
 
 import pytest
+from end_watches import make_end_watch
 
 from builders import (
     make_engine_entry,
@@ -268,7 +269,12 @@
     config = make_gateway_config(2, [route])
     node.view.apply_operator(KeyedEntry("config", 1, config))
     return PassThrough(
-        node.view, node.pool, engines, node.lives, lambda route, code, seconds: None
+        node.view,
+        node.pool,
+        engines,
+        node.lives,
+        make_end_watch(node.view),
+        lambda route, code, seconds: None,
     )
 
 
@@ -311,7 +317,9 @@
     """
     node = _Node(_entry(FIRST))
     engines = _Hanging(_entry(FIRST).incarnation)
-    attempts = Attempts(engines, node.paces, node.placement, node.lives)
+    attempts = Attempts(
+        engines, node.paces, node.placement, node.lives, make_end_watch(node.view)
+    )
     run = node.item()
 
     async def play():
--- a/tests/test_pass_through.py
+++ b/tests/test_pass_through.py
@@ -10,6 +10,7 @@
 import time
 
 import pytest
+from end_watches import make_end_watch
 
 from builders import make_engine_entry, make_gateway_config, make_request, make_route
 from saddledoor import OutcomeUnknown, RouteKind, ScoreCall, least_outstanding
@@ -47,7 +48,7 @@
         view.apply_engine(KeyedEntry(entry.engine_id, index, entry))
     pool = EnginePool(view, least_outstanding(lambda: 0.0))
     lives = EngineLives(view)
-    serving = PassThrough(view, pool, engines, lives, _uncounted)
+    serving = PassThrough(view, pool, engines, lives, make_end_watch(view), _uncounted)
     return serving, pool, view
 
 
