Guards of the mend in the table; counts of ends kept, not worked out for each request

The number of ends that speak against a request is kept when it is judged: the dispatch of items asks for each waiting item 20 times a second, over up to 256 ends. Not measured.

--- a/packages/saddledoor/src/saddledoor/_engine_ends.py
+++ b/packages/saddledoor/src/saddledoor/_engine_ends.py
@@ -91,6 +91,8 @@
     def __init__(self) -> None:
         self._ends: OrderedDict[Incarnation, _End] = OrderedDict()
         self._barred: set[str] = set()
+        # How many ends speak against a request that is not barred.
+        self._blame: Counter[str] = Counter()
 
     def __len__(self) -> int:
         return len(self._ends)
@@ -120,7 +122,7 @@
             self._judge()
         if key in self._barred:
             return Standing.BARRED
-        blame = sum(key in end.requests for end in self._unexplained())
+        blame = self._blame[key]
         if not blame:
             return Standing.FREE
         return Standing.SUSPECT if blame < _ENOUGH else Standing.UNCLEAR
@@ -176,6 +178,7 @@
         while True:
             unexplained = self._unexplained()
             counts = Counter(key for end in unexplained for key in end.requests)
+            self._blame = counts
             often = {key for key, count in counts.items() if count >= _ENOUGH}
             found = [
                 (counts[key], key)
--- a/packages/saddledoord/src/saddledoord/serving/engine_ends.py
+++ b/packages/saddledoord/src/saddledoord/serving/engine_ends.py
@@ -135,10 +135,8 @@
         self._ends = EngineEnds()
         self._vain_at = float("-inf")
         self._lives = memory.table(_Life, self._forgotten)
-        self._asking: set[asyncio.Task] = set()
-        self._waiting: deque[EngineEnded | RequestsCleared] = deque(
-            maxlen=_MOST_WAITING
-        )
+        self._asking: dict[asyncio.Task, _Life] = {}
+        self._waiting = deque[_Record](maxlen=_MOST_WAITING)
         self._some = asyncio.Event()
         leases.on_other(self._fold)
 
@@ -227,8 +225,8 @@
             return
         life.broke_at = boot_time()
         task = asyncio.create_task(self._find_out(engine, life))
-        self._asking.add(task)
-        task.add_done_callback(self._asking.discard)
+        self._asking[task] = life
+        task.add_done_callback(self._asking.pop)
 
     async def run(self) -> None:
         """
@@ -304,9 +302,9 @@
         Whether a request broke off at an engine that is being asked.
         """
         return any(
-            life.broke_at is not None
-            and any(r.key == key and r.broke for r in life.runs)
-            for life in self._lives.rows()
+            run.key == key and run.broke
+            for life in self._asking.values()
+            for run in life.runs
         )
 
     def _is_other_suspect(self, run: _Run, key: str) -> bool:
--- a/tests/guard_rows/__init__.py
+++ b/tests/guard_rows/__init__.py
@@ -6,10 +6,16 @@
 
 from __future__ import annotations
 
-from . import engines, jobs, nodes, requests
+from . import crashes, engines, jobs, nodes, requests
 from .guard import Guard
 
 
 __all__ = ["GUARDS", "Guard"]
 
-GUARDS = (*jobs.GUARDS, *requests.GUARDS, *engines.GUARDS, *nodes.GUARDS)
+GUARDS = (
+    *jobs.GUARDS,
+    *requests.GUARDS,
+    *engines.GUARDS,
+    *nodes.GUARDS,
+    *crashes.GUARDS,
+)
--- /dev/null
+++ b/tests/guard_rows/crashes.py
@@ -0,0 +1,120 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Guards of engines against requests that end them, and of the requests beside these.
+"""
+
+from __future__ import annotations
+
+from .guard import CRASHING, DAEMON, END_WATCH, ENDS, LIBRARY, Guard
+
+
+__all__ = ["GUARDS"]
+
+_WATCH = f"{DAEMON}/serving/engine_ends.py"
+_FOLD = f"{LIBRARY}/_engine_ends.py"
+
+GUARDS = (
+    Guard(
+        "a barred request reaches no engine",
+        f"{DAEMON}/serving/pass_through.py",
+        """        if standing is Standing.BARRED:
+            return None
+""",
+        "",
+        (CRASHING, "request_that_ends_engines"),
+    ),
+    Guard(
+        "a barred item reaches no engine",
+        f"{DAEMON}/jobs/runner.py",
+        """                self._log_barred(run)
+                continue
+""",
+        "                self._log_barred(run)\n",
+        (CRASHING, "item_that_ends_engines"),
+    ),
+    Guard(
+        "ends are told to all nodes",
+        _WATCH,
+        "            await append_until_done(self._log, CONTROL_STREAM, records)\n",
+        "",
+        (CRASHING, "stood_still"),
+    ),
+    Guard(
+        "ends outlive all nodes",
+        f"{DAEMON}/cluster/leases.py",
+        "        self._other(record)\n",
+        "",
+        (CRASHING, "loss_of_all_edges"),
+    ),
+    Guard(
+        "a node that stood still asks before it judges",
+        _WATCH,
+        "        is_known = now - self._leases.confirmed_at <= _STALE\n",
+        "        is_known = True\n",
+        (CRASHING, "stood_still"),
+    ),
+    Guard(
+        "a cause was there once without another suspect",
+        _FOLD,
+        "if all(counts[other] == 1 for other in end.requests - {key})\n",
+        "if counts\n",
+        (ENDS, "always_together"),
+    ),
+    Guard(
+        "what a barred request explains speaks against nobody",
+        _FOLD,
+        "            self._blame = counts\n",
+        "            self._blame = self._blame if self._barred else counts\n",
+        (ENDS, "free_once_the_cause"),
+    ),
+    Guard(
+        "an answer clears a request",
+        _FOLD,
+        "                    end.requests.difference_update(record.requests)\n",
+        "                    pass\n",
+        (ENDS, "an_answer_clears"),
+    ),
+    Guard(
+        "what is known of ends is bounded in time",
+        _FOLD,
+        "            if not too_many and now - oldest.told_at <= _REMEMBER:\n",
+        "            if not too_many:\n",
+        (ENDS, "bounded_in_time"),
+    ),
+    Guard(
+        "what is known of ends is bounded in count",
+        _FOLD,
+        "            too_many = len(self._ends) > _MOST_ENDS\n",
+        "            too_many = False\n",
+        (ENDS, "bounded_in_count"),
+    ),
+    Guard(
+        "only an engine that is gone has ended",
+        _WATCH,
+        "        if await self._engines.is_gone(engine):\n",
+        "        if await self._engines.is_gone(engine) or True:\n",
+        (END_WATCH, "still_serves"),
+    ),
+    Guard(
+        "an engine that ran a request for long is not ended by it",
+        _WATCH,
+        "                if run.began <= ended_at <= run.began + _SOON\n",
+        "                if run.began <= ended_at\n",
+        (END_WATCH, "ran_for_long"),
+    ),
+    Guard(
+        "a timer that fires after a standstill shows nothing",
+        _WATCH,
+        "        if boot_time() - run.began <= _SOON + _ON_TIME:\n",
+        "        if run.began:\n",
+        (END_WATCH, "standstill"),
+    ),
+    Guard(
+        "what waits for the store is bounded",
+        _WATCH,
+        "deque[_Record](maxlen=_MOST_WAITING)",
+        "deque[_Record]()",
+        (END_WATCH, "waits_for_the_store"),
+    ),
+)
--- a/tests/guard_rows/guard.py
+++ b/tests/guard_rows/guard.py
@@ -11,7 +11,10 @@
 
 __all__ = [
     "DAEMON",
+    "CRASHING",
     "DECISIONS",
+    "ENDS",
+    "END_WATCH",
     "FOLLOW",
     "Guard",
     "ITEMS",
@@ -45,6 +48,9 @@
 REGISTRY = "tests/adapter/test_registry.py"
 FOLLOW = "tests/test_follow.py"
 LIVES = "tests/test_engine_lives.py"
+ENDS = "tests/test_engine_ends.py"
+END_WATCH = "tests/test_engine_end_watch.py"
+CRASHING = "tests/adapter/test_edge_crashing_requests.py"
 
 
 @dataclass(frozen=True)
