Test those beside a request that ends engines, and ends seen without the store

Two more tests of real edges: a request that comes again each time that an instance ends under another one is never called a cause and is served; what was seen while the store was busy is known everywhere once it is back.

--- a/tests/adapter/test_edge_crashing_requests.py
+++ b/tests/adapter/test_edge_crashing_requests.py
@@ -229,3 +229,48 @@
         crash_bed.signal("edge-2", signal.SIGCONT)
         assert asked.result().status == 503
     assert len(_crashing_runs(crash_bed, _SERVICE)) == before
+
+
+def test_a_request_that_was_only_there_is_served(crash_bed):
+    """
+    Though it comes again each time that an instance ends, it is never called a cause.
+    """
+    for name in _SERVICE:
+        crash_bed.fake_engine(name, delay=0.1)
+    with ThreadPoolExecutor(4) as pool:
+        crashing = pool.submit(_send_crashing, crash_bed, 3.0)
+        steady = [
+            pool.submit(_send_steady, crash_bed, 5.0, f"edge-{index}")
+            for index in range(3)
+        ]
+        crashing.result()
+    assert len(_crashing_runs(crash_bed, _SERVICE)) >= 3
+    for answers in (one.result() for one in steady):
+        assert not [answer for answer in answers if answer.body.startswith(b"209")]
+        assert {answer.status for answer in answers[-5:]} == {200}
+
+
+def _send_steady(bed: PlatformBed, seconds: float, edge: str) -> list[Answer]:
+    """
+    Send one request again and again, which harms nobody.
+    """
+    answers = []
+    ends_at = time.monotonic() + seconds
+    while time.monotonic() < ends_at:
+        name = f"{edge}-{len(answers)}"
+        answers.append(bed.ask("POST", "/look/x", b"steady", name, edge))
+    return answers
+
+
+def test_what_was_seen_without_the_store_is_told_once_it_is_back(crash_bed):
+    """
+    Each edge bars what it has seen itself meanwhile.
+    """
+    crash_bed.fake_store(mode="busy")
+    _send_crashing(crash_bed, 5.0)
+    crash_bed.fake_store(mode="ok")
+    time.sleep(_KNOWN_WITHIN)
+    before = len(_crashing_runs(crash_bed, _SERVICE))
+    assert before >= 3
+    _send_crashing(crash_bed, 3.0)
+    assert len(_crashing_runs(crash_bed, _SERVICE)) - before <= _MORE
