Blame nobody whom the engine answered or refused before it ended

Cause: found on reading the change again: runs that had left an engine within 1.5 s before its end were told as there, also those that it had answered or refused. They could be called suspects, and be sent apart from each other.

Change: a run that is answered or refused is forgotten at once; what left without either may still be the cause. The test of it failed before (both cases). What waits for the store is appended 32 records at a time.

--- a/packages/saddledoord/src/saddledoord/jobs/attempt.py
+++ b/packages/saddledoord/src/saddledoord/jobs/attempt.py
@@ -46,6 +46,9 @@
 _URGENCY = 5
 #: Outcomes by which the engine shows that it has run the item and lives.
 _ANSWERED = frozenset({GenerationFailedError.FAILED, GenerationFailedError.IMPOSSIBLE})
+#: Outcomes by which the engine, or the one that has its address, vouches that it has
+#: not run the item.
+_REFUSED = frozenset({GenerationFailedError.NOT_STARTED, GenerationFailedError.MOVED})
 
 
 class Attempts:
@@ -99,6 +102,8 @@
                 at_engine.broke_off(engine)
             elif error.outcome in _ANSWERED:
                 at_engine.survived()
+            elif error.outcome in _REFUSED:
+                at_engine.not_run()
             raise
         at_engine.survived()
 
--- a/packages/saddledoord/src/saddledoord/serving/engine_ends.py
+++ b/packages/saddledoord/src/saddledoord/serving/engine_ends.py
@@ -56,6 +56,8 @@
 _GATHER = 0.02
 #: Requests in one record, a count: 16 of them take 450 bytes.
 _MOST_REQUESTS = 16
+#: Records in one append, a count: 14 KB.
+_MOST_AT_ONCE = 32
 #: Records that wait for the store, a count; the oldest go first. So many come of ends
 #: of 16 engines with 16 requests each.
 _MOST_WAITING = 256
@@ -106,8 +108,15 @@
         """
         Note that the engine has run the request and lives.
         """
+        self._life.runs.discard(self._run)
         self._watch.note_survived(self._run.key)
 
+    def not_run(self) -> None:
+        """
+        Note that the engine has not begun to run the request.
+        """
+        self._life.runs.discard(self._run)
+
     def broke_off(self, engine: EngineEntry) -> None:
         """
         Note that the request ended without an answer, and the engine may have as well.
@@ -231,13 +240,16 @@
             await self._some.wait()
             await asyncio.sleep(_GATHER)
             self._some.clear()
-            records = [encode_record(record).encode() for record in self._waiting]
-            self._waiting.clear()
-            await append_until_done(self._log, CONTROL_STREAM, records)
+            while self._waiting:
+                count = min(len(self._waiting), _MOST_AT_ONCE)
+                batch = [self._waiting.popleft() for _ in range(count)]
+                records = [encode_record(record).encode() for record in batch]
+                await append_until_done(self._log, CONTROL_STREAM, records)
 
     async def _find_out(self, engine: EngineEntry, life: _Life) -> None:
         if await self._engines.is_gone(engine):
             self._over(life, life.broke_at or boot_time())
+        # Whatever breaks off from now on is asked about anew.
         life.broke_at = None
 
     def _forgotten(self, life: _Life) -> None:
--- a/packages/saddledoord/src/saddledoord/serving/pass_through.py
+++ b/packages/saddledoord/src/saddledoord/serving/pass_through.py
@@ -324,6 +324,8 @@
     match outcome:
         case EngineAnswer():
             run.survived()
+        case NotRun():
+            run.not_run()
         case OutcomeUnknown():
             run.broke_off(engine)
 
--- a/tests/guard_rows/crashes.py
+++ b/tests/guard_rows/crashes.py
@@ -103,6 +103,15 @@
         "                if run.began <= ended_at\n",
         (END_WATCH, "ran_for_long"),
     ),
+    Guard(
+        "what an engine has answered is not blamed for its end",
+        _WATCH,
+        """        self._life.runs.discard(self._run)
+        self._watch.note_survived(self._run.key)
+""",
+        "        self._watch.note_survived(self._run.key)\n",
+        (END_WATCH, "answered_before_its_end"),
+    ),
     Guard(
         "a timer that fires after a standstill shows nothing",
         _WATCH,
--- a/tests/test_engine_end_watch.py
+++ b/tests/test_engine_end_watch.py
@@ -176,6 +176,37 @@
     assert asyncio.run(play()) == [Standing.SUSPECT]
 
 
+@pytest.mark.parametrize("end", ["survived", "not_run"])
+def test_what_the_engine_answered_before_its_end_is_not_blamed(end):
+    """
+    Neither what it ran nor what it refused, in the moment before.
+    """
+
+    async def play() -> list[Standing]:
+        node = _Node()
+        with node.watch.running(make_engine_entry("engine-0").incarnation, "a") as run:
+            getattr(run, end)()
+        await node.breaks(0, "b")
+        return node.standings("a", "b")
+
+    assert asyncio.run(play()) == [Standing.FREE, Standing.SUSPECT]
+
+
+def test_what_left_an_engine_just_before_its_end_may_be_the_cause():
+    """
+    The engine may have begun to run it all the same.
+    """
+
+    async def play() -> list[Standing]:
+        node = _Node()
+        with node.watch.running(make_engine_entry("engine-0").incarnation, "a"):
+            pass
+        await node.breaks(0, "b")
+        return node.standings("a", "b")
+
+    assert asyncio.run(play()) == [Standing.SUSPECT] * 2
+
+
 def test_an_answer_is_told_only_of_a_suspect():
     """
     Answers of all others cost no record.
