Test, failing: an edge that stood still sends nothing of a job that has ended

Symptom: at the instant an edge goes on after a standstill, items and scoring calls of a job that has ended meanwhile reach engines, 3.61 s and more after the end (3 s may be).

--- /dev/null
+++ b/tests/adapter/test_edge_standstills.py
@@ -0,0 +1,83 @@
+# SPDX-License-Identifier: MIT
+
+"""
+A job ends while the edge that runs its items stands still.
+
+What happened: at the instant the edge went on, items and scoring calls of the job
+reached engines, later after its end than any may, before the edge read the log.
+"""
+
+from __future__ import annotations
+
+import json
+import signal
+import time
+
+import pytest
+
+from platform_bed import PlatformBed, until
+from platform_documents import make_job
+
+
+#: After which no item or scoring call of an ended job may reach an engine, in seconds:
+#: `cancel_ms` of the settings.
+_CANCEL_TIME = 3.0
+#: How long the edge stands still, in seconds, and when in it the job ends.
+_STANDSTILL, _END_AFTER = 3.8, 0.2
+#: How long the edge is watched when it goes on, in seconds.
+_WATCH = 1.0
+_ITEMS = 40
+_JOB = "job-1"
+
+#: What keeps the items from going on before the standstill, and what is set meanwhile:
+#: they wait for a place, for a score or for an event.
+_WAITS = {
+    "place": ("engine", {"fail": 503}, {"fail": 0}),
+    "score": ("desk", {"fail": 503}, {"fail": 0}),
+    "slow score": ("desk", {"delay": 60.0}, {"delay": 0.0}),
+    "event": ("engine", {"hang_after": 2}, {"hang_after": 0}),
+}
+
+
+def _begun(bed: PlatformBed, since: float) -> list[tuple[str, float]]:
+    """
+    Return what engines began to run since then, with its time.
+    """
+    lines = [
+        json.loads(line)
+        for name in bed.engine_ports
+        if bed.journal(name).exists()
+        for line in bed.journal(name).read_text().splitlines()
+    ]
+    runs = [line for line in lines if line["what"] == "run" and line["at"] > since]
+    return [(line["id"], line["at"]) for line in runs]
+
+
+@pytest.mark.parametrize("wait", _WAITS)
+def test_an_edge_that_stood_still_sends_nothing_of_a_job_that_has_ended(
+    two_edges, wait
+):
+    """
+    It asks for the log's end before the first thing that it does.
+    """
+    bed = two_edges
+    kind, before, meanwhile = _WAITS[wait]
+    engines = [name for name in bed.engine_ports if name.startswith(kind)]
+    for name in engines:
+        bed.fake_engine(name, **before)
+    owner = bed.owner()
+    (other,) = set(bed.front_ports) - {owner}
+    assert bed.submit(_JOB, make_job(_ITEMS), other).status == 202
+    until(lambda: any(line["event"] == "job_taken_up" for line in bed.log(owner)))
+    time.sleep(0.5)
+    bed.signal(owner, signal.SIGSTOP)
+    time.sleep(_END_AFTER)
+    assert bed.ask("DELETE", f"/v1/lots/{_JOB}", edge=other).status == 200
+    ended = time.monotonic()
+    for name in engines:
+        bed.fake_engine(name, **meanwhile)
+    time.sleep(_STANDSTILL - _END_AFTER)
+    bed.signal(owner, signal.SIGCONT)
+    time.sleep(_WATCH)
+    late = [(name, round(at - ended, 2)) for name, at in _begun(bed, ended)]
+    assert [one for one in late if one[1] > _CANCEL_TIME] == []
