Ask what has ended before anything of a job is sent after a standstill

Symptom: at the instant an edge went on, items and scoring calls of a job that had ended meanwhile reached engines 3.61 s and more after its end (3 s may be). Callers and other jobs paid for it: 12 places and 40 calls for work that nobody wanted.

Cause, from the edge's log at that instant: `store_lost` reading jobs, a `TimeoutError`, then the items, and 0.1 s later `store_regained` and `item_dropped` for all 40. The loop's timers run out during a standstill, so a read is given up before its answer is looked at; and without the store items start for 6 s, since nobody can end a job then. Scoring calls asked nothing. Ruled out: the 2 s within which the log's end has to be known (they hold while the store answers).

Change: `Standstills` tells when the process last stood still for 0.8 s, also before any timer has noticed; `KnownEnds` counts nothing that was read before; scoring calls ask it before each attempt. `stood_still` in the log, a counter in the metrics. The rule about known ends moved out of the runner.

--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -23,6 +23,7 @@
 from .cluster.view import ClusterView
 from .cluster.work_shares import WorkShares
 from .jobs.attempt import Attempts
+from .jobs.known_ends import KnownEnds, LogView
 from .jobs.placement import Placement
 from .jobs.record_writer import RecordWriter
 from .jobs.runner import JobRunner
@@ -37,6 +38,7 @@
 from .serving.pass_through import PassThrough
 from .serving.pool import EnginePool
 from .serving.silence import SilentEngines
+from .standstills import Standstills
 
 
 __all__ = ["Gateway", "GatewayPorts", "GatewaySettings"]
@@ -114,6 +116,7 @@
     ) -> None:
         self._stopping = False
         self._tasks: list[asyncio.Task] = []
+        self._standstills = Standstills()
         self.view = ClusterView()
         view = self.view
         self._store = StoreWatch(ports.reconnect)
@@ -160,6 +163,7 @@
         paces = EnginePaces(self.view.memory)
         silent = SilentEngines(ports.engines, self.view.memory)
         placement = Placement(self.view, pool, paces, silent)
+        self._known_ends = KnownEnds(self._log_view, settings.cancel_time)
         self._runner = JobRunner(
             self.jobs,
             self.view,
@@ -172,7 +176,7 @@
             texts,
             Scorer(self.view, self.pass_through),
             self._shares.owns,
-            settings.cancel_time,
+            self._known_ends,
         )
         self.jobs.on_change(self._wake)
         self._lease = OrderLease(self._leases, settings.lease_term)
@@ -215,11 +219,18 @@
             "texts": self.jobs.unreadable_texts,
         }
 
+    @property
+    def standstills(self) -> int:
+        """
+        Times that this process has stood still, a count.
+        """
+        return self._standstills.count
+
     def set_bounds(self, cancel_time: float, read_for: float, retention: float) -> None:
         """
         Change bounds while the node runs; see `GatewaySettings`.
         """
-        self._runner.set_cancel_time(cancel_time)
+        self._known_ends.set_cancel_time(cancel_time)
         self.jobs.keep_for(read_for, retention)
 
     def start(self, failed: Callable[[BaseException], None]) -> None:
@@ -229,6 +240,7 @@
         :param failed: Called when one of them ended by a fault.
         """
         loops: list[Coroutine] = [
+            self._standstills.run(),
             self._operator.run(),
             self._entries.run(),
             self.jobs.run(),
@@ -277,6 +289,13 @@
     def _store_is_silent(self) -> bool:
         return boot_time() - self._store.answered_at > _ALONE
 
+    def _log_view(self) -> LogView:
+        return LogView(
+            self.jobs.confirmed_at,
+            self.jobs.store_reached,
+            self._standstills.ended_at,
+        )
+
     def _wanted_shares(self) -> set[str]:
         open_jobs = self.jobs.open_jobs()
         return self.view.shares() | {self.view.share_of(s.job) for s in open_jobs}
--- a/packages/saddledoord/src/saddledoord/jobs/runner.py
+++ b/packages/saddledoord/src/saddledoord/jobs/runner.py
@@ -34,6 +34,7 @@
 from .item_loader import ItemLoader
 from .item_run import ItemRun
 from .item_times import ItemPhase
+from .known_ends import KnownEnds
 from .placement import Placement
 from .record_writer import RecordWriter
 from .scoring import ScoreImpossibleError, Scorer
@@ -51,12 +52,6 @@
 _KEEP_EVERY = 0.5
 #: Fewest new events of an item that are worth a record, a count.
 _KEEP_LEAST = 8
-#: Items start only if the log's end was known so lately, as a share of the time after
-#: which no item of an ended job may reach an engine.
-_FRESH = 2 / 3
-#: How long items still start while the store cannot be reached, in seconds: nobody
-#: can end a job then, but another node may have taken this one's share.
-_ALONE = 6.0
 
 
 Key = tuple[str, str]
@@ -67,8 +62,6 @@
     Keeps every engine's slots filled with items that still count.
 
     :param owns: Whether this node runs a share of the jobs.
-    :param cancel_time: After this long no item of an ended job may reach an engine, in
-        seconds.
     """
 
     def __init__(
@@ -84,7 +77,7 @@
         texts: TextStore,
         scorer: Scorer,
         owns: Callable[[str], bool],
-        cancel_time: float,
+        known_ends: KnownEnds,
     ) -> None:
         self._jobs = jobs
         self._view = view
@@ -94,7 +87,7 @@
         self._texts = texts
         self._scorer = scorer
         self._owns = owns
-        self.set_cancel_time(cancel_time)
+        self._known_ends = known_ends
         self._attempts = attempts
         self._ends = ends
         self._placement = placement
@@ -103,12 +96,6 @@
         self._wake = asyncio.Event()
         self._stopped = False
 
-    def set_cancel_time(self, cancel_time: float) -> None:
-        """
-        Change the time after which no item of an ended job may reach an engine.
-        """
-        self._fresh = _FRESH * cancel_time
-
     def wake(self) -> None:
         """
         Look again at what is to be done.
@@ -124,7 +111,7 @@
             # Whoever has stood still asks first which items have ended engines.
             await self._ends.ask()
             self._reconcile()
-            if self._knows_ends():
+            if self._known_ends.may_start(boot_time()):
                 self._dispatch()
             try:
                 async with asyncio.timeout(_TICK if self._waiting() else None):
@@ -160,15 +147,6 @@
     def _waiting(self) -> bool:
         return any(run.is_idle for run in self._runs.values())
 
-    def _knows_ends(self) -> bool:
-        """
-        Whether this node would know by now that a job has ended.
-        """
-        age = self._jobs.age_of_view()
-        if self._jobs.store_reached:
-            return age < self._fresh
-        return age < _ALONE
-
     def _reconcile(self) -> None:
         """
         Begin what this node should run, drop what it should not.
@@ -308,8 +286,10 @@
         with place:
             try:
                 await self._load(run)
-                await self._attempts.run(run, route, engine)
-                whole = True
+                # This process may have stood still while it read.
+                whole = self._known_ends.may_start(boot_time())
+                if whole:
+                    await self._attempts.run(run, route, engine)
             except GenerationFailedError as error:
                 self._failed(run, engine, error.outcome, str(error))
                 whole = False
@@ -387,6 +367,7 @@
                     lambda: self._writer.put(
                         ItemFailed(job_id, item.item_id, _new_failure(), scoring=True)
                     ),
+                    lambda: self._known_ends.may_score(boot_time()),
                 )
             except ScoreImpossibleError:
                 _log.info("item_not_scored", job=job_id, item=item.item_id)
--- a/packages/saddledoord/src/saddledoord/jobs/scoring.py
+++ b/packages/saddledoord/src/saddledoord/jobs/scoring.py
@@ -53,13 +53,18 @@
         self._pass_through = pass_through
 
     async def score(
-        self, call: ScoreCall, failures: int, failed: Callable[[], None]
+        self,
+        call: ScoreCall,
+        failures: int,
+        failed: Callable[[], None],
+        may_call: Callable[[], bool],
     ) -> str:
         """
         Return the mark of the first successful answer.
 
         :param failures: Failed calls so far, by whichever node.
         :param failed: Called after each further one.
+        :param may_call: Whether the call may be made just now.
         :raises ScoreImpossibleError: After as many failures as the route allows.
         """
         pause = _PAUSE
@@ -71,6 +76,9 @@
                 failed()
 
         while True:
+            if not may_call():
+                await asyncio.sleep(_PAUSE)
+                continue
             route = self._view.route(call.host, call.path.partition("?")[0])
             if route is None:
                 _log.warning("score_without_route", request=call.request_id)
@@ -87,6 +95,7 @@
                 boot_time() + route.timeout,
                 heard,
                 call.request_id,
+                may_call,
             )
             match outcome:
                 case EngineAnswer(status=status, mark=mark) if status < 300 and mark:
--- a/packages/saddledoord/src/saddledoord/jobs/service.py
+++ b/packages/saddledoord/src/saddledoord/jobs/service.py
@@ -187,11 +187,12 @@
         """
         return len(self._unreadable)
 
-    def age_of_view(self) -> float:
+    @property
+    def confirmed_at(self) -> float:
         """
-        Return how long ago this node knew the log's end, in seconds.
+        When this node knew the log's end, monotonic, in seconds.
         """
-        return boot_time() - self._follower.confirmed_at
+        return self._follower.confirmed_at
 
     def open_jobs(self) -> list[JobState]:
         """
--- a/packages/saddledoord/src/saddledoord/observability/gateway_metrics.py
+++ b/packages/saddledoord/src/saddledoord/observability/gateway_metrics.py
@@ -21,15 +21,19 @@
 
 class GatewayMetrics:
     """
-    Requests by route and result code, how long they took, the settings in force, and
-    records of the store that could not be used.
+    Requests by route and result code, how long they took, the settings in force,
+    records of the store that could not be used, and standstills of the process.
 
     :param settings: Returns the version of the settings in force.
     :param skipped: Returns counts of such records, by what they hold.
+    :param standstills: Returns the count of those.
     """
 
     def __init__(
-        self, settings: Callable[[], str], skipped: Callable[[], dict[str, int]]
+        self,
+        settings: Callable[[], str],
+        skipped: Callable[[], dict[str, int]],
+        standstills: Callable[[], int],
     ) -> None:
         meter = MeterProvider(metric_readers=[PrometheusMetricReader()]).get_meter(
             "saddledoord"
@@ -48,6 +52,11 @@
             [lambda _: [Observation(n, {"of": of}) for of, n in skipped().items()]],
             description="Records of the store that could not be used",
         )
+        meter.create_observable_counter(
+            "saddledoor_standstills",
+            [lambda _: [Observation(standstills())]],
+            description="Times that the process did not run for 0.8 s or longer",
+        )
         self._seconds = meter.create_histogram(
             "saddledoor_gateway_seconds",
             unit="s",
--- a/packages/saddledoord/src/saddledoord/serving/engine_choice.py
+++ b/packages/saddledoord/src/saddledoord/serving/engine_choice.py
@@ -68,9 +68,9 @@
         Return when an engine may have a request again, monotonic, in seconds, as far as
         is known now; none if none may.
         """
-        if self._ends.standing(key) is Standing.BARRED:
-            return None
         returns = attempts.may_return_at()
+        if not returns or self._ends.standing(key) is Standing.BARRED:
+            return None
         usable = self._pool.returns_at(service)
         times = [max(at, usable[e]) for e, at in returns.items() if e in usable]
         return min(times, default=None)
--- a/packages/saddledoord/src/saddledoord/serving/pass_through.py
+++ b/packages/saddledoord/src/saddledoord/serving/pass_through.py
@@ -9,11 +9,12 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 import structlog
 
 from saddledoor import (
+    AttemptEnd,
     EngineAttempt,
     EngineAttempts,
     EngineEntry,
@@ -34,6 +35,7 @@
 from .engine_ends import EngineEndWatch
 from .outcomes import Outcome, describe, end_of, is_final, note_end
 from .pool import EnginePool
+from .request_try import RequestTry
 
 
 __all__ = ["PassThrough"]
@@ -63,30 +65,8 @@
     pass
 
 
-@dataclass
-class _Try:
-    """
-    One request on its way: who had it, until when, and the worst that was seen.
-
-    :param key: Tells it from others when it comes again.
-    :param heard: Told of each attempt's outcome.
-    :param attempts: Where it has been.
-    :param engines: By the attempts there, in order.
-    """
-
-    route: GatewayRoute
-    request: ForwardedRequest
-    deadline: float
-    heard: Callable[[Outcome], None]
-    key: str
-    service: str
-    attempts: EngineAttempts
-    engines: dict[asyncio.Task, EngineEntry] = field(default_factory=dict)
-    last: Outcome | None = None
-
-    @property
-    def left(self) -> float:
-        return self.deadline - boot_time()
+def _always() -> bool:
+    return True
 
 
 class PassThrough:
@@ -143,17 +123,21 @@
         deadline: float,
         heard: Callable[[Outcome], None] = _ignore,
         name: str = "",
+        may_begin: Callable[[], bool] = _always,
     ) -> Outcome:
         """
         Run a request of a known route until a monotonic time.
 
         :param heard: Told of each attempt's outcome.
         :param name: Of a request that keeps its name when it is sent again.
+        :param may_begin: Asked before each attempt; none begins while it may not.
         """
         key = _key_of(request, name)
         service = route.service(random.random())
         attempts = EngineAttempts(route.max_attempts, route.kind is RouteKind.SAFE)
-        current = _Try(route, request, deadline, heard, key, service, attempts)
+        current = RequestTry(
+            route, request, deadline, heard, key, service, attempts, may_begin
+        )
         await self._ends.ask()
         pending: set[asyncio.Task[Outcome]] = set()
         try:
@@ -177,13 +161,17 @@
             current.last = OutcomeUnknown(code, "no answer in time")
         return self._give_up(current)
 
-    def _start(self, current: _Try, is_pending: bool) -> set[asyncio.Task[Outcome]]:
+    def _start(
+        self, current: RequestTry, is_pending: bool
+    ) -> set[asyncio.Task[Outcome]]:
         """
         Begin an attempt if there is an engine for it: one that has not had the request,
         else one that may have it again.
 
         :param is_pending: Whether an engine works on the request.
         """
+        if not current.may_begin():
+            return set()
         place = (current.service, current.key, current.attempts)
         engine = self._choice.another(*place)
         if engine is None and self._may_return(current, is_pending):
@@ -197,7 +185,7 @@
         current.engines[task] = engine
         return {task}
 
-    def _may_return(self, current: _Try, is_pending: bool) -> bool:
+    def _may_return(self, current: RequestTry, is_pending: bool) -> bool:
         """
         Whether an engine may have the request again while there is time enough.
 
@@ -212,7 +200,7 @@
 
     def _note_overtaken(
         self,
-        current: _Try,
+        current: RequestTry,
         winner: asyncio.Task[Outcome],
         pending: set[asyncio.Task[Outcome]],
     ) -> None:
@@ -226,7 +214,7 @@
             if task in pending:
                 self._pool.overtaken(current.engines[task])
 
-    def _may_overlap(self, current: _Try) -> bool:
+    def _may_overlap(self, current: RequestTry) -> bool:
         """
         Whether a second engine may work on the request beside the first.
 
@@ -236,7 +224,7 @@
             return False
         return self._ends.standing(current.key) is Standing.FREE
 
-    def _patience(self, current: _Try) -> float:
+    def _patience(self, current: RequestTry) -> float:
         """
         How long to wait before the next attempt is begun, in seconds.
         """
@@ -250,8 +238,12 @@
         return min(left, current.route.objective * _OVERLAP_AFTER)
 
     async def _attempt(
-        self, current: _Try, engine: EngineEntry, attempt: EngineAttempt
+        self, current: RequestTry, engine: EngineEntry, attempt: EngineAttempt
     ) -> Outcome:
+        if not current.may_begin():
+            # The process has stood still since the attempt was decided on.
+            attempt.finish(AttemptEnd.NOT_RUN, boot_time())
+            return NotRun(ResultCode.NO_BACKEND, "not sent: what is known is too old")
         number = current.attempts.count
         with (
             self._pool.take(engine),
@@ -294,7 +286,7 @@
         return OutcomeUnknown(ResultCode.OUTCOME_UNKNOWN, reason)
 
     def _log_attempt(
-        self, current: _Try, engine: EngineEntry, number: int, outcome: str
+        self, current: RequestTry, engine: EngineEntry, number: int, outcome: str
     ) -> None:
         _log.info(
             "attempt_failed",
@@ -306,7 +298,7 @@
             left=round(current.left, 3),
         )
 
-    def _give_up(self, current: _Try) -> Outcome:
+    def _give_up(self, current: RequestTry) -> Outcome:
         outcome = current.last
         barred = self._ends.standing(current.key) is Standing.BARRED
         if outcome is None and barred:
--- a/tests/adapter/test_edge_standstills.py
+++ b/tests/adapter/test_edge_standstills.py
@@ -5,6 +5,13 @@
 
 What happened: at the instant the edge went on, items and scoring calls of the job
 reached engines, later after its end than any may, before the edge read the log.
+
+Why: the read that was under way had run out of time, so the store seemed to be away,
+and items start without it for 6 s, since nobody can end a job then; scoring calls did
+not ask at all. The edge's log at that instant, after a standstill of 3.8 s in which the
+job had ended at 0.2 s: `store_lost` reading jobs, a `TimeoutError`; 0.1 s later
+`store_regained` and `item_dropped` of all 40 items. Three of the four cases below were
+red, with 12 items, 40 and 40 scoring calls 3.61 s and more after the end.
 """
 
 from __future__ import annotations
--- a/tests/guard_rows/guard.py
+++ b/tests/guard_rows/guard.py
@@ -21,6 +21,7 @@
     "Guard",
     "ITEMS",
     "JOBS",
+    "KNOWN_ENDS",
     "LIBRARY",
     "LIVES",
     "PASS",
@@ -30,6 +31,7 @@
     "REGISTRY",
     "REQUESTS",
     "SHARES",
+    "STANDSTILLS",
     "WATCH",
     "WEIGHTS",
 ]
@@ -44,6 +46,8 @@
 DECISIONS = "tests/test_gateway_decisions.py"
 PASS = "tests/test_pass_through.py"
 AGAIN = "tests/adapter/test_edge_asks_again.py"
+STANDSTILLS = "tests/adapter/test_edge_standstills.py"
+KNOWN_ENDS = "tests/test_known_ends.py"
 ATTEMPTS = "tests/test_asking_again.py"
 POOL = "tests/test_pool.py"
 SHARES = "tests/test_work_shares.py"
--- a/tests/guard_rows/jobs.py
+++ b/tests/guard_rows/jobs.py
@@ -6,7 +6,19 @@
 
 from __future__ import annotations
 
-from .guard import DAEMON, DECISIONS, FOLLOW, ITEMS, JOBS, LIBRARY, PASS, PROOFS, Guard
+from .guard import (
+    DAEMON,
+    DECISIONS,
+    FOLLOW,
+    ITEMS,
+    JOBS,
+    KNOWN_ENDS,
+    LIBRARY,
+    PASS,
+    PROOFS,
+    STANDSTILLS,
+    Guard,
+)
 
 
 __all__ = ["GUARDS"]
@@ -15,10 +27,46 @@
     Guard(
         "items start only with a known log end",
         f"{DAEMON}/jobs/runner.py",
-        "if self._knows_ends():",
+        "if self._known_ends.may_start(boot_time()):",
         "if True:",
         (JOBS, "long_silence"),
     ),
+    Guard(
+        "whoever stood still asks for the log's end first",
+        f"{DAEMON}/jobs/known_ends.py",
+        "if view.confirmed_at < view.awake_since:",
+        "if False:",
+        (STANDSTILLS, "stood_still_sends_nothing"),
+    ),
+    Guard(
+        "a scoring call is made only with a known log end",
+        f"{DAEMON}/jobs/runner.py",
+        "lambda: self._known_ends.may_score(boot_time()),",
+        "lambda: True,",
+        (STANDSTILLS, "stood_still_sends_nothing"),
+    ),
+    Guard(
+        "a scoring call goes to no second engine without a known log end",
+        f"{DAEMON}/serving/pass_through.py",
+        "route, request, deadline, heard, key, service, attempts, may_begin",
+        "route, request, deadline, heard, key, service, attempts, _always",
+        (PASS, "no_second_instance"),
+    ),
+    Guard(
+        "what was decided on long ago is not sent",
+        f"{DAEMON}/backends/timely.py",
+        "if boot_time() - _decided_at.get() > _SEND_WITHIN:",
+        "if False:",
+        ("tests/test_timely.py", "long_ago"),
+    ),
+    Guard(
+        "a standstill is noticed when it is asked about",
+        f"{DAEMON}/standstills.py",
+        """        self._look()
+        return self._ended_at""",
+        "        return self._ended_at",
+        (KNOWN_ENDS, "before_any_timer"),
+    ),
     Guard(
         "nothing is taken up before the replay's end",
         f"{DAEMON}/jobs/runner.py",
--- a/tests/test_pass_through.py
+++ b/tests/test_pass_through.py
@@ -14,6 +14,7 @@
 
 from builders import make_engine_entry, make_request, make_route
 from saddledoor import OutcomeUnknown, RouteKind, ScoreCall
+from saddledoord._clock import boot_time
 from saddledoord.jobs.scoring import ScoreImpossibleError, Scorer
 from saddledoord.ports import EngineAnswer
 
@@ -68,7 +69,7 @@
     call = ScoreCall("s-1", "desk.example", "/score/x", b"text")
     scorer = Scorer(view, serving)
     try:
-        mark = asyncio.run(scorer.score(call, 0, failed))
+        mark = asyncio.run(scorer.score(call, 0, failed, lambda: True))
     except ScoreImpossibleError:
         mark = None
     return mark, engines.asked, failures
@@ -122,3 +123,26 @@
     assert pool.choose("desk").engine_id == next_choice
     with pool.take(make_engine_entry("desk-0")):
         assert pool.choose("desk").engine_id == "desk-1"
+
+
+def test_a_scoring_call_goes_to_no_second_instance_while_it_may_not():
+    """
+    Its job may have ended since the first attempt began.
+    """
+    allowed = [True]
+
+    async def answer(engine, request):
+        allowed[0] = False
+        await asyncio.sleep(0.4)
+        return EngineAnswer(200, (), b"", "mark")
+
+    engines = FunctionEngines(answer)
+    serving, _, _ = make_pass_through(engines, make_route("/score/"))
+
+    async def ask():
+        route, request = make_route("/score/"), make_request("/score/x")
+        deadline = boot_time() + 1.0
+        return await serving.run(route, request, deadline, may_begin=lambda: allowed[0])
+
+    assert isinstance(asyncio.run(ask()), EngineAnswer)
+    assert len(engines.asked) == 1
