Read a job's unusable items ever more seldom, say so once, and count it

Symptom: a job whose stored items cannot be decoded was read again ten times a second, with a line each time, until its trainer ended it; the lines drowned others.

Cause: an unusable text and an unreachable store were the same to the loader. The bytes are the same at each read, unless they were damaged on the way.

Change: after unusable bytes the pause doubles from 0.1 to 10 s, one `items_unreadable` in the log, counted in `saddledoor_records_skipped_total{of="items"}`. In the test 4 reads in 0.8 s; the job beside it is read at once. Not changed: what the trainer gets (readings without results, 503 for bodies) until it ends the job. A guard, red when taken out. The counters' test names the new kind and is as strict as before.

--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -217,6 +217,7 @@
             "leases": self._leases.skipped,
             "jobs": self.jobs.skipped,
             "texts": self.jobs.unreadable_texts,
+            "items": self._runner.unreadable_items,
         }
 
     @property
--- a/packages/saddledoord/src/saddledoord/jobs/item_loader.py
+++ b/packages/saddledoord/src/saddledoord/jobs/item_loader.py
@@ -24,6 +24,9 @@
 
 #: Pause after a read that failed, in seconds.
 _PAUSE = 0.1
+#: Longest pause after reads that brought unusable bytes, in seconds, doubled each time:
+#: all later reads will bring the same, unless the fault was on the way.
+_PAUSE_MOST = 10.0
 
 
 class ItemLoader:
@@ -33,10 +36,18 @@
     :param tried: Called after each read, whether it brought the items or not.
     """
 
+    @property
+    def unreadable(self) -> int:
+        """
+        Jobs whose items could not be read so far, a count.
+        """
+        return self._unreadable
+
     def __init__(self, jobs: JobService, tried: Callable[[], None]) -> None:
         self._jobs = jobs
         self._tried = tried
         self._reads: dict[str, asyncio.Task] = {}
+        self._unreadable = 0
 
     def want(self, state: JobState) -> None:
         """
@@ -58,8 +69,22 @@
         self._tried()
 
     async def _read(self, state: JobState) -> None:
-        try:
-            await self._jobs.load_items(state)
-        except (StoreAwayError, UndecodableRecordError) as error:
-            _log.warning("items_not_loaded", job=state.job.job_id, reason=str(error))
-            await asyncio.sleep(_PAUSE)
+        pause = _PAUSE
+        while not state.ended:
+            try:
+                await self._jobs.load_items(state)
+                return
+            except StoreAwayError as error:
+                job_id = state.job.job_id
+                _log.warning("items_not_loaded", job=job_id, reason=str(error))
+                await asyncio.sleep(_PAUSE)
+                return
+            except UndecodableRecordError as error:
+                if pause == _PAUSE:
+                    self._note_unreadable(state, error)
+            await asyncio.sleep(pause)
+            pause = min(_PAUSE_MOST, 2 * pause)
+
+    def _note_unreadable(self, state: JobState, error: UndecodableRecordError) -> None:
+        self._unreadable += 1
+        _log.error("items_unreadable", job=state.job.job_id, reason=str(error))
--- a/packages/saddledoord/src/saddledoord/jobs/runner.py
+++ b/packages/saddledoord/src/saddledoord/jobs/runner.py
@@ -64,6 +64,13 @@
     :param owns: Whether this node runs a share of the jobs.
     """
 
+    @property
+    def unreadable_items(self) -> int:
+        """
+        Jobs of this node whose items could not be read, a count.
+        """
+        return self._items.unreadable
+
     def __init__(
         self,
         jobs: JobService,
--- a/tests/adapter/test_edge_requests.py
+++ b/tests/adapter/test_edge_requests.py
@@ -254,7 +254,8 @@
     """
     By what they hold, so that faults of ours stand out.
     """
-    none = dict.fromkeys(("operator", "engines", "leases", "jobs", "texts"), 0)
+    kinds = ("operator", "engines", "leases", "jobs", "texts", "items")
+    none = dict.fromkeys(kinds, 0)
     assert platform_bed.skipped_records("edge-0") == none
     platform_bed.put("keyed.op", "config", "nonsense")
     platform_bed.put("keyed.servers", "odd", "nonsense")
--- a/tests/guard_rows/jobs.py
+++ b/tests/guard_rows/jobs.py
@@ -17,6 +17,7 @@
     PASS,
     PROOFS,
     STANDSTILLS,
+    UNREADABLE,
     Guard,
 )
 
@@ -67,6 +68,13 @@
         "        return self._ended_at",
         (KNOWN_ENDS, "before_any_timer"),
     ),
+    Guard(
+        "items that cannot be read are read ever more seldom",
+        f"{DAEMON}/jobs/item_loader.py",
+        "pause = min(_PAUSE_MOST, 2 * pause)",
+        "pass",
+        (UNREADABLE, "told_of_once"),
+    ),
     Guard(
         "nothing is taken up before the replay's end",
         f"{DAEMON}/jobs/runner.py",
--- a/tests/test_unreadable_records.py
+++ b/tests/test_unreadable_records.py
@@ -25,6 +25,7 @@
     ItemResult,
     JobBook,
     JobEnded,
+    JobOpened,
     LeaseClaim,
     LeaseFold,
     StoredText,
@@ -40,6 +41,7 @@
 from saddledoord._clock import boot_time
 from saddledoord.cluster.changes import Changes
 from saddledoord.cluster.leases import LeaseLog
+from saddledoord.jobs.item_loader import ItemLoader
 from saddledoord.jobs.service import JobService
 from saddledoord.jobs.texts import TextStore
 
@@ -208,6 +210,49 @@
     assert [line["item"] for line in unreadable] == ["item-0"]
 
 
+def test_a_job_whose_items_cannot_be_read_is_told_of_once():
+    """
+    It is read again after pauses that double, counted, and no other job waits for it.
+
+    Each of its reads brings the same bytes: without a bound its node read them, and
+    wrote a line, ten times a second until the job was ended.
+    """
+    log = FakeLog()
+    good = make_job(1, "job-b")
+    reads = 0
+
+    async def check():
+        items = encode_job_items(good.items)
+        (_, placed) = await texts.write([b"\xff" * 4, items], boot_time() + 1.0)
+        bad = make_opened(make_job(2), 0)
+        records = [bad, JobOpened.of(good, placed)]
+        await log.append("jobs", [encode_job_record(record) for record in records])
+        assert await jobs.sync()
+        until = boot_time() + 0.8
+        while boot_time() < until:
+            for state in jobs.open_jobs():
+                loader.want(state)
+            await asyncio.sleep(0.02)
+        (unread, read) = jobs.open_jobs()
+        assert (unread.items, len(read.items)) == (None, 1)
+        assert (loader.unreadable, reads) == (1, 4)
+
+    jobs = _jobs(log)
+    texts = TextStore(log, 1000, 4000)
+    load = jobs.load_items
+
+    async def counted(state):
+        nonlocal reads
+        reads += state.job.job_id == "job-a"
+        return await load(state)
+
+    jobs.load_items = counted
+    loader = ItemLoader(jobs, lambda: None)
+    with capture_logs() as lines:
+        asyncio.run(_while_running(jobs.run, check))
+    assert [line["job"] for line in lines if "items" in line["event"]] == ["job-a"]
+
+
 @st.composite
 def _mutated_record(draw: st.DrawFn) -> bytes:
     """
