--- a/tests/guard_rows/requests.py
+++ b/tests/guard_rows/requests.py
@@ -49,7 +49,7 @@
     ),
     Guard(
         "an answer carries the request's id",
-        "platform/engines.py",
+        "platform/engine_answers.py",
         "return response.headers.get(wire.ATTEMPT_ID) == request.request_id",
         "return True",
         (REQUESTS, "of_another_request"),
@@ -121,7 +121,7 @@
     ),
     Guard(
         "a success carries the engine's mark",
-        "platform/engines.py",
+        "platform/engine_answers.py",
         "if response.status < 300 and not mark:",
         "if False:",
         (REQUESTS, "signature"),
