--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -37,6 +37,9 @@
 
 #: Faults of an edge that begin with a standstill.
 _FREEZING = (Kind.FREEZE, Kind.FREEZE_KILL, Kind.FREEZE_STOP, Kind.THAW_STOP)
+#: How soon after an edge goes on it is told to stop, as a share of its standstill, so
+#: that the plan draws it: 20 to 50 ms.
+_STOP_AFTER = 0.1
 #: What engines and the store are told when a fault begins, and when it ends.
 _AT_ENGINES = {
     Kind.HANG: ({"hang_after": 2}, {"hang_after": 0}),
@@ -168,8 +171,7 @@
         else:
             if fault.kind is Kind.THAW_STOP:
                 self._thaw(edge)
-                # Drawn by the plan, so that stops come 0 to 50 ms after.
-                time.sleep(fault.lasts / 10)
+                time.sleep(_STOP_AFTER * fault.lasts)
             self._stop(
                 edge,
                 frozen=fault.kind is Kind.FREEZE_STOP,
