--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -260,7 +260,12 @@
             mine = (asked.edge, asked.life) == (stop.edge, stop.life)
             taken = asked.request_id in begun or asked.at > asked.began + _LOSS_SLACK
             if mine and taken and asked.at > stop.at - stop.took:
-                yield f"{asked.request_id} got no answer from {asked.edge}"
+                what = "begun" if asked.request_id in begun else "not begun"
+                yield (
+                    f"{asked.request_id} got no answer from {asked.edge}: sent"
+                    f" {asked.began - stop.at:.3f} s and gone {asked.at - stop.at:.3f} s"
+                    f" from the end of a stop of {stop.took:.3f} s, {what}"
+                )
 
 
 def _configuration(seen: Observed) -> Iterator[str]:
