--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
-from .observed import NOT_RUN, EngineLine, Observed, Read, job_of
+from .observed import NOT_RUN, Asked, EngineLine, Observed, Read, Stopped, job_of
 
 
 __all__ = ["CHECKS", "EVENTS", "Check", "Finding", "judge"]
@@ -260,12 +260,19 @@
             mine = (asked.edge, asked.life) == (stop.edge, stop.life)
             taken = asked.request_id in begun or asked.at > asked.began + _LOSS_SLACK
             if mine and taken and asked.at > stop.at - stop.took:
-                what = "begun" if asked.request_id in begun else "not begun"
-                yield (
-                    f"{asked.request_id} got no answer from {asked.edge}: sent"
-                    f" {asked.began - stop.at:.3f} s and gone {asked.at - stop.at:.3f} s"
-                    f" from the end of a stop of {stop.took:.3f} s, {what}"
-                )
+                yield _cut(asked, stop, asked.request_id in begun)
+
+
+def _cut(asked: Asked, stop: Stopped, begun: bool) -> str:
+    """
+    Say which request got no answer, and when it was there, by the end of the stop.
+    """
+    sent, gone = asked.began - stop.at, asked.at - stop.at
+    return (
+        f"{asked.request_id} got no answer from {asked.edge}: sent {sent:.3f} s and"
+        f" gone {gone:.3f} s from the end of a stop of {stop.took:.3f} s,"
+        f" {'begun' if begun else 'not begun'}"
+    )
 
 
 def _configuration(seen: Observed) -> Iterator[str]:
