Blame no item for engines that it could not connect to

Cause, from the edge's log: the item had been at one end. At two engines that were down it could not connect (`ClientConnectorError`), and 1 ms later `engine_ended` named it. For items a failed connection was a run that broke off, so the engine was asked whether it had ended, and whoever had just begun there was noted. Plain requests told the two apart. Ruled out: engines that ended under the item (the journals show no run of it there).

Change: an item that had no connection ends its attempt as `unreached`, which counts as not run; the pause of the engine is as before.

Why it holds: only what was sent can end an engine. test_edge_unreached_engines.py was red on the code before (all items of engines that were down were named), is green, and its guard is red when taken out.

--- a/packages/saddledoord/src/saddledoord/jobs/attempt.py
+++ b/packages/saddledoord/src/saddledoord/jobs/attempt.py
@@ -47,8 +47,16 @@
 #: Outcomes by which the engine shows that it has run the item and lives.
 _ANSWERED = frozenset({GenerationFailedError.FAILED, GenerationFailedError.IMPOSSIBLE})
 #: Outcomes by which the engine, or the one that has its address, vouches that it has
-#: not run the item.
-_REFUSED = frozenset({GenerationFailedError.NOT_STARTED, GenerationFailedError.MOVED})
+#: not run the item, or by which nothing was sent. An item that could not connect to
+#: two engines which were down was blamed for their ends, and after one end more it was
+#: kept from all engines for 240 s.
+_NOT_RUN = frozenset(
+    {
+        GenerationFailedError.NOT_STARTED,
+        GenerationFailedError.MOVED,
+        GenerationFailedError.UNREACHED,
+    }
+)
 
 
 class Attempts:
@@ -102,7 +110,7 @@
                 at_engine.broke_off(engine)
             elif error.outcome in _ANSWERED:
                 at_engine.survived()
-            elif error.outcome in _REFUSED:
+            elif error.outcome in _NOT_RUN:
                 at_engine.not_run()
             raise
         at_engine.survived()
--- a/packages/saddledoord/src/saddledoord/ports/engines.py
+++ b/packages/saddledoord/src/saddledoord/ports/engines.py
@@ -92,6 +92,8 @@
 
     #: The engine vouches that it did not start.
     NOT_STARTED = "not_started"
+    #: There was no connection to the engine, so it has not run the item.
+    UNREACHED = "unreached"
     #: Another incarnation answers at the address.
     MOVED = "moved"
     #: The engine failed on the item; counts as an attempt.
--- a/tests/guard_rows/crashes.py
+++ b/tests/guard_rows/crashes.py
@@ -24,6 +24,13 @@
         "",
         (CRASHING, "request_that_ends_engines"),
     ),
+    Guard(
+        "an item is not blamed for engines that it did not reach",
+        "platform/engines.py",
+        'GenerationFailedError.UNREACHED, f"not connected',
+        'GenerationFailedError.BROKEN, f"not connected',
+        ("tests/adapter/test_edge_unreached_engines.py", "did_not_reach"),
+    ),
     Guard(
         "a barred item reaches no engine",
         f"{DAEMON}/jobs/runner.py",
