--- a/packages/saddledoord/src/saddledoord/backends/timely.py
+++ b/packages/saddledoord/src/saddledoord/backends/timely.py
@@ -76,8 +76,8 @@
     Writes nothing of a request that was decided on long ago.
 
     The library writes a body, and the head with it, in a task of its own, which begins
-    a step of the loop after the connection was taken: beside 18 busy processes on 8
-    cores 2 of 40 scoring calls were caught by a standstill there.
+    a step of the loop after the connection was taken: at a load of 18 on 8 cores
+    2 of 40 scoring calls were caught by a standstill there.
     """
 
     async def write_bytes(
--- a/packages/saddledoord/src/saddledoord/standstills.py
+++ b/packages/saddledoord/src/saddledoord/standstills.py
@@ -26,7 +26,7 @@
 #: holds its timers up for tenths of a second each time without standing still.
 _STANDSTILL = 0.8
 #: Time after a standstill, in seconds, in which what came during it is read: all of it
-#: in the loop's first steps, 0.05 s with 18 busy processes on 8 cores.
+#: in the loop's first steps, 0.05 s at a load of 18 on 8 cores.
 _READ_WITHIN = 0.2
 
 
