Know callers by key: engines are told workspaces, and no key

One pure decision, `admit`, says by key and by the age of a VM's news whether a request is served, refused (401) or sent on (503); with strict revocation a VM that has not heard for long serves no key. Jobs keep their workspace in their record: any key of it reads, ends and submits again, for others the job is none. Engines get the workspace in place of the caller's headers, scoring calls get none. Usage's pure part (windows, counts, decisions, time of day) comes along, unused yet.

Without workspaces nothing is stripped, and no call or record is added.

--- a/packages/saddledoor/src/saddledoor/__init__.py
+++ b/packages/saddledoor/src/saddledoor/__init__.py
@@ -100,6 +100,8 @@
     PendingProposal,
     Record,
     RequestsCleared,
+    UsageCounted,
+    UsageDecided,
     decode_record,
     encode_record,
     pack_document,
@@ -131,7 +133,9 @@
 from ._swaps import EngineWeights, Order, next_orders
 from ._text_lengths import TextLengths
 from ._time_left import time_left
+from ._usage import TrueTime, UsageBook, UsageMeter, UsageWindows
 from ._weight_waves import ModelWeights, engines_at_once, followers, wanted_loads
+from ._workspaces import Admitted, KeyBounds, Workspace, WorkspaceTable, admit
 
 
 __all__ = [
@@ -142,6 +146,7 @@
     "EngineEnded",
     "EngineEnds",
     "Accepted",
+    "Admitted",
     "Answer",
     "AnswerBuilder",
     "AttemptEnd",
@@ -198,6 +203,7 @@
     "JobRecord",
     "JobState",
     "KeptParts",
+    "KeyBounds",
     "KeptText",
     "KeyClaim",
     "Lease",
@@ -234,6 +240,14 @@
     "Route",
     "RouteKind",
     "RouteTable",
+    "TrueTime",
+    "UsageBook",
+    "UsageCounted",
+    "UsageDecided",
+    "UsageMeter",
+    "UsageWindows",
+    "Workspace",
+    "WorkspaceTable",
     "Sample",
     "SampleSpec",
     "ScoreCall",
@@ -277,6 +291,7 @@
     "least_outstanding",
     "least_reported",
     "longest_first",
+    "admit",
     "may_use",
     "next_orders",
     "oldest_allowed",
--- a/packages/saddledoor/src/saddledoor/_codes.py
+++ b/packages/saddledoor/src/saddledoor/_codes.py
@@ -40,6 +40,7 @@
     RESYNC = 207
     NO_CONFIGURATION = 208
     ENDS_ENGINES = 209
+    KEYS_UNSURE = 210
 
     OUTCOME_UNKNOWN = 300
     KEY_SPENT = 301
@@ -124,6 +125,11 @@
         "three engines have ended under this request, and no engine gets it again",
         "do not send it again; it is forgotten after `Retry-After` without it",
     ),
+    ResultCode.KEYS_UNSURE: (
+        503,
+        "the VM has not heard for too long which keys are in force",
+        "ask again at once, at another VM",
+    ),
     ResultCode.OUTCOME_UNKNOWN: (
         502,
         "the request was handed over and no whole answer came back",
@@ -140,7 +146,11 @@
         "ask again: a completion may be repeated",
     ),
     ResultCode.BAD_REQUEST: (400, "the request cannot be used", "correct it"),
-    ResultCode.UNAUTHENTICATED: (401, "no known bearer token", "send a known token"),
+    ResultCode.UNAUTHENTICATED: (
+        401,
+        "no known bearer token or key",
+        "send a known one",
+    ),
     ResultCode.FORBIDDEN: (403, "the token may not do this", "use the right token"),
     ResultCode.UNKNOWN_TARGET: (
         404,
--- a/packages/saddledoor/src/saddledoor/_job_records.py
+++ b/packages/saddledoor/src/saddledoor/_job_records.py
@@ -42,7 +42,9 @@
             route = [record.host, record.path]
             wanted = [record.model, record.step, record.oldest_version]
             fields = [*route, *wanted, record.groups_wanted, record.size]
-            return msgpack.packb(["o", record.job_id, *fields, *_place(record.items)])
+            place = _place(record.items)
+            owner = [] if record.workspace is None else [record.workspace]
+            return msgpack.packb(["o", record.job_id, *fields, *place, *owner])
         case ItemListed(result=result):
             fields = [result.item_id, result.done, list(result.versions), result.score]
             return msgpack.packb(["r", record.job_id, *fields, *_place(result.text)])
@@ -115,7 +117,7 @@
 
 
 def _opened(job_id, host, path, model, *fields) -> JobOpened:
-    step, oldest_version, groups_wanted, size, *place = fields
+    step, oldest_version, groups_wanted, size, offsets, bytes_stored, *owner = fields
     return JobOpened(
         _text(job_id),
         _text(host),
@@ -125,10 +127,18 @@
         _whole(oldest_version),
         _whole(groups_wanted),
         _whole(size),
-        _stored(*place),
+        _stored(offsets, bytes_stored),
+        _owner(*owner),
     )
 
 
+def _owner(workspace: object = None) -> str | None:
+    """
+    Return a job's workspace, none in the records of writers that knew of none.
+    """
+    return None if workspace is None else _text(workspace)
+
+
 def _listed(job_id, item_id, done, versions, score, *place) -> ItemListed:
     result = ItemResult(
         _text(item_id), _flag(done), _stored(*place), _wholes(versions), _text(score)
--- a/packages/saddledoor/src/saddledoor/_jobs.py
+++ b/packages/saddledoor/src/saddledoor/_jobs.py
@@ -67,6 +67,8 @@
 
     :param oldest_version: Oldest weight version that may make a token.
     :param groups_wanted: Whole groups that the trainer waits for, a count.
+    :param workspace: Whose it is; empty if it was taken without a key, none if there
+        were no workspaces.
     """
 
     job_id: str
@@ -77,6 +79,7 @@
     oldest_version: int
     groups_wanted: int
     items: tuple[JobItem, ...]
+    workspace: str | None = None
 
 
 @dataclass(frozen=True)
@@ -120,6 +123,7 @@
 
     :param size: Of its items, a count.
     :param items: Where they are, as `encode_job_items` gives them.
+    :param workspace: Whose job it is, as in `Job`.
     """
 
     job_id: str
@@ -131,6 +135,7 @@
     groups_wanted: int
     size: int
     items: StoredText
+    workspace: str | None = None
 
     @classmethod
     def of(cls, job: Job, items: StoredText) -> JobOpened:
@@ -147,6 +152,7 @@
             job.groups_wanted,
             len(job.items),
             items,
+            job.workspace,
         )
 
     @property
@@ -157,6 +163,14 @@
         """
         return f"{self.host}/{self.model}"
 
+    def may_be_seen_by(self, workspace: str | None) -> bool:
+        """
+        Return whether a caller may ask for the job, by the workspace of its key.
+
+        Jobs of no workspace are anybody's, as they were before there were any.
+        """
+        return not self.workspace or workspace in (None, self.workspace)
+
 
 @dataclass(frozen=True)
 class ItemListed:
--- a/packages/saddledoor/src/saddledoor/_records.py
+++ b/packages/saddledoor/src/saddledoor/_records.py
@@ -31,6 +31,8 @@
     "PendingProposal",
     "Record",
     "RequestsCleared",
+    "UsageCounted",
+    "UsageDecided",
     "decode_record",
     "encode_record",
     "pack_document",
@@ -213,6 +215,34 @@
     kind: Literal["requests_cleared"] = "requests_cleared"
 
 
+@dataclass(frozen=True)
+class UsageCounted:
+    """
+    Requests that one process saw begin in a window of time.
+
+    :param source: Names the process.
+    :param window: Number of the window.
+    :param counts: By workspace, of the whole window so far; workspaces that are not
+        named have not changed.
+    """
+
+    source: str
+    window: int
+    counts: dict[str, int]
+    kind: Literal["usage_counted"] = "usage_counted"
+
+
+@dataclass(frozen=True)
+class UsageDecided:
+    """
+    What is reported of a window; the first such record of a window counts.
+    """
+
+    window: int
+    counts: dict[str, int]
+    kind: Literal["usage_decided"] = "usage_decided"
+
+
 Record = (
     BurnTotals
     | ConfigProposal
@@ -225,6 +255,8 @@
     | ClaimRelease
     | EngineEnded
     | RequestsCleared
+    | UsageCounted
+    | UsageDecided
 )
 
 _ADAPTER: TypeAdapter[Record] = TypeAdapter(
--- a/packages/saddledoor/src/saddledoor/_route_table.py
+++ b/packages/saddledoor/src/saddledoor/_route_table.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from ._workspaces import WorkspaceTable
+
 
 __all__ = [
     "GatewayConfig",
@@ -61,6 +63,8 @@
     :param resumable: Whether a broken stream may go on at another back end.
     :param single_version: Whether a sample must come from one weight version.
     :param give_up_after: Age at which an item of a job may be given up, in seconds.
+    :param needs_key: Whether a request needs the key of a workspace, where there are
+        any.
     """
 
     name: str
@@ -75,6 +79,7 @@
     resumable: bool = False
     single_version: bool = False
     give_up_after: float | None = None
+    needs_key: bool = True
 
     def service(self, draw: float) -> str:
         """
@@ -123,12 +128,14 @@
     A whole configuration of the pass-through.
 
     :param version: Rises with each configuration, by uneven steps.
+    :param workspaces: Whose keys are taken; none if requests need no key.
     """
 
     version: int
     routes: tuple[GatewayRoute, ...]
     services: Mapping[str, GatewayService]
     limits: GatewayLimits
+    workspaces: WorkspaceTable | None = None
 
 
 @dataclass(frozen=True)
@@ -159,8 +166,18 @@
 
         :param host: With or without a port.
         """
-        name = host.partition(":")[0].lower()
-        for route in self._by_host.get(name, ()):
+        for route in self._of_host(host):
             if path.startswith(route.path_prefix):
                 return route
         return None
+
+    def jobs_need_key(self, host: str) -> bool:
+        """
+        Return whether a call for a job of this host needs a key: unless every route of
+        jobs there goes without.
+        """
+        routes = [r for r in self._of_host(host) if r.kind is RouteKind.JOB]
+        return not routes or any(route.needs_key for route in routes)
+
+    def _of_host(self, host: str) -> tuple[GatewayRoute, ...]:
+        return self._by_host.get(host.partition(":")[0].lower(), ())
--- /dev/null
+++ b/packages/saddledoor/src/saddledoor/_usage.py
@@ -0,0 +1,197 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Usage by workspace and window of time: counted by every VM, decided once for all.
+
+The first decision on a window in the log is the one that is reported, by whoever holds
+the duty then, however often. So a report that is late, repeated, or made by two holders
+never differs.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from ._records import Record, UsageCounted, UsageDecided
+
+
+__all__ = ["TrueTime", "UsageBook", "UsageMeter", "UsageWindows"]
+
+#: How long a jump of the time of day must last to be believed, in seconds.
+_BELIEVED_AFTER = 30.0
+#: Change of the time of day that is a correction of the clock and no jump, in seconds.
+_CORRECTION = 0.2
+#: Windows whose counts a VM keeps, a count: a report that is this late is given up.
+_WINDOWS_KEPT = 24
+
+
+@dataclass(frozen=True)
+class UsageWindows:
+    """
+    Windows of equal length, from the start of 1970 on.
+
+    :param length: In seconds.
+    :param due_after: When a window's report is due, in seconds after its end.
+    """
+
+    length: float
+    due_after: float
+
+    def of(self, unix_time: float) -> int:
+        """
+        Return the number of the window that a moment lies in.
+        """
+        return int(unix_time // self.length)
+
+    def to_decide(self, unix_time: float, last_decided: int | None) -> list[int]:
+        """
+        Return the windows that are to be decided on now, oldest first.
+
+        Half of the time until a report is due is left to the VMs, whose counts may be
+        on their way or behind an outage, and half to the report.
+
+        :param last_decided: Newest window that is decided, if any is known.
+        """
+        newest = self.of(unix_time - self.due_after / 2) - 1
+        first = self.first_in_time(unix_time)
+        if last_decided is not None:
+            first = min(first, last_decided + 1)
+        return list(range(max(first, newest - _WINDOWS_KEPT + 1), newest + 1))
+
+    def first_in_time(self, unix_time: float) -> int:
+        """
+        Return the first window whose report is not yet due.
+        """
+        return self.of(unix_time - self.due_after)
+
+
+@dataclass
+class UsageBook:
+    """
+    Counts and decisions, folded from the log.
+    """
+
+    _counts: dict[int, dict[tuple[str, str], int]] = field(default_factory=dict)
+    _decided: dict[int, dict[str, int]] = field(default_factory=dict)
+
+    @property
+    def last_decided(self) -> int | None:
+        """
+        The newest window that is decided, or none.
+        """
+        return max(self._decided, default=None)
+
+    def apply(self, record: Record) -> None:
+        """
+        Fold one record; one that comes again changes nothing.
+        """
+        match record:
+            case UsageCounted(source=source, window=window, counts=counts):
+                known = self._counts.setdefault(window, {})
+                for workspace, count in counts.items():
+                    place = (source, workspace)
+                    known[place] = max(known.get(place, 0), count)
+            case UsageDecided(window=window, counts=counts):
+                self._decided.setdefault(window, dict(counts))
+        self._forget()
+
+    def counted(self, window: int) -> dict[str, int]:
+        """
+        Return what all VMs have counted in a window, by workspace.
+        """
+        total: dict[str, int] = {}
+        for (_, workspace), count in self._counts.get(window, {}).items():
+            total[workspace] = total.get(workspace, 0) + count
+        return total
+
+    def decided(self, window: int) -> dict[str, int] | None:
+        """
+        Return the decision on a window, or none.
+        """
+        return self._decided.get(window)
+
+    def _forget(self) -> None:
+        for table in (self._counts, self._decided):
+            while len(table) > 2 * _WINDOWS_KEPT:
+                del table[min(table)]
+
+
+class UsageMeter:
+    """
+    What one process has counted, and what of it the log has not been given.
+
+    :param source: Names the process.
+    """
+
+    def __init__(self, source: str) -> None:
+        self._source = source
+        self._counts: dict[int, dict[str, int]] = {}
+        self._changed: dict[int, set[str]] = {}
+
+    def count(self, workspace: str, window: int) -> None:
+        """
+        Count a request that began in a window.
+        """
+        counts = self._counts.setdefault(window, {})
+        counts[workspace] = counts.get(workspace, 0) + 1
+        self._changed.setdefault(window, set()).add(workspace)
+        while len(self._counts) > _WINDOWS_KEPT:
+            oldest = min(self._counts)
+            del self._counts[oldest]
+            self._changed.pop(oldest, None)
+
+    def take(self) -> list[UsageCounted]:
+        """
+        Return records of what has changed since; each count is the whole of its window.
+        """
+        changed, self._changed = self._changed, {}
+        return [
+            UsageCounted(
+                self._source,
+                window,
+                {name: self._counts[window][name] for name in sorted(names)},
+            )
+            for window, names in sorted(changed.items())
+        ]
+
+    def give_back(self, records: list[UsageCounted]) -> None:
+        """
+        Have records taken again that may not have reached the log.
+        """
+        for record in records:
+            if record.window in self._counts:
+                names = self._changed.setdefault(record.window, set())
+                names.update(record.counts)
+
+
+class TrueTime:
+    """
+    The time of day from a monotonic clock, so that a jump of the VM's clock which is
+    taken back moves nothing.
+
+    :param unix_time: Now, in seconds since the start of 1970.
+    :param now: Monotonic, in seconds.
+    """
+
+    def __init__(self, unix_time: float, now: float) -> None:
+        self._offset = unix_time - now
+        self._other: float | None = None
+        self._other_since = now
+
+    def observe(self, unix_time: float, now: float) -> None:
+        """
+        Take a correction of the clock at once, a jump only when it has lasted.
+        """
+        offset = unix_time - now
+        if abs(offset - self._offset) <= _CORRECTION:
+            self._offset, self._other = offset, None
+        elif self._other is None or abs(offset - self._other) > _CORRECTION:
+            self._other, self._other_since = offset, now
+        elif now - self._other_since >= _BELIEVED_AFTER:
+            self._offset, self._other = offset, None
+
+    def at(self, moment: float) -> float:
+        """
+        Return a monotonic moment in seconds since the start of 1970.
+        """
+        return moment + self._offset
--- a/packages/saddledoord/src/saddledoord/cluster/follow.py
+++ b/packages/saddledoord/src/saddledoord/cluster/follow.py
@@ -302,9 +302,17 @@
         self._offsets: dict[str, int] = {}
         self._next: int | None = None
         self._known = False
+        self._confirmed_at = float("-inf")
         self._skipped = 0
         self._reach = _Reachable(name, reachable)
 
+    @property
+    def confirmed_at(self) -> float:
+        """
+        When every change there was had been applied, monotonic, in seconds.
+        """
+        return self._confirmed_at
+
     @property
     def known(self) -> bool:
         """
@@ -324,6 +332,7 @@
         Follow until cancelled.
         """
         while True:
+            began = boot_time()
             try:
                 page = await self._page()
             except StoreAwayError as error:
@@ -334,6 +343,8 @@
                 continue
             self._reach.answered()
             self._take(page)
+            if page.is_end:
+                self._confirmed_at = began
             if page.entries:
                 await asyncio.sleep(_REGISTRY_GATHER)
 
--- a/packages/saddledoord/src/saddledoord/cluster/view.py
+++ b/packages/saddledoord/src/saddledoord/cluster/view.py
@@ -50,6 +50,7 @@
         self._gone: dict[Incarnation, float] = {}
         self.changed = asyncio.Event()
         self._config: GatewayConfig | None = None
+        self._config_since = float("-inf")
         self._table = RouteTable()
         self._named: dict[str, int] = {}
 
@@ -60,6 +61,13 @@
         """
         return self._config
 
+    @property
+    def config_since(self) -> float:
+        """
+        When this node took that configuration, monotonic, in seconds.
+        """
+        return self._config_since
+
     @property
     def named_versions(self) -> dict[str, int]:
         """
@@ -73,6 +81,12 @@
         """
         return self._table.find(host, path)
 
+    def jobs_need_key(self, host: str) -> bool:
+        """
+        Return whether calls about jobs of a host need a key.
+        """
+        return self._table.jobs_need_key(host)
+
     def share_of(self, job: JobOpened) -> str:
         """
         Return what the jobs that one node runs have in common.
@@ -158,6 +172,7 @@
         if self._config is not None and config.version <= self._config.version:
             return
         self._config = config
+        self._config_since = boot_time()
         self._table = RouteTable.from_config(config.routes)
         _log.info(
             "configuration_in_force", version=config.version, routes=len(config.routes)
--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -12,7 +12,7 @@
 
 import structlog
 
-from saddledoor import JobBook, ResultCode, RouteKind, own_order
+from saddledoor import JobBook, KeyBounds, ResultCode, RouteKind, own_order
 
 from ._clock import boot_time
 from .cluster.changes import Changes
@@ -33,6 +33,7 @@
 from .orders.lease import OrderLease
 from .orders.weights import WeightKeeper
 from .ports import Engines, Registry, SharedLog
+from .serving.admission import Admission
 from .serving.engine_ends import EngineEndWatch
 from .serving.pace import EnginePaces
 from .serving.pass_through import PassThrough
@@ -73,6 +74,7 @@
         seconds.
     :param read_for: Age up to which an ended job may be read, in seconds.
     :param retention: Age up to which the log keeps records, in seconds.
+    :param key_bounds: How old what it knows of keys may be.
     """
 
     vm: str
@@ -84,6 +86,7 @@
     cancel_time: float
     read_for: float
     retention: float
+    key_bounds: KeyBounds
 
 
 @dataclass(frozen=True)
@@ -135,6 +138,9 @@
         )
         pool = EnginePool(self.view, own_order(settings.vm))
         lives = EngineLives(self.view)
+        self.admission = Admission(
+            view, lambda: self._operator.confirmed_at, settings.key_bounds
+        )
         self._leases = LeaseLog(log, f"{settings.vm}@{settings.address}")
         self._ends = EngineEndWatch(ports.engines, self.view.memory, self._leases, log)
         self.pass_through = PassThrough(
@@ -143,8 +149,9 @@
             ports.engines,
             lives,
             self._ends,
+            self.admission,
             count,
-            self._standstills.held_up,
+            held_up=self._standstills.held_up,
         )
         book = JobBook()
         texts = TextStore(log, settings.largest_record, settings.largest_append)
@@ -233,10 +240,17 @@
         """
         return self._standstills.count
 
-    def set_bounds(self, cancel_time: float, read_for: float, retention: float) -> None:
+    def set_bounds(
+        self,
+        cancel_time: float,
+        read_for: float,
+        retention: float,
+        key_bounds: KeyBounds,
+    ) -> None:
         """
         Change bounds while the node runs; see `GatewaySettings`.
         """
+        self.admission.set_bounds(key_bounds)
         self._known_ends.set_cancel_time(cancel_time)
         self.jobs.keep_for(read_for, retention)
 
--- a/packages/saddledoord/src/saddledoord/jobs/item_run.py
+++ b/packages/saddledoord/src/saddledoord/jobs/item_run.py
@@ -137,10 +137,15 @@
         """
         The item as a request to an engine.
         """
-        item = self.item
-        host = self.state.job.host
+        item, job = self.item, self.state.job
         return ForwardedRequest(
-            "POST", host, item.path, item.headers, item.body, item.item_id
+            "POST",
+            job.host,
+            item.path,
+            item.headers,
+            item.body,
+            item.item_id,
+            workspace=job.workspace,
         )
 
     def start_over(self) -> None:
--- a/packages/saddledoord/src/saddledoord/jobs/service.py
+++ b/packages/saddledoord/src/saddledoord/jobs/service.py
@@ -229,8 +229,11 @@
         """
         Accept a job once the log holds it; the same job again is accepted again.
         """
-        if self._book.get(job.job_id) is not None:
-            return Accepted()
+        known = self._book.get(job.job_id)
+        if known is not None:
+            if known.job.may_be_seen_by(job.workspace):
+                return Accepted()
+            return NotRun(ResultCode.BAD_REQUEST, "the job's id is taken", 0.0)
         if self._store_is_silent():
             return NotRun(ResultCode.LOG_AWAY, "the store is silent", _COME_BACK)
         outcome = await self._open(job, boot_time() + _ACCEPT_LIMIT)
@@ -248,15 +251,17 @@
         return outcome
 
     async def read(
-        self, job_id: str, position: int, wait: float
+        self, job_id: str, position: int, wait: float, caller: str | None = None
     ) -> JobReading | NoSuchJob | Unsure:
         """
         Return results from a position on, as many as their texts come in time.
 
         :param wait: How long to wait for one, in seconds.
+        :param caller: The workspace of whoever asks, as in `Job`; for it, another
+            workspace's jobs are none.
         """
         texts_deadline = boot_time() + wait + _READ_LIMIT
-        state = await self._find(job_id)
+        state = await self._find(job_id, caller)
         if not isinstance(state, JobState):
             return state
         deadline = boot_time() + wait
@@ -312,11 +317,15 @@
                 )
             return ReadResult(ItemResult(result.item_id, done=False), "")
 
-    async def body(self, job_id: str, item_id: str) -> bytes | NoSuchJob | Unsure:
+    async def body(
+        self, job_id: str, item_id: str, caller: str | None = None
+    ) -> bytes | NoSuchJob | Unsure:
         """
         Return the body of an item.
+
+        :param caller: See `read`.
         """
-        state = await self._find(job_id)
+        state = await self._find(job_id, caller)
         if not isinstance(state, JobState):
             return state
         try:
@@ -339,11 +348,15 @@
             state.items = {item.item_id: item for item in decode_job_items(data)}
         return state.items
 
-    async def end(self, job_id: str) -> Accepted | NoSuchJob | Unsure:
+    async def end(
+        self, job_id: str, caller: str | None = None
+    ) -> Accepted | NoSuchJob | Unsure:
         """
         End a job once the log holds its end.
+
+        :param caller: See `read`.
         """
-        state = await self._find(job_id)
+        state = await self._find(job_id, caller)
         if not isinstance(state, JobState):
             return state
         if state.ended:
@@ -358,17 +371,21 @@
         )
         return outcome if isinstance(outcome, Accepted) else Unsure()
 
-    async def _find(self, job_id: str) -> JobState | NoSuchJob | Unsure:
+    async def _find(
+        self, job_id: str, caller: str | None
+    ) -> JobState | NoSuchJob | Unsure:
         state = self._book.get(job_id)
-        if state is not None:
-            return state
-        if not await self._follower.sync():
+        if state is None and not await self._follower.sync():
             _log.info("job_unsure", job=job_id, caught_up=self.caught_up)
             return Unsure()
         state = self._book.get(job_id)
         if state is None:
             _log.info("job_unknown", job=job_id)
-        return state or NoSuchJob()
+            return NoSuchJob()
+        if not state.job.may_be_seen_by(caller):
+            _log.info("job_of_another_workspace", job=job_id, caller=caller)
+            return NoSuchJob()
+        return state
 
     async def _open(
         self, job: Job, deadline: float
--- a/packages/saddledoord/src/saddledoord/ports/engines.py
+++ b/packages/saddledoord/src/saddledoord/ports/engines.py
@@ -35,6 +35,8 @@
     :param headers: End-to-end headers only, without the deadline's.
     :param request_id: The caller's name for this attempt of its own.
     :param repeatable: Whether it may run more than once.
+    :param workspace: Whose it is; empty for nobody's. None where there are no
+        workspaces; else no engine is shown the caller's key.
     """
 
     method: str
@@ -44,6 +46,7 @@
     body: bytes
     request_id: str
     repeatable: bool = True
+    workspace: str | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/saddledoord/src/saddledoord/ports/store.py
+++ b/packages/saddledoord/src/saddledoord/ports/store.py
@@ -172,11 +172,13 @@
     Changes of keys, in order.
 
     :param whole: Whether these are the newest values of all keys.
+    :param is_end: Whether there was nothing behind them.
     """
 
     entries: tuple[KeyedEntry, ...]
     next_offset: int
     whole: bool = False
+    is_end: bool = True
 
 
 class Registry(Protocol):
--- a/packages/saddledoord/src/saddledoord/serving/pass_through.py
+++ b/packages/saddledoord/src/saddledoord/serving/pass_through.py
@@ -32,11 +32,12 @@
 from ..cluster.lives import EngineLives
 from ..cluster.view import ClusterView
 from ..ports import EngineAnswer, Engines, ForwardedRequest
+from .admission import Admission
 from .engine_choice import EngineChoice
 from .engine_ends import EngineEndWatch
 from .outcomes import Outcome, describe, end_of, is_final, note_end
 from .pool import EnginePool
-from .request_try import RequestTry
+from .request_try import Beginning, RequestTry
 
 
 __all__ = ["PassThrough"]
@@ -66,6 +67,10 @@
     pass
 
 
+def _pass_over(_: str, __: float) -> None:
+    pass
+
+
 def _always() -> bool:
     return True
 
@@ -79,6 +84,8 @@
     Serves requests of the routes that are passed through.
 
     :param count: Told the route, the result and the seconds of each request.
+    :param began: Told the workspace of each request that engines began, and when,
+        monotonic, in seconds.
     :param held_up: Returns how long a request that is read now may have waited for it.
     """
 
@@ -89,9 +96,13 @@
         engines: Engines,
         lives: EngineLives,
         ends: EngineEndWatch,
+        admission: Admission,
         count: Callable[[str, ResultCode, float], None],
+        began: Callable[[str, float], None] = _pass_over,
         held_up: Callable[[], float] = _not_at_all,
     ) -> None:
+        self._admission = admission
+        self._began = began
         self._lives = lives
         self._ends = ends
         self._choice = EngineChoice(pool, ends)
@@ -101,11 +112,14 @@
         self._count = count
         self._held_up = held_up
 
-    async def serve(self, request: ForwardedRequest, patience: float | None) -> Outcome:
+    async def serve(
+        self, request: ForwardedRequest, patience: float | None, key: str = ""
+    ) -> Outcome:
         """
         Serve one request.
 
         :param patience: How long the caller will wait, in seconds, if it said so.
+        :param key: Of the caller's workspace; empty without one.
         """
         began, held_up = boot_time(), self._held_up()
         if self._view.config is None:
@@ -119,10 +133,24 @@
                 configuration=self._view.config.version,
             )
             return NotRun(ResultCode.UNKNOWN_TARGET, "no route", _COME_BACK)
-        request = replace(request, repeatable=route.kind is RouteKind.SAFE)
+        admitted = self._admission.to_route(route, key, request.request_id)
+        if isinstance(admitted, NotRun):
+            self._count(route.name, admitted.code, boot_time() - began)
+            return admitted
+        request = replace(
+            request,
+            repeatable=route.kind is RouteKind.SAFE,
+            workspace=admitted.workspace,
+        )
         limit = route.timeout if patience is None else min(patience, route.timeout)
         held = time_left(limit, route.objective, held_up)
-        outcome = await self.run(route, request, began + held)
+        beginning = Beginning()
+        try:
+            outcome = await self.run(route, request, began + held, beginning=beginning)
+        finally:
+            # Also if the caller has left: engines have begun all the same.
+            if request.workspace and beginning.at is not None:
+                self._began(request.workspace, beginning.at)
         code = ResultCode.DONE if isinstance(outcome, EngineAnswer) else outcome.code
         self._count(route.name, code, boot_time() - began)
         return outcome
@@ -135,6 +163,7 @@
         heard: Callable[[Outcome], None] = _ignore,
         name: str = "",
         may_begin: Callable[[], bool] = _always,
+        beginning: Beginning | None = None,
     ) -> Outcome:
         """
         Run a request of a known route until a monotonic time.
@@ -142,12 +171,21 @@
         :param heard: Told of each attempt's outcome.
         :param name: Of a request that keeps its name when it is sent again.
         :param may_begin: Asked before each attempt; none begins while it may not.
+        :param beginning: Learns when engines began the request.
         """
         key = _key_of(request, name)
         service = route.service(random.random())
         attempts = EngineAttempts(route.max_attempts, route.kind is RouteKind.SAFE)
         current = RequestTry(
-            route, request, deadline, heard, key, service, attempts, may_begin
+            route,
+            request,
+            deadline,
+            heard,
+            key,
+            service,
+            attempts,
+            may_begin,
+            beginning or Beginning(),
         )
         await self._ends.ask()
         pending: set[asyncio.Task[Outcome]] = set()
@@ -256,6 +294,7 @@
             attempt.finish(AttemptEnd.NOT_RUN, boot_time())
             return NotRun(ResultCode.NO_BACKEND, "not sent: what is known is too old")
         number = current.attempts.count
+        sent_at = boot_time()
         with (
             self._pool.take(engine),
             self._ends.running(engine.incarnation, current.key) as run,
@@ -269,6 +308,7 @@
             except TimeoutError:
                 outcome = self._overdue(engine)
             except asyncio.CancelledError:
+                current.beginning.perhaps(sent_at)
                 self._log_attempt(current, engine, number, "cancelled")
                 raise
             else:
@@ -277,10 +317,12 @@
         current.heard(outcome)
         match outcome:
             case EngineAnswer():
+                current.beginning.certainly(sent_at)
                 self._pool.answered(engine)
             case NotRun():
                 self._pool.refused(engine)
             case OutcomeUnknown():
+                current.beginning.perhaps(sent_at)
                 self._pool.failed(engine)
         if not isinstance(outcome, EngineAnswer) or outcome.status >= 500:
             self._log_attempt(current, engine, number, describe(outcome))
--- a/packages/saddledoord/src/saddledoord/serving/request_try.py
+++ b/packages/saddledoord/src/saddledoord/serving/request_try.py
@@ -17,7 +17,36 @@
 from .outcomes import Outcome
 
 
-__all__ = ["RequestTry"]
+__all__ = ["Beginning", "RequestTry"]
+
+
+@dataclass
+class Beginning:
+    """
+    When engines began to run a request, as far as this node can tell.
+    """
+
+    _certain: float | None = None
+    _possible: float | None = None
+
+    @property
+    def at(self) -> float | None:
+        """
+        When the first of them began, monotonic, in seconds; none if none did.
+        """
+        return self._possible if self._certain is None else self._certain
+
+    def certainly(self, sent_at: float) -> None:
+        """
+        Note that an engine has answered a request that was sent at a moment.
+        """
+        self._certain = sent_at if self._certain is None else self._certain
+
+    def perhaps(self, sent_at: float) -> None:
+        """
+        Note that an engine may have begun one, which had no answer.
+        """
+        self._possible = sent_at if self._possible is None else self._possible
 
 
 @dataclass
@@ -29,6 +58,7 @@
     :param key: Tells it from others when it comes again.
     :param attempts: Where it has been.
     :param may_begin: Asked before each attempt; none begins while it may not.
+    :param beginning: Learns when engines began it.
     :param engines: By the attempts there, in order.
     """
 
@@ -40,6 +70,7 @@
     service: str
     attempts: EngineAttempts
     may_begin: Callable[[], bool]
+    beginning: Beginning
     engines: dict[asyncio.Task, EngineEntry] = field(default_factory=dict)
     last: Outcome | None = None
 
--- a/tests/adapter/platform_bed.py
+++ b/tests/adapter/platform_bed.py
@@ -320,19 +320,27 @@
         port = self.front_ports[edge]
         return self._ask(port, method, target, body, fields, timeout)
 
-    def submit(self, job_id: str, job: dict, edge: str = "edge-0") -> Answer:
-        return self.ask("POST", "/train/x", json.dumps(job).encode(), job_id, edge)
-
-    def results(self, job_id: str, edge: str = "edge-0", since: int = 0) -> list[dict]:
-        answer = self.ask("GET", f"/v1/lots/{job_id}?since_rev={since}", edge=edge)
+    def submit(
+        self, job_id: str, job: dict, edge: str = "edge-0", **headers: str
+    ) -> Answer:
+        body = json.dumps(job).encode()
+        return self.ask("POST", "/train/x", body, job_id, edge, **headers)
+
+    def results(
+        self, job_id: str, edge: str = "edge-0", since: int = 0, **headers: str
+    ) -> list[dict]:
+        path = f"/v1/lots/{job_id}?since_rev={since}"
+        answer = self.ask("GET", path, edge=edge, **headers)
         return answer.media["results"] if answer.status == 200 else []
 
-    def finished(self, job_id: str, items: int, edge: str = "edge-0") -> list[dict]:
+    def finished(
+        self, job_id: str, items: int, edge: str = "edge-0", **headers: str
+    ) -> list[dict]:
         """
         Wait for all results.
         """
-        until(lambda: len(self.results(job_id, edge)) == items, 20.0)
-        return self.results(job_id, edge)
+        until(lambda: len(self.results(job_id, edge, **headers)) == items, 20.0)
+        return self.results(job_id, edge, **headers)
 
     def owner(self) -> str:
         """
--- a/tests/adapter/platform_documents.py
+++ b/tests/adapter/platform_documents.py
@@ -144,5 +144,6 @@
 lease_ms = {4}
 grace_s = 8
 cancel_ms = 3000
+config_apply_ms = 2000
 status_s = 120
 """
--- a/tests/adapter/standin_engine.py
+++ b/tests/adapter/standin_engine.py
@@ -29,6 +29,9 @@
 class _Run:
     """
     A request that the engine began to work on.
+
+    :ivar tenant: The workspace that it came with, if any.
+    :ivar key: The caller's key, which no engine should see.
     """
 
     request_id: str
@@ -36,6 +39,8 @@
     target: str
     body: str
     resume_after: int
+    tenant: str | None = None
+    key: str | None = None
     ended: str = "running"
 
 
@@ -98,7 +103,13 @@
             return web.Response(status=421, headers=headers)
         resume_after = int(request.headers.get("Last-Event-Id", "0"))
         run = _Run(
-            name, request.method, request.path_qs, body.decode("latin-1"), resume_after
+            name,
+            request.method,
+            request.path_qs,
+            body.decode("latin-1"),
+            resume_after,
+            request.headers.get("Saddledoor-Tenant"),
+            request.headers.get("Saddledoor-Key"),
         )
         if self.faults.fail == 503:
             headers = {"Saddledoor-Not-Executed": "1"}
--- a/tests/function_engines.py
+++ b/tests/function_engines.py
@@ -11,10 +11,12 @@
 from end_watches import make_end_watch
 
 from builders import make_engine_entry, make_gateway_config
-from saddledoor import EngineEntry, GatewayRoute, least_outstanding
+from saddledoor import EngineEntry, GatewayRoute, KeyBounds, least_outstanding
+from saddledoord._clock import boot_time
 from saddledoord.cluster.lives import EngineLives
 from saddledoord.cluster.view import ClusterView
 from saddledoord.ports import ForwardedRequest, KeyedEntry
+from saddledoord.serving.admission import Admission
 from saddledoord.serving.outcomes import Outcome
 from saddledoord.serving.pass_through import PassThrough
 from saddledoord.serving.pool import EnginePool
@@ -57,7 +59,8 @@
     pool = EnginePool(view, least_outstanding(lambda: 0.0))
     lives = EngineLives(view)
     ends = make_end_watch(view)
-    serving = PassThrough(view, pool, engines, lives, ends, _uncounted)
+    admission = Admission(view, boot_time, KeyBounds(2.0))
+    serving = PassThrough(view, pool, engines, lives, ends, admission, _uncounted)
     return serving, pool, view
 
 
--- a/tests/guard_rows/jobs.py
+++ b/tests/guard_rows/jobs.py
@@ -50,8 +50,8 @@
     Guard(
         "a scoring call goes to no second engine without a known log end",
         f"{DAEMON}/serving/pass_through.py",
-        "route, request, deadline, heard, key, service, attempts, may_begin",
-        "route, request, deadline, heard, key, service, attempts, _always",
+        "            attempts,\n            may_begin,\n",
+        "            attempts,\n            _always,\n",
         (PASS, "no_second_instance"),
     ),
     Guard(
--- a/tests/test_engine_lives.py
+++ b/tests/test_engine_lives.py
@@ -31,6 +31,7 @@
     GatewayService,
     GeneratedEvent,
     Incarnation,
+    KeyBounds,
     OutcomeUnknown,
     RouteKind,
     least_outstanding,
@@ -50,6 +51,7 @@
     KeyedEntry,
     OrderOutcome,
 )
+from saddledoord.serving.admission import Admission
 from saddledoord.serving.pace import EnginePaces
 from saddledoord.serving.pass_through import PassThrough
 from saddledoord.serving.pool import EnginePool
@@ -274,6 +276,7 @@
         engines,
         node.lives,
         make_end_watch(node.view),
+        Admission(node.view, boot_time, KeyBounds(2.0)),
         lambda route, code, seconds: None,
     )
 
