Report usage by workspace, by one VM at a time

Cause: the platform asks for each window's requests by workspace; nothing counted them.

Change: the lease for orders is one for any duty (`DutyLease`). Every VM counts what engines began of its own requests, by true time, and gives the counts to a stream of the log that only the holder of the duty `usage` reads. Half way to when a report is due the holder decides on a window in the log, then sends what stands there first; the next holder sends the same again. A holder that is not answered for 2.5 s steps aside for 10 s, so that nodes do not take turns within a term. Deployments whose settings have no such interface start no loop, claim no lease and write no record (a test looks). A first form began with the windows not yet due and lost the one of an outage for good; a test found it. Another stand-in's fault (a call to be mute to) and one of the reporter (windows decided although they were older than the first decision) came out the same way.

--- a/packages/saddledoor/src/saddledoor/_usage.py
+++ b/packages/saddledoor/src/saddledoor/_usage.py
@@ -43,19 +43,20 @@
         """
         return int(unix_time // self.length)
 
-    def to_decide(self, unix_time: float, last_decided: int | None) -> list[int]:
+    def to_decide(self, unix_time: float, first_undecided: int | None) -> list[int]:
         """
         Return the windows that are to be decided on now, oldest first.
 
         Half of the time until a report is due is left to the VMs, whose counts may be
         on their way or behind an outage, and half to the report.
 
-        :param last_decided: Newest window that is decided, if any is known.
+        :param first_undecided: Oldest window that the log tells of and that is not
+            decided; none if it tells of none.
         """
         newest = self.of(unix_time - self.due_after / 2) - 1
-        first = self.first_in_time(unix_time)
-        if last_decided is not None:
-            first = min(first, last_decided + 1)
+        first = first_undecided
+        if first is None:
+            first = self.first_in_time(unix_time)
         return list(range(max(first, newest - _WINDOWS_KEPT + 1), newest + 1))
 
     def first_in_time(self, unix_time: float) -> int:
@@ -64,6 +65,17 @@
         """
         return self.of(unix_time - self.due_after)
 
+    def to_repeat(self, unix_time: float, last_decided: int | None) -> list[int]:
+        """
+        Return the windows whose reports a new holder sends again, oldest first: the one
+        before may have got no answer. Late reports too, for as long again as they had.
+
+        :param last_decided: Newest window that is decided, if any is known.
+        """
+        if last_decided is None:
+            return []
+        return list(range(self.of(unix_time - 2 * self.due_after), last_decided + 1))
+
 
 @dataclass
 class UsageBook:
@@ -81,6 +93,16 @@
         """
         return max(self._decided, default=None)
 
+    @property
+    def first_undecided(self) -> int | None:
+        """
+        The window after the newest decision, or the oldest one with counts before any;
+        none if the log tells of neither.
+        """
+        if self._decided:
+            return max(self._decided) + 1
+        return min(self._counts, default=None)
+
     def apply(self, record: Record) -> None:
         """
         Fold one record; one that comes again changes nothing.
--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -12,7 +12,14 @@
 
 import structlog
 
-from saddledoor import JobBook, KeyBounds, ResultCode, RouteKind, own_order
+from saddledoor import (
+    JobBook,
+    KeyBounds,
+    ResultCode,
+    RouteKind,
+    UsageWindows,
+    own_order,
+)
 
 from ._clock import boot_time
 from .cluster.changes import Changes
@@ -22,6 +29,8 @@
 from .cluster.store_watch import StoreWatch, WatchedLog, WatchedRegistry
 from .cluster.view import ClusterView
 from .cluster.work_shares import WorkShares
+from .duties.lease import DutyLease
+from .duties.usage import UsageDuty
 from .jobs.attempt import Attempts
 from .jobs.known_ends import KnownEnds, LogView
 from .jobs.placement import Placement
@@ -30,9 +39,8 @@
 from .jobs.scoring import Scorer
 from .jobs.service import JobService
 from .jobs.texts import TextStore
-from .orders.lease import OrderLease
 from .orders.weights import WeightKeeper
-from .ports import Engines, Registry, SharedLog
+from .ports import DutyCalls, Engines, Registry, SharedLog
 from .serving.admission import Admission
 from .serving.engine_ends import EngineEndWatch
 from .serving.pace import EnginePaces
@@ -75,6 +83,7 @@
     :param read_for: Age up to which an ended job may be read, in seconds.
     :param retention: Age up to which the log keeps records, in seconds.
     :param key_bounds: How old what it knows of keys may be.
+    :param usage: Windows of the usage that is reported; none if none is.
     """
 
     vm: str
@@ -87,6 +96,7 @@
     read_for: float
     retention: float
     key_bounds: KeyBounds
+    usage: UsageWindows | None = None
 
 
 @dataclass(frozen=True)
@@ -97,6 +107,7 @@
     :param operator: Configurations and named versions.
     :param entries: What engines write of themselves.
     :param reconnect: Has new connections to the store used from now on.
+    :param duties: Calls to the platform, if it asks for any.
     """
 
     log: SharedLog
@@ -104,6 +115,7 @@
     entries: Registry
     engines: Engines
     reconnect: Callable[[], None]
+    duties: DutyCalls | None = None
 
 
 class Gateway:
@@ -151,7 +163,8 @@
             self._ends,
             self.admission,
             count,
-            held_up=self._standstills.held_up,
+            self._count_usage,
+            self._standstills.held_up,
         )
         book = JobBook()
         texts = TextStore(log, settings.largest_record, settings.largest_append)
@@ -192,7 +205,13 @@
             self._known_ends,
         )
         self.jobs.on_change(self._wake)
-        self._lease = OrderLease(self._leases, settings.lease_term)
+        self._lease = DutyLease(self._leases, "orders", settings.lease_term)
+        self._usage: UsageDuty | None = None
+        if ports.duties is not None and settings.usage is not None:
+            lease = DutyLease(self._leases, "usage", settings.lease_term)
+            self._usage = UsageDuty(
+                log, ports.duties, lease, settings.usage, settings.vm, settings.address
+            )
         self._weights = WeightKeeper(
             self.view,
             ports.engines,
@@ -274,6 +293,8 @@
             self._lease.run(),
             self._weights.run(),
         ]
+        if self._usage is not None:
+            loops += self._usage.loops()
         for loop in loops:
             task = asyncio.create_task(loop)
             task.add_done_callback(lambda task: _report(task, failed))
@@ -296,7 +317,7 @@
         self._runner.hand_over()
         flushed = await self._writer.flushed(_FLUSH_LIMIT)
         await self._shares.release()
-        await self._lease.release()
+        await asyncio.gather(self._lease.release(), self._release_usage())
         _log.info("handed_over", flushed=flushed, seconds=round(boot_time() - began, 3))
 
     async def close(self) -> None:
@@ -307,6 +328,14 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    async def _release_usage(self) -> None:
+        if self._usage is not None:
+            await self._usage.release()
+
+    def _count_usage(self, workspace: str, began_at: float) -> None:
+        if self._usage is not None:
+            self._usage.count(workspace, began_at)
+
     def _store_is_silent(self) -> bool:
         return boot_time() - self._store.answered_at > _ALONE
 
--- a/packages/saddledoord/src/saddledoord/orders/weights.py
+++ b/packages/saddledoord/src/saddledoord/orders/weights.py
@@ -25,8 +25,8 @@
 from .._clock import boot_time
 from ..cluster.lives import EngineLives
 from ..cluster.view import ClusterView
+from ..duties.lease import DutyLease
 from ..ports import Engines, EngineState, OrderOutcome, VersionOrder
-from .lease import OrderLease
 
 
 __all__ = ["WeightKeeper"]
@@ -96,7 +96,7 @@
         view: ClusterView,
         engines: Engines,
         lives: EngineLives,
-        lease: OrderLease,
+        lease: DutyLease,
         holder: str,
         keep_runs: Callable[[str], bool],
         oldest_allowed: Callable[[str], int],
--- a/packages/saddledoord/src/saddledoord/ports/__init__.py
+++ b/packages/saddledoord/src/saddledoord/ports/__init__.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from .duties import DutyCalls, DutyOutcome, UsageReport
 from .engines import (
     EngineAnswer,
     Engines,
@@ -41,6 +42,8 @@
 
 __all__ = [
     "Appended",
+    "DutyCalls",
+    "DutyOutcome",
     "EngineAnswer",
     "EngineState",
     "Engines",
@@ -63,5 +66,6 @@
     "UnknownAppend",
     "Unusable",
     "UnusableAnswer",
+    "UsageReport",
     "VersionOrder",
 ]
--- a/tests/adapter/platform_bed.py
+++ b/tests/adapter/platform_bed.py
@@ -24,7 +24,7 @@
 from pathlib import Path
 
 from engine_documents import BORN
-from platform_documents import HOST, MODEL, SETTINGS, make_config
+from platform_documents import DUTIES, HOST, MODEL, SETTINGS, make_config
 
 
 __all__ = ["Answer", "PlatformBed", "until"]
@@ -114,7 +114,9 @@
 
     folder: Path
     lease_ms: int = 1000
+    duties: bool = False
     store_port: int = field(default_factory=free_port)
+    duties_port: int = field(default_factory=free_port)
     engine_ports: dict[str, int] = field(default_factory=dict)
     front_ports: dict[str, int] = field(default_factory=dict)
     ready_ports: dict[str, int] = field(default_factory=dict)
@@ -124,17 +126,26 @@
     @classmethod
     @contextlib.contextmanager
     def open(
-        cls, folder: Path, edges: int = 1, engines: int = 2, lease_ms: int = 1000
+        cls,
+        folder: Path,
+        edges: int = 1,
+        engines: int = 2,
+        lease_ms: int = 1000,
+        duties: bool = False,
     ) -> Iterator:
         """
         Start everything and wait until the edges are ready.
 
-        :param lease_ms: Term of the lease for orders.
+        :param lease_ms: Term of the leases of duties.
+        :param duties: Whether usage is to be reported.
         """
-        bed = cls(folder, lease_ms=lease_ms)
+        bed = cls(folder, lease_ms=lease_ms, duties=duties)
         try:
             bed._run("store", "store", str(bed.store_port))
             until(lambda: bed._answers(bed.store_port))
+            if duties:
+                bed._run("duties", "duties", str(bed.duties_port))
+                until(lambda: bed._answers(bed.duties_port))
             bed.configure(make_config())
             for index in range(engines):
                 bed.start_engine(f"engine-{index}", "pool", MODEL)
@@ -216,6 +227,9 @@
     def fake_store(self, **changes: object) -> dict:
         return self._fake(self.store_port, changes)
 
+    def fake_duties(self, **changes: object) -> dict:
+        return self._fake(self.duties_port, changes)
+
     def fake_engine(self, engine_id: str, **changes: object) -> dict:
         return self._fake(self.engine_ports[engine_id], changes)
 
@@ -238,7 +252,10 @@
         metrics = self.metrics_ports.setdefault(name, free_port())
         path = self.settings_path(name)
         ports = (front, ready, self.store_port)
-        path.write_text(SETTINGS.format(name, *ports, self.lease_ms))
+        text = SETTINGS.format(name, *ports, self.lease_ms)
+        if self.duties:
+            text += DUTIES.format(self.duties_port)
+        path.write_text(text)
         out = self.folder / f"{name}.out"
         with out.open("ab") as stream:
             handle = subprocess.Popen(
--- a/tests/adapter/platform_documents.py
+++ b/tests/adapter/platform_documents.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     "HOST",
+    "DUTIES",
     "ITEMS",
     "MODEL",
     "SETTINGS",
@@ -147,3 +148,13 @@
 config_apply_ms = 2000
 status_s = 120
 """
+
+#: What is added where the platform has duties; windows of 1 s, reports due after 4 s.
+DUTIES = """
+report_window_s = 1
+usage_late_s = 4
+[cloud_api]
+address = "127.0.0.1:{0}"
+duties = ["usage", "scale"]
+duty_per_s = 50.0
+"""
--- a/tests/adapter/standins.py
+++ b/tests/adapter/standins.py
@@ -1,7 +1,7 @@
 # SPDX-License-Identifier: MIT
 
 """
-Runs a stand-in of the platform as a process: ``standins.py store|engine PORT ...``.
+Runs a stand-in of the platform: ``standins.py store|engine|duties PORT ...``.
 """
 
 from __future__ import annotations
@@ -9,6 +9,7 @@
 import sys
 
 from aiohttp import web
+from standin_duties import duties_app
 
 from standin_engine import engine_app
 from standin_store import store_app
@@ -19,10 +20,18 @@
     Serve on a loopback port until killed.
     """
     address = f"127.0.0.1:{port}"
-    app = store_app() if kind == "store" else engine_app(address, *rest)
+    apps = {
+        "store": store_app,
+        "engine": lambda: engine_app(address, *rest),
+        "duties": duties_app,
+    }
     # A handler must learn that its caller left.
     web.run_app(
-        app, host="127.0.0.1", port=int(port), print=None, handler_cancellation=True
+        apps[kind](),
+        host="127.0.0.1",
+        port=int(port),
+        print=None,
+        handler_cancellation=True,
     )
 
 
--- a/tests/adapter/test_edge_weights.py
+++ b/tests/adapter/test_edge_weights.py
@@ -97,7 +97,7 @@
     until(lambda: two_edges.fake_engine("engine-0")["version"] == 3)
     second = two_edges.fake_engine("engine-0")["orders"][-1]
     # The term is 1 s, and was renewed a third of it before at the latest.
-    taken = _lines(two_edges, left, "order_lease_taken")[-1]["timestamp"]
+    taken = _lines(two_edges, left, "duty_taken")[-1]["timestamp"]
     waited = datetime.fromisoformat(taken) - killed
     assert waited.total_seconds() > 0.6
     assert second["holder"] != first["holder"]
@@ -109,12 +109,12 @@
     """
     Not after the term of 8 s, as another machine would; and with a higher fence.
     """
-    until(lambda: _lines(long_lease, "edge-0", "order_lease_taken"))
+    until(lambda: _lines(long_lease, "edge-0", "duty_taken"))
     long_lease.signal("edge-0", signal.SIGKILL)
     long_lease.wait_end("edge-0")
     long_lease.start_edge("edge-0")
-    until(lambda: len(_lines(long_lease, "edge-0", "order_lease_taken")) == 2, 6.0)
-    before, taken = _lines(long_lease, "edge-0", "order_lease_taken")
+    until(lambda: len(_lines(long_lease, "edge-0", "duty_taken")) == 2, 6.0)
+    before, taken = _lines(long_lease, "edge-0", "duty_taken")
     assert taken["fence"] > before["fence"]
 
 
@@ -171,7 +171,7 @@
     """
     for engine in ("engine-0", "engine-1"):
         platform_bed.fake_engine(engine, pace=0.4)
-    until(lambda: _lines(platform_bed, "edge-0", "order_lease_taken"))
+    until(lambda: _lines(platform_bed, "edge-0", "duty_taken"))
     assert platform_bed.submit("job-1", make_job(2)).status == 202
     until(lambda: len(platform_bed.runs()) == 2)
     platform_bed.fake_store(mode="silent")
--- /dev/null
+++ b/tests/test_usage_duty.py
@@ -0,0 +1,243 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Usage is reported once a window, with the same counts whoever reports it.
+
+Nodes share a log in memory; the platform is one that keeps every call that it got.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import pytest
+from fake_log import FakeLog
+
+from saddledoor import HeldLease, UsageWindows
+from saddledoord._clock import boot_time
+from saddledoord.duties import usage_reporter
+from saddledoord.duties.usage_counter import UsageCounter
+from saddledoord.duties.usage_reporter import UsageReporter
+from saddledoord.ports import DutyOutcome, UsageReport
+
+
+#: Short ones: a window is decided 0.4 s after its end.
+_WINDOWS = UsageWindows(0.4, 0.8)
+
+
+@dataclass
+class _Lease:
+    """
+    A lease that a test gives and takes.
+    """
+
+    fence: int | None = None
+    fenced_at: list[int] = field(default_factory=list)
+    aside: int = 0
+
+    def current(self, margin: float) -> HeldLease | None:
+        if self.fence is None:
+            return None
+        return HeldLease("usage", self.fence, boot_time() + 10.0)
+
+    def fenced(self, fence: int) -> None:
+        self.fenced_at.append(fence)
+        self.fence = None
+
+    async def step_aside(self, seconds: float) -> None:
+        self.aside += 1
+        self.fence = None
+
+
+class _Platform:
+    """
+    Keeps every report, and answers as a function says.
+    """
+
+    def __init__(self, answer: Callable[[UsageReport], str] | None = None) -> None:
+        self.reports: list[UsageReport] = []
+        self._answer = answer or (lambda report: DutyOutcome.DONE)
+
+    async def report_usage(self, report: UsageReport) -> str:
+        self.reports.append(report)
+        await asyncio.sleep(0)
+        return self._answer(report)
+
+    def counts(self) -> dict[int, list[dict]]:
+        """
+        Return the different counts that came for each window.
+        """
+        found: dict[int, list[dict]] = {}
+        for report in self.reports:
+            known = found.setdefault(report.window, [])
+            if report.counts not in known:
+                known.append(report.counts)
+        return found
+
+
+class _Node:
+    def __init__(self, name: str, log: FakeLog, platform: _Platform) -> None:
+        self.lease = _Lease()
+        self.counter = UsageCounter(log, name, _WINDOWS)
+        self.reporter = UsageReporter(
+            log, platform, self.lease, self.counter, _WINDOWS, name
+        )
+        self._tasks: list[asyncio.Task] = []
+
+    def start(self) -> None:
+        loops = (self.counter.run(), self.reporter.run())
+        self._tasks = [asyncio.create_task(loop) for loop in loops]
+
+    def kill(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+
+
+@pytest.fixture(autouse=True)
+def _quick(monkeypatch):
+    monkeypatch.setattr(usage_reporter, "_LOOK", 0.02)
+    monkeypatch.setattr(usage_reporter, "_PAUSE", 0.02)
+    monkeypatch.setattr(usage_reporter, "_STEP_ASIDE_AFTER", 0.2)
+    monkeypatch.setattr("saddledoord.duties.usage_counter._GATHER", 0.02)
+
+
+async def _until(check: Callable[[], object]) -> None:
+    async with asyncio.timeout(8.0):
+        while not check():
+            await asyncio.sleep(0.01)
+
+
+def _nodes(platform: _Platform, count: int) -> tuple[FakeLog, list[_Node]]:
+    log = FakeLog()
+    return log, [_Node(f"vm-{index}", log, platform) for index in range(count)]
+
+
+def test_what_all_nodes_counted_is_reported_by_one():
+    """
+    A window's report holds the requests of every node.
+    """
+
+    async def run() -> None:
+        platform = _Platform()
+        _, nodes = _nodes(platform, 3)
+        for node in nodes:
+            node.start()
+            node.counter.count("red", boot_time())
+        nodes[0].counter.count("blue", boot_time())
+        window = _WINDOWS.of(nodes[0].counter.now)
+        nodes[1].lease.fence = 5
+        await _until(lambda: window in platform.counts())
+        if {"red": 3, "blue": 1} not in platform.counts()[window]:
+            # The four were counted around the end of a window.
+            await _until(lambda: window + 1 in platform.counts())
+        total = [r.counts.get("red", 0) for r in platform.reports]
+        assert sum(total) == 3
+        assert {(r.holder, r.fence) for r in platform.reports} == {("vm-1", 5)}
+
+    asyncio.run(run())
+
+
+def test_the_next_holder_reports_exactly_what_was_decided():
+    """
+    The first one's call had no answer, and counts came late; nothing differs.
+    """
+
+    async def run() -> None:
+        platform = _Platform(lambda report: DutyOutcome.UNKNOWN)
+        _, (first, second) = _nodes(platform, 2)
+        for node in (first, second):
+            node.start()
+        first.counter.count("red", boot_time())
+        first.lease.fence = 1
+        await _until(lambda: any(r.counts for r in platform.reports))
+        first.kill()
+        decided = next(r for r in platform.reports if r.counts)
+        late = decided.window * _WINDOWS.length + 0.1 - second.counter.now
+        second.counter.count("red", boot_time() + late)
+        second.lease.fence = 2
+        await _until(lambda: any(r.fence == 2 for r in platform.reports))
+        await asyncio.sleep(0.2)
+        assert all(len(counts) == 1 for counts in platform.counts().values())
+
+    asyncio.run(run())
+
+
+def test_two_that_both_believe_to_hold_the_duty_report_the_same():
+    """
+    Each decides in the log, and sends what stands there first.
+    """
+
+    async def run() -> None:
+        platform = _Platform()
+        log, nodes = _nodes(platform, 2)
+        for index, node in enumerate(nodes):
+            node.start()
+            node.lease.fence = index
+        for _ in range(60):
+            nodes[0].counter.count("red", boot_time())
+            nodes[1].counter.count("blue", boot_time())
+            log.lose = 1
+            await asyncio.sleep(0.02)
+        await _until(lambda: len(platform.counts()) >= 4)
+        assert {r.holder for r in platform.reports} == {"vm-0", "vm-1"}
+        assert all(len(counts) == 1 for counts in platform.counts().values())
+
+    asyncio.run(run())
+
+
+def test_nothing_is_reported_that_the_log_does_not_hold():
+    """
+    Without the store nobody knows what was decided; afterwards all is made up for.
+    """
+
+    async def run() -> None:
+        platform = _Platform()
+        log, (node,) = _nodes(platform, 1)
+        node.start()
+        node.counter.count("red", boot_time())
+        log.away = True
+        node.lease.fence = 1
+        await asyncio.sleep(1.5)
+        assert platform.reports == []
+        log.away = False
+        await _until(lambda: any(r.counts == {"red": 1} for r in platform.reports))
+
+    asyncio.run(run())
+
+
+def test_a_holder_that_is_not_answered_leaves_the_duty_to_others():
+    """
+    It may be cut off from the platform while the store hears it.
+    """
+
+    async def run() -> None:
+        platform = _Platform(lambda report: DutyOutcome.REFUSED)
+        _, (node,) = _nodes(platform, 1)
+        node.start()
+        node.lease.fence = 1
+        await _until(lambda: node.lease.aside)
+        assert 2 <= len(platform.reports) < 30
+        sent = len(platform.reports)
+        await asyncio.sleep(0.3)
+        assert len(platform.reports) == sent
+
+    asyncio.run(run())
+
+
+def test_a_holder_that_is_fenced_calls_no_more():
+    """
+    The platform has heard of a later one.
+    """
+
+    async def run() -> None:
+        platform = _Platform(lambda report: DutyOutcome.FENCED)
+        _, (node,) = _nodes(platform, 1)
+        node.start()
+        node.lease.fence = 3
+        await _until(lambda: node.lease.fenced_at)
+        await asyncio.sleep(0.3)
+        assert (node.lease.fenced_at, len(platform.reports)) == ([3], 1)
+
+    asyncio.run(run())
