--- a/tests/adapter/platform_bed.py
+++ b/tests/adapter/platform_bed.py
@@ -132,12 +132,14 @@
         engines: int = 2,
         lease_ms: int = 1000,
         duties: bool = False,
+        config: dict | None = None,
     ) -> Iterator:
         """
         Start everything and wait until the edges are ready.
 
         :param lease_ms: Term of the leases of duties.
         :param duties: Whether usage is to be reported.
+        :param config: The first configuration.
         """
         bed = cls(folder, lease_ms=lease_ms, duties=duties)
         try:
@@ -146,7 +148,7 @@
             if duties:
                 bed._run("duties", "duties", str(bed.duties_port))
                 until(lambda: bed._answers(bed.duties_port))
-            bed.configure(make_config())
+            bed.configure(config or make_config())
             for index in range(engines):
                 bed.start_engine(f"engine-{index}", "pool", MODEL)
             bed.start_engine("desk-0", "desk")
--- a/tests/adapter/standin_engine.py
+++ b/tests/adapter/standin_engine.py
@@ -115,7 +115,14 @@
             headers = {"Saddledoor-Not-Executed": "1"}
             return web.Response(status=503, headers=headers)
         self.runs.append(run)
-        self._note("run", id=name, target=run.target, body=run.body)
+        self._note(
+            "run",
+            id=name,
+            target=run.target,
+            body=run.body,
+            tenant=run.tenant,
+            key=run.key,
+        )
         try:
             if body.startswith(CRASHING):
                 await asyncio.sleep(_CRASH_AFTER)
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -12,7 +12,18 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
-from .observed import NOT_RUN, Asked, EngineLine, Observed, Read, Stopped, job_of
+from .keys import is_always_there, workspace_of
+from .observed import (
+    NOT_RUN,
+    TRAINERS,
+    Asked,
+    EngineLine,
+    Observed,
+    Read,
+    Report,
+    Stopped,
+    job_of,
+)
 
 
 __all__ = ["CHECKS", "EVENTS", "Check", "Finding", "judge"]
@@ -288,6 +299,50 @@
             yield f"{asked.target} was served at {asked.edge}, and then 404"
 
 
+def _workspaces(seen: Observed) -> Iterator[str]:
+    expected = {a.request_id: workspace_of(a.key) for a in list(seen.asked)}
+    jobs = {submitted.job for submitted in list(seen.submitted)}
+    for run in _runs(seen):
+        if run.key is not None:
+            yield f"{run.id} at {run.engine} showed the key {run.key!r}"
+        if job_of(run.id) in jobs:
+            owner = TRAINERS if ".i" in run.id else None
+        else:
+            owner = expected.get(run.id, run.tenant)
+        if run.tenant != owner:
+            yield f"{run.id} ran at {run.engine} for {run.tenant!r}, not {owner!r}"
+
+
+def _keys(seen: Observed) -> Iterator[str]:
+    served: set[tuple[str, int, str]] = set()
+    gone: dict[tuple[str, int, str], float] = {}
+    for asked in sorted(list(seen.asked), key=lambda one: one.at):
+        place = (asked.edge, asked.life, asked.key)
+        told = f"{asked.request_id}, {asked.key!r} at {asked.edge}"
+        if asked.status == 401 and is_always_there(asked.key):
+            yield f"{told}: 401, and the key is always there"
+        if asked.status == 200 and not workspace_of(asked.key):
+            yield f"{told}: served, and the key never was there"
+        if asked.status == 401 and place in served:
+            gone.setdefault(place, asked.at)
+        if asked.status == 200:
+            served.add(place)
+            if asked.began > gone.get(place, float("inf")) + _ROLLBACK_SLACK:
+                yield f"{told}: served, and the key had been taken away there"
+
+
+def _usage(seen: Observed) -> Iterator[str]:
+    counts: dict[int, Report] = {}
+    holders: dict[int, str] = {}
+    for report in list(seen.reports):
+        first = counts.setdefault(report.window, report)
+        if first.counts != report.counts:
+            yield f"window {report.window}: {first.counts}, then {report.counts}"
+        holder = holders.setdefault(report.fence, report.holder)
+        if holder != report.holder:
+            yield f"fence {report.fence} is that of {holder} and of {report.holder}"
+
+
 CHECKS = (
     Check("whole_answers", "MIXED, ORDER: the whole answer", _whole_answers),
     Check("runs_once", "TWICE (requests)", _runs_once),
@@ -303,4 +358,7 @@
     Check("planned_stops", "LOST, DRAIN (planned stop)", _planned_stops),
     Check("stops_cut_nothing", "LOST, DRAIN (planned stop)", _stops_cut_nothing),
     Check("configuration", "CONFIG", _configuration),
+    Check("workspaces", "UNASKED, ROUTE (keys)", _workspaces),
+    Check("keys", "UNASKED, ROUTE (keys)", _keys),
+    Check("usage", "ONE (usage)", _usage),
 )
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -16,6 +16,7 @@
 from platform_bed import PlatformBed, until
 from platform_documents import MODEL, make_config
 
+from .keys import tenants_of
 from .load import Load
 from .observed import Configured, Observed, Stopped
 from .plan import DESKS, EDGES, HOLDER, OPERATOR, POOL, STORE, Fault, Kind, SoakPlan
@@ -240,7 +241,7 @@
     """
     Return a configuration with the routes ``/r1/`` up to that of its version.
     """
-    config = make_config(version)
+    config = make_config(version, tenants=tenants_of(version))
     look_up = config["routes"][0]
     config["routes"] += [
         {**look_up, "name": f"r{number}", "path_prefix": f"/r{number}/"}
--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -18,7 +18,8 @@
 from platform_bed import PlatformBed
 from platform_documents import HOST, MODEL, make_job
 
-from .observed import Asked, Ended, Observed, Read, Submitted
+from .keys import draw_key
+from .observed import TRAINERS, Asked, Ended, Observed, Read, Submitted
 from .plan import EDGES
 
 
@@ -31,6 +32,8 @@
 #: Times that a job is submitted, a count.
 _SUBMITS = 4
 _ITEMS = 6
+#: Of the trainers, all of one workspace.
+_TRAINERS_KEY = f"{TRAINERS}-0"
 
 
 @dataclass
@@ -68,7 +71,8 @@
             target = draw.choice(
                 ("/look/x", "/book/x", f"/r{draw.randint(1, self.routes)}/")
             )
-            asked = self._send(connection, edge, f"{name}-{number}", target)
+            key = draw_key(draw, self.routes)
+            asked = self._send(connection, edge, f"{name}-{number}", target, key)
             self.seen.asked.append(asked)
             if not asked.status:
                 connection.close()
@@ -79,20 +83,31 @@
         return http.client.HTTPConnection("127.0.0.1", port, timeout=_PATIENCE)
 
     def _send(
-        self, connection: http.client.HTTPConnection, edge: str, name: str, target: str
+        self,
+        connection: http.client.HTTPConnection,
+        edge: str,
+        name: str,
+        target: str,
+        key: str,
     ) -> Asked:
         life, began = self.lives[edge], time.monotonic()
-        headers = {"Host": HOST, "Saddledoor-Attempt-Id": name}
+        headers = {
+            "Host": HOST,
+            "Saddledoor-Attempt-Id": name,
+            "Saddledoor-Key": key,
+            "Saddledoor-Tenant": "somebody",
+        }
         try:
             connection.request("POST", target, b"x", headers)
             response = connection.getresponse()
             body = response.read().decode("latin-1")
         except (OSError, http.client.HTTPException):
-            return Asked(name, target, edge, life, began, time.monotonic(), 0)
+            now = time.monotonic()
+            return Asked(name, target, edge, life, began, now, 0, key=key)
         mark = response.headers.get("Saddledoor-Server-Seal", "")
         now, status = time.monotonic(), response.status
         # An answer that a process gave shortly before its end counts as that one's.
-        return Asked(name, target, edge, life, began, now, status, mark, body)
+        return Asked(name, target, edge, life, began, now, status, mark, body, key)
 
     def train(self, name: str, draw: random.Random) -> None:
         """
@@ -168,9 +183,8 @@
     def _job_call(
         self, method: str, target: str, edge: str, job: str = "", body: bytes = b""
     ) -> tuple[int, bytes]:
-        return ask_once(
-            self._connect(edge), method, target, body, {"Saddledoor-Attempt-Id": job}
-        )
+        headers = {"Saddledoor-Attempt-Id": job, "Saddledoor-Key": _TRAINERS_KEY}
+        return ask_once(self._connect(edge), method, target, body, headers)
 
     def start(self, seed: int, callers: int, trainers: int) -> list[threading.Thread]:
         """
@@ -219,4 +233,5 @@
     for index, item in enumerate(table["requests"]):
         item["id"] = f"{job}.i{index}"
         item["scorer"]["id"] = f"{job}.s{index}"
+        item["headers"] |= {"Saddledoor-Tenant": "somebody", "Saddledoor-Key": "theirs"}
     return table
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -22,7 +22,7 @@
 __all__ = ["MUTANTS", "Mutant"]
 
 _SEEDS = "1,2,3,4,5"
-_LEASE = f"{DAEMON}/orders/lease.py"
+_LEASE = f"{DAEMON}/duties/lease.py"
 
 
 @dataclass(frozen=True)
@@ -65,6 +65,26 @@
             ),
         ),
     ),
+    Mutant(
+        "an item runs under its trainer's own words",
+        (
+            (
+                f"{DAEMON}/jobs/item_run.py",
+                "workspace=job.workspace,",
+                "workspace=None,",
+            ),
+        ),
+    ),
+    Mutant(
+        "a report is counted anew by each holder",
+        (
+            (
+                f"{DAEMON}/duties/usage_reporter.py",
+                "            return decided\n        record",
+                "            return self._book.counted(window)\n        record",
+            ),
+        ),
+    ),
     Mutant(
         "a result is listed twice",
         (
--- a/tests/soak/observed.py
+++ b/tests/soak/observed.py
@@ -11,12 +11,14 @@
 
 __all__ = [
     "NOT_RUN",
+    "TRAINERS",
     "Asked",
     "Configured",
     "Ended",
     "EngineLine",
     "Observed",
     "Read",
+    "Report",
     "Stopped",
     "Submitted",
     "job_of",
@@ -24,6 +26,8 @@
 
 #: Statuses that promise that the request has not run and never will.
 NOT_RUN = frozenset({408, 421, 429, 503})
+#: The workspace of all trainers.
+TRAINERS = "red"
 
 
 @dataclass(frozen=True)
@@ -44,6 +48,7 @@
     status: int
     mark: str = ""
     body: str = ""
+    key: str = "red-0"
 
 
 @dataclass(frozen=True)
@@ -133,6 +138,23 @@
     version: int = 0
     holder: str = ""
     fence: int = 0
+    tenant: str | None = None
+    key: str | None = None
+
+
+@dataclass(frozen=True)
+class Report:
+    """
+    A call that reported usage, as the platform got it.
+
+    :param at: Time of day, in seconds.
+    """
+
+    window: int
+    counts: tuple[tuple[str, int], ...]
+    holder: str
+    fence: int
+    at: float
 
 
 @dataclass
@@ -152,6 +174,7 @@
     configured: list[Configured] = field(default_factory=list)
     thaws: list[tuple[str, float]] = field(default_factory=list)
     engines: list[EngineLine] = field(default_factory=list)
+    reports: list[Report] = field(default_factory=list)
     never: list[str] = field(default_factory=list)
 
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -19,7 +19,7 @@
 from .checks import Finding, judge
 from .faults import PACE, Injector, config_with_routes
 from .load import Load
-from .observed import EngineLine, Observed
+from .observed import TRAINERS, EngineLine, Observed, Report
 from .plan import DESKS, EDGES, POOL, Fault, SoakPlan, SoakSettings
 
 
@@ -82,11 +82,16 @@
     folder.mkdir(parents=True)
     plan = SoakPlan.from_seed(seed, settings)
     seen = Observed()
-    with PlatformBed.open(folder, edges=len(EDGES), engines=len(POOL)) as bed:
+    with PlatformBed.open(
+        folder,
+        edges=len(EDGES),
+        engines=len(POOL),
+        duties=True,
+        config=config_with_routes(1),
+    ) as bed:
         for engine in POOL:
             bed.fake_engine(engine, pace=PACE)
         load = Load(bed, seen)
-        bed.configure(config_with_routes(load.routes))
         injector = Injector(bed, load, seen)
         journals = _Journals(bed, seen)
         callers = load.start(seed, _CALLERS, _TRAINERS)
@@ -95,6 +100,7 @@
             while any(thread.is_alive() for thread in series):
                 time.sleep(_EVERY)
                 journals.follow()
+                _follow_reports(bed, seen)
                 broken = len(judge(seen))
                 progress(
                     f"seed {seed}: {time.monotonic() - injector.began:.0f} s,"
@@ -110,6 +116,7 @@
                 thread.join()
         _read_everything(load, seen)
         journals.follow()
+        _follow_reports(bed, seen)
     if injector.broken:
         raise SoakBrokenError(f"seed {seed}: {injector.broken[0]!r}")
     findings = tuple(dict.fromkeys(judge(seen)))
@@ -159,26 +166,51 @@
                 self._seen.engines.append(EngineLine(**json.loads(line)))
 
 
+def _follow_reports(bed: PlatformBed, seen: Observed) -> None:
+    """
+    Take over the calls that the platform got since the last time.
+    """
+    for call in bed.fake_duties()["calls"][len(seen.reports) :]:
+        seen.reports.append(
+            Report(
+                call["window_no"],
+                tuple(sorted(call["counts"].items())),
+                call["holder"],
+                call["fence"],
+                call["at"],
+            )
+        )
+
+
 def _await_recovery(load: Load, seen: Observed) -> None:
     """
     Wait until each edge serves the newest configuration and open jobs are whole.
     """
-    deadline = time.monotonic() + _RECOVERY
+    deadline, began = time.monotonic() + _RECOVERY, time.time()
     left: set[str] = set()
     while time.monotonic() < deadline:
-        left = _not_recovered(load)
+        left = _not_recovered(load, began)
         if not left:
             return
         time.sleep(0.2)
     seen.never.extend(f"{what} after {_RECOVERY:g} s" for what in sorted(left))
 
 
-def _not_recovered(load: Load) -> set[str]:
+def _not_recovered(load: Load, since: float) -> set[str]:
+    """
+    Return what does not work yet, in words.
+
+    :param since: Time of day after which usage has to be reported, in seconds.
+    """
     left = set()
     for edge in EDGES:
-        answer = load.bed.ask("POST", f"/r{load.routes}/", b"x", "last", edge)
+        key = {"Saddledoor_Key": f"{TRAINERS}-{load.routes}"}
+        answer = load.bed.ask("POST", f"/r{load.routes}/", b"x", "last", edge, **key)
         if answer.status != 200:
             left.add(f"{edge} answers {answer.status} on the newest route")
+    _follow_reports(load.bed, load.seen)
+    if not any(report.at > since for report in load.seen.reports):
+        left.add("no usage is reported")
     draw = random.Random(0)
     for job, items in list(load.open_jobs.items()):
         read = load.read(job, 0, draw)
--- a/tests/soak_records.py
+++ b/tests/soak_records.py
@@ -7,10 +7,17 @@
 from __future__ import annotations
 
 from soak.checks import EVENTS
-from soak.observed import Asked, EngineLine, Observed, Read, Submitted
+from soak.observed import Asked, EngineLine, Observed, Read, Report, Submitted
 
 
-__all__ = ["make_asked", "make_line", "make_read", "make_result", "make_seen"]
+__all__ = [
+    "make_asked",
+    "make_line",
+    "make_read",
+    "make_report",
+    "make_result",
+    "make_seen",
+]
 
 _JOB = "job"
 
@@ -72,6 +79,20 @@
     return Read(**{**fields, **changes})
 
 
+def make_report(**changes: object) -> Report:
+    """
+    Return a report of usage as the platform got it.
+    """
+    fields = {
+        "window": 7,
+        "counts": (("red", 1),),
+        "holder": "edge-0",
+        "fence": 3,
+        "at": 1.0,
+    }
+    return Report(**{**fields, **changes})
+
+
 def make_seen(**added: list) -> Observed:
     """
     Return a job that went well, and what is added to each list.
@@ -84,7 +105,7 @@
         submitted=[Submitted(_JOB, 1, 2, (202,), 4.0)],
         read=[make_read()],
         engines=[
-            make_line(id="job.i0", target="/train/0", at=4.5),
+            make_line(id="job.i0", target="/train/0", at=4.5, tenant="red"),
             *events,
             make_line(id="job.s0", target="/look/score", at=6.0),
         ],
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,7 +12,14 @@
 
 import pytest
 from click.testing import CliRunner
-from soak_records import make_asked, make_line, make_read, make_result, make_seen
+from soak_records import (
+    make_asked,
+    make_line,
+    make_read,
+    make_report,
+    make_result,
+    make_seen,
+)
 
 from soak.__main__ import main
 from soak.checks import CHECKS, judge
@@ -123,6 +130,29 @@
     ("texts", {"read": [make_read(make_result(state="dead"))]}),
     ("scores", {"read": [make_read(make_result(score="seal-other"))]}),
     ("scores", {"engines": [make_line(id="job.s0", at=4.9)]}),
+    ("workspaces", {"asked": [make_asked()], "engines": [make_line(tenant="blue")]}),
+    ("workspaces", {"asked": [make_asked()], "engines": [make_line()]}),
+    ("workspaces", {"engines": [make_line(id="job.i0", tenant="blue")]}),
+    ("workspaces", {"engines": [make_line(id="job.s0", tenant="red")]}),
+    ("workspaces", {"engines": [make_line(tenant="red", key="red-0")]}),
+    (
+        "workspaces",
+        {"asked": [make_asked(key="nobody-0")], "engines": [make_line()]},
+    ),
+    ("keys", {"asked": [make_asked(key="nobody-0")]}),
+    ("keys", {"asked": [make_asked(status=401)]}),
+    (
+        "keys",
+        {
+            "asked": [
+                make_asked(key="red-3"),
+                make_asked(key="red-3", status=401, at=11.0),
+                make_asked(key="red-3", began=11.3, at=11.4),
+            ]
+        },
+    ),
+    ("usage", {"reports": [make_report(), make_report(counts=(("red", 2),))]}),
+    ("usage", {"reports": [make_report(), make_report(window=8, holder="edge-1")]}),
     (
         "nothing_after_the_end",
         {"ended": [Ended("job", 0.5, 1.0)], "engines": []},
@@ -202,6 +232,20 @@
 ]
 
 
+def test_keys_that_come_and_go_and_reports_that_are_repeated_break_nothing():
+    """
+    A key may be unknown before it is known, and refused once it is taken away.
+    """
+    asked = [
+        make_asked(key="red-3", status=401, at=9.0),
+        make_asked(key="red-3"),
+        make_asked(key="red-3", status=401, at=11.0),
+        make_asked(key="nobody-0", status=401),
+    ]
+    reports = [make_report(), make_report(at=2.0, holder="edge-1", fence=5)]
+    assert judge(make_seen(asked=asked, reports=reports)) == []
+
+
 @pytest.mark.parametrize(("check", "added"), _BROKEN)
 def test_a_broken_promise_is_found(check, added):
     """
