--- /dev/null
+++ b/tests/pairs.py
@@ -0,0 +1,202 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Compares two checkouts on the same days and seeds, and prints a table for a page.
+
+``python tests/pairs.py --bench PROGRAM --before DIR --after DIR --site FILE ...``: the
+program plays a day of a deployment in the checkout that it is started in, and writes
+its report. Processor time is not charged, so that a pair differs by the code alone.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+import statistics
+import tempfile
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass
+from pathlib import Path
+
+import click
+
+
+__all__ = ["Pair", "Play", "Summary", "render", "summarise"]
+
+#: Standard errors on either side of a mean that 95 of 100 intervals need, for as many
+#: pairs as the index says (Student's t).
+_WIDTHS = (math.inf, math.inf, 12.71, 4.30, 3.18, 2.78, 2.57, 2.45, 2.36, 2.31, 2.26)
+_WIDTH_BEYOND = 2.23
+
+
+@dataclass(frozen=True)
+class Play:
+    """
+    One day as one checkout played it.
+
+    :param broken: Rules that were broken, a count.
+    """
+
+    worth: float
+    broken: int = 0
+
+
+@dataclass(frozen=True)
+class Pair:
+    """
+    A day and a seed in both checkouts.
+    """
+
+    site: str
+    day: str
+    seed: int
+    before: Play
+    after: Play
+
+    @property
+    def gain(self) -> float:
+        return self.after.worth - self.before.worth
+
+
+@dataclass(frozen=True)
+class Summary:
+    """
+    What the pairs of a deployment say.
+
+    :param interval: Half the width of the 95 % interval of the mean; infinite for fewer
+        than two pairs.
+    :param up: Pairs with a gain above 0, a count.
+    """
+
+    before: float
+    after: float
+    gain: float
+    interval: float
+    up: int
+    pairs: int
+    broken: int
+
+
+def summarise(pairs: Iterable[Pair]) -> Summary:
+    """
+    Return means and what they are worth.
+
+    :raises ValueError: Without any pair.
+    """
+    found = list(pairs)
+    if not found:
+        raise ValueError("no pair was played")
+    gains = [pair.gain for pair in found]
+    interval = math.inf
+    if len(found) > 1:
+        width = _WIDTHS[len(found)] if len(found) < len(_WIDTHS) else _WIDTH_BEYOND
+        interval = width * statistics.stdev(gains) / math.sqrt(len(found))
+    return Summary(
+        statistics.fmean(pair.before.worth for pair in found),
+        statistics.fmean(pair.after.worth for pair in found),
+        statistics.fmean(gains),
+        interval,
+        sum(gain > 0 for gain in gains),
+        len(found),
+        sum(pair.after.broken for pair in found),
+    )
+
+
+def render(pairs: Iterable[Pair]) -> str:
+    """
+    Return a row for each pair, and one for each deployment.
+    """
+    by_site: dict[str, list[Pair]] = defaultdict(list)
+    lines = ["| site | day, seed | before | after | gain |", "|---|---|---|---|---|"]
+    for pair in pairs:
+        by_site[pair.site].append(pair)
+        lines.append(
+            f"| {pair.site} | {pair.day}, {pair.seed} | {_told(pair.before)}"
+            f" | {_told(pair.after)} | {pair.gain:+.3f} |"
+        )
+    for site, found in by_site.items():
+        s = summarise(found)
+        lines.append(
+            f"| {site} | mean, {s.up} of {s.pairs} up | {s.before:.3f} | {s.after:.3f}"
+            f" | {s.gain:+.3f} ± {s.interval:.3f} |"
+        )
+    return "\n".join(lines)
+
+
+def _told(play: Play) -> str:
+    return f"{play.worth:.3f}" + (f", {play.broken} broken" if play.broken else "")
+
+
+async def _play(
+    bench: Path, checkout: Path, site: Path, day: str, seed: int, why: str
+) -> Play:
+    with tempfile.TemporaryDirectory() as folder:
+        report = Path(folder) / "report.json"
+        process = await asyncio.create_subprocess_exec(
+            *(str(bench), "run", str(site), day, "--no-cpu"),
+            *("--seed", str(seed), "--report", str(report), "--why", why),
+            cwd=checkout,
+            stdout=asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.DEVNULL,
+        )
+        await process.wait()
+        if not report.exists():
+            raise click.ClickException(
+                f"{checkout}: {site.stem} {day} {seed}: no report"
+            )
+        table = json.loads(report.read_text())
+    return Play(float(table["G"]), sum(table["breaks"].values()))
+
+
+async def _pairs(
+    bench: Path,
+    checkouts: tuple[Path, Path],
+    plays: list[tuple[Path, str, int]],
+    jobs: int,
+    why: str,
+) -> list[Pair]:
+    places = asyncio.Semaphore(jobs)
+
+    async def play(checkout: Path, site: Path, day: str, seed: int) -> Play:
+        async with places:
+            return await _play(bench, checkout, site, day, seed, why)
+
+    async def pair(site: Path, day: str, seed: int) -> Pair:
+        before, after = await asyncio.gather(
+            *(play(checkout, site, day, seed) for checkout in checkouts)
+        )
+        made = Pair(site.stem, day, seed, before, after)
+        click.echo(f"{made.site} {day} {seed}: {made.gain:+.3f}", err=True)
+        return made
+
+    return await asyncio.gather(*(pair(*play) for play in plays))
+
+
+@click.command()
+@click.option("--bench", type=Path, required=True, help="Program that plays a day.")
+@click.option("--before", type=Path, required=True, help="Checkout to compare with.")
+@click.option("--after", type=Path, required=True, help="Checkout with the change.")
+@click.option("--site", "sites", type=Path, multiple=True, required=True)
+@click.option("--days", default="quiet-1,trouble-1,scale-1")
+@click.option("--seeds", default="11,12")
+@click.option("--jobs", default=2, type=click.IntRange(1), help="Plays at once.")
+@click.option("--why", required=True, help="A line for the journal.")
+def main(bench, before, after, sites, days, seeds, jobs, why) -> None:
+    """
+    Play all pairs and print their table.
+    """
+    plays = [
+        (site.resolve(), day, int(seed))
+        for site in sites
+        for day in days.split(",")
+        for seed in seeds.split(",")
+    ]
+    checkouts = (before.resolve(), after.resolve())
+    pairs = asyncio.run(_pairs(bench.resolve(), checkouts, plays, jobs, why))
+    click.echo(render(pairs))
+
+
+if __name__ == "__main__":
+    main()
