Let timers count the time of a suspension, and rows for the guards of keys and duties

Cause (read from the code, issue's finding): decisions go by the boot-time clock, but every limit and pause by the event loop's, which stands still while a VM is suspended. Ruled out: deadlines looked at after each wake-up, since each limit of the libraries too would have to be written so.

--- a/packages/saddledoord/src/saddledoord/_cli.py
+++ b/packages/saddledoord/src/saddledoord/_cli.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 import sys
 from pathlib import Path
@@ -16,6 +15,7 @@
 
 from saddledoor.exceptions import InvalidDocumentError
 
+from ._clock import run_by_boot_time
 from ._daemon import Daemon
 from ._settings import Settings, load_settings
 
@@ -49,7 +49,7 @@
         return
     _set_up_logging(settings)
     try:
-        asyncio.run(_run(settings))
+        run_by_boot_time(_run(settings))
     except OSError as error:
         click.echo(f"{path}: {error}", err=True)
         sys.exit(1)
--- a/tests/guard_rows/__init__.py
+++ b/tests/guard_rows/__init__.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from . import crashes, engines, jobs, nodes, requests
+from . import crashes, engines, jobs, keys, nodes, requests
 from .guard import Guard
 
 
@@ -18,4 +18,5 @@
     *engines.GUARDS,
     *nodes.GUARDS,
     *crashes.GUARDS,
+    *keys.GUARDS,
 )
--- a/tests/guard_rows/guard.py
+++ b/tests/guard_rows/guard.py
@@ -12,15 +12,18 @@
 __all__ = [
     "AGAIN",
     "ATTEMPTS",
+    "CLOCK",
     "DAEMON",
     "CRASHING",
     "DECISIONS",
+    "DUTY",
     "ENDS",
     "END_WATCH",
     "FOLLOW",
     "Guard",
     "ITEMS",
     "JOBS",
+    "KEYS",
     "KNOWN_ENDS",
     "LIBRARY",
     "LIVES",
@@ -34,8 +37,10 @@
     "STANDSTILLS",
     "TIMELY",
     "UNREADABLE",
+    "USAGE",
     "WATCH",
     "WEIGHTS",
+    "WORKSPACES",
 ]
 
 LIBRARY = "packages/saddledoor/src/saddledoor"
@@ -63,6 +68,11 @@
 ENDS = "tests/test_engine_ends.py"
 END_WATCH = "tests/test_engine_end_watch.py"
 CRASHING = "tests/adapter/test_edge_crashing_requests.py"
+KEYS = "tests/adapter/test_edge_keys.py"
+USAGE = "tests/adapter/test_edge_usage.py"
+DUTY = "tests/test_usage_duty.py"
+WORKSPACES = "tests/test_workspaces.py"
+CLOCK = "tests/test_clock.py"
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/tests/guard_rows/keys.py
@@ -0,0 +1,107 @@
+# SPDX-License-Identifier: MIT
+
+"""
+Guards of callers' keys, of duties and of time.
+"""
+
+from __future__ import annotations
+
+from .guard import CLOCK, DAEMON, DUTY, KEYS, LIBRARY, USAGE, WORKSPACES, Guard
+
+
+__all__ = ["GUARDS"]
+
+GUARDS = (
+    Guard(
+        "no engine is shown a key, nor the caller's own word",
+        "platform/engines.py",
+        "if pair[0].lower() not in own",
+        "if True",
+        (KEYS, "in_place_of_the_key"),
+    ),
+    Guard(
+        "items run for their job's workspace",
+        f"{DAEMON}/jobs/item_run.py",
+        "workspace=job.workspace,",
+        "workspace=None,",
+        (KEYS, "items_run_for"),
+    ),
+    Guard(
+        "a key that others may know by now is not called unknown",
+        f"{LIBRARY}/_workspaces.py",
+        "if age > bounds.known_within:",
+        "if False:",
+        (KEYS, "calls_no_key_unknown"),
+    ),
+    Guard(
+        "with strict revocation old news serves nobody",
+        f"{LIBRARY}/_workspaces.py",
+        "if bounds.gone_within is not None and age > bounds.gone_within:",
+        "if False:",
+        (KEYS, "strict_edge"),
+    ),
+    Guard(
+        "a job is unknown to other workspaces",
+        f"{LIBRARY}/_jobs.py",
+        "return not self.workspace or workspace in (None, self.workspace)",
+        "return True",
+        (KEYS, "unknown_to_other"),
+    ),
+    Guard(
+        "a key belongs to one workspace",
+        f"{LIBRARY}/_workspaces.py",
+        "if other is not workspace:",
+        "if False:",
+        (WORKSPACES, "of_two_workspaces"),
+    ),
+    Guard(
+        "a window is decided once",
+        f"{LIBRARY}/_usage.py",
+        "self._decided.setdefault(window, dict(counts))",
+        "self._decided[window] = dict(counts)",
+        ("tests/test_usage.py", "first_decision"),
+    ),
+    Guard(
+        "what was decided is what is sent",
+        f"{DAEMON}/duties/usage_reporter.py",
+        "        if decided is not None:\n            return decided\n",
+        "        if decided is not None:\n"
+        "            return self._book.counted(window)\n",
+        (DUTY, "exactly_what_was_decided"),
+    ),
+    Guard(
+        "counts that may not have been written are given again",
+        f"{DAEMON}/duties/usage_counter.py",
+        "self._meter.give_back(records)",
+        "pass",
+        (DUTY, "log_does_not_hold"),
+    ),
+    Guard(
+        "a holder that is not answered steps aside",
+        f"{DAEMON}/duties/usage_reporter.py",
+        "await self._lease.step_aside(_ASIDE)",
+        "pass",
+        (DUTY, "leaves_the_duty"),
+    ),
+    Guard(
+        "counts are left to the others at a planned stop",
+        f"{DAEMON}/duties/usage.py",
+        "        await self._lease.release()\n",
+        "",
+        (USAGE, "planned_stop"),
+    ),
+    Guard(
+        "a jump of the clock is not believed at once",
+        f"{LIBRARY}/_usage.py",
+        "elif now - self._other_since >= _BELIEVED_AFTER:",
+        "else:",
+        ("tests/test_usage.py", "taken_back"),
+    ),
+    Guard(
+        "timers count the time of a suspension",
+        f"{DAEMON}/_clock.py",
+        "        return boot_time()\n",
+        "        return super().time()\n",
+        (CLOCK, "ends_at_once"),
+    ),
+)
