Write a stopping VM's last counts at its end, and leave the duty at once

Cause: the guard that took the release out of a planned stop was not noticed. The flush stood with the release, seconds before the process ends, so what callers were given in the lame-duck time after it could be lost with the last 0.5 s of counts; and the test did not look how soon the duty passed on. Change: the flush comes when the loops end; the test asks the stopping edge to its end and has the duty taken within 0.6 s of its release (term 1 s).

--- a/packages/saddledoord/src/saddledoord/duties/usage.py
+++ b/packages/saddledoord/src/saddledoord/duties/usage.py
@@ -57,7 +57,12 @@
 
     async def release(self) -> None:
         """
-        Leave counts and duty to the other nodes.
+        Leave the duty to the other nodes; this one goes on counting.
         """
-        await self._counter.flush()
         await self._lease.release()
+
+    async def close(self) -> None:
+        """
+        Give the log the last counts.
+        """
+        await self._counter.flush()
--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -322,8 +322,10 @@
 
     async def close(self) -> None:
         """
-        End the loops.
+        Write the last counts, and end the loops.
         """
+        if self._usage is not None:
+            await self._usage.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/tests/adapter/test_edge_usage.py
+++ b/tests/adapter/test_edge_usage.py
@@ -6,9 +6,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import signal
 import time
 from collections import Counter
+from datetime import datetime
 
 import pytest
 
@@ -160,16 +162,36 @@
 
 def test_a_planned_stop_leaves_counts_and_duty_to_the_others(bed):
     """
-    The others report what the stopping edge had begun, without waiting for a term.
+    The others report what the stopping edge begins to its end, and take the duty
+    without waiting for its term of 1 s.
     """
     since = time.time()
     asked = _ask_all(bed)
     first = _holder(bed)
     bed.signal(first, signal.SIGTERM)
+    number = 0
+    while bed.is_running(first):
+        with contextlib.suppress(OSError):
+            asked["red"] += _look(bed, "red", f"s-{number}", first) == 200
+        number += 1
+    assert bed.wait_end(first) == 0
     until(lambda: sum(_reported(bed, since).values()) >= sum(asked.values()))
     assert _reported(bed, since) == asked
     _check_calls(bed)
-    assert bed.wait_end(first) == 0
+    (released,) = _duty_lines(bed, first, "duty_released")
+    taken = [
+        line
+        for edge in bed.front_ports
+        for line in _duty_lines(bed, edge, "duty_taken")
+        if line["fence"] > released["fence"]
+    ]
+    times = [datetime.fromisoformat(line["timestamp"]) for line in (released, taken[0])]
+    assert (times[1] - times[0]).total_seconds() < 0.6
+
+
+def _duty_lines(bed: PlatformBed, edge: str, event: str) -> list[dict]:
+    lines = [line for line in bed.log(edge) if line["event"] == event]
+    return [line for line in lines if line["duty"] == "usage"]
 
 
 def test_without_the_platforms_interface_nobody_counts_or_takes_the_duty(tmp_path):
--- a/tests/guard_rows/keys.py
+++ b/tests/guard_rows/keys.py
@@ -84,7 +84,14 @@
         (DUTY, "leaves_the_duty"),
     ),
     Guard(
-        "counts are left to the others at a planned stop",
+        "the last counts of a stopping node are written",
+        f"{DAEMON}/duties/usage.py",
+        "        await self._counter.flush()\n",
+        "",
+        (USAGE, "planned_stop"),
+    ),
+    Guard(
+        "a stopping node leaves the duty at once",
         f"{DAEMON}/duties/usage.py",
         "        await self._lease.release()\n",
         "",
