Decide on a window's usage as soon as every VM has counted it

Cause: a window was decided half way to when its report is due (5 of 10 s). Change: each VM says of each window when it will count nothing more in it (2 s after its end). The holder decides once all have spoken that spoke of the window before, and at 6 s at the latest. One record more a VM and window. Tests: reports come early while all speak, wait for one that falls silent, and not for ever.

--- a/packages/saddledoor/src/saddledoor/_records.py
+++ b/packages/saddledoor/src/saddledoor/_records.py
@@ -224,11 +224,13 @@
     :param window: Number of the window.
     :param counts: By workspace, of the whole window so far; workspaces that are not
         named have not changed.
+    :param whole: Whether the process will count nothing more in the window.
     """
 
     source: str
     window: int
     counts: dict[str, int]
+    whole: bool = False
     kind: Literal["usage_counted"] = "usage_counted"
 
 
--- a/packages/saddledoor/src/saddledoor/_usage.py
+++ b/packages/saddledoor/src/saddledoor/_usage.py
@@ -23,6 +23,10 @@
 _CORRECTION = 0.2
 #: Windows whose counts a VM keeps, a count: a report that is this late is given up.
 _WINDOWS_KEPT = 24
+#: Of the time until a report is due: after which share a VM has counted all that began
+#: in the window, and until which share VMs are waited for that may be cut off. The rest
+#: is for the report, beside outages.
+_COUNTED_AFTER, _WAIT_UNTIL = 0.2, 0.6
 
 
 @dataclass(frozen=True)
@@ -43,17 +47,26 @@
         """
         return int(unix_time // self.length)
 
-    def to_decide(self, unix_time: float, first_undecided: int | None) -> list[int]:
+    def last_counted(self, unix_time: float) -> int:
+        """
+        Return the newest window in which nothing more is to be counted.
         """
-        Return the windows that are to be decided on now, oldest first.
+        return self.of(unix_time - _COUNTED_AFTER * self.due_after) - 1
 
-        Half of the time until a report is due is left to the VMs, whose counts may be
-        on their way or behind an outage, and half to the report.
+    def last_waited_for(self, unix_time: float) -> int:
+        """
+        Return the newest window that is decided on whoever has not spoken.
+        """
+        return self.of(unix_time - _WAIT_UNTIL * self.due_after) - 1
+
+    def to_decide(self, unix_time: float, first_undecided: int | None) -> list[int]:
+        """
+        Return the windows that may be decided on now, oldest first.
 
         :param first_undecided: Oldest window that the log tells of and that is not
             decided; none if it tells of none.
         """
-        newest = self.of(unix_time - self.due_after / 2) - 1
+        newest = self.last_counted(unix_time)
         first = first_undecided
         if first is None:
             first = self.first_in_time(unix_time)
@@ -84,6 +97,7 @@
     """
 
     _counts: dict[int, dict[tuple[str, str], int]] = field(default_factory=dict)
+    _whole: dict[int, set[str]] = field(default_factory=dict)
     _decided: dict[int, dict[str, int]] = field(default_factory=dict)
 
     @property
@@ -109,6 +123,8 @@
         """
         match record:
             case UsageCounted(source=source, window=window, counts=counts):
+                if record.whole:
+                    self._whole.setdefault(window, set()).add(source)
                 known = self._counts.setdefault(window, {})
                 for workspace, count in counts.items():
                     place = (source, workspace)
@@ -126,6 +142,14 @@
             total[workspace] = total.get(workspace, 0) + count
         return total
 
+    def is_whole(self, window: int) -> bool:
+        """
+        Return whether every process has counted a window that had counted the one
+        before; not if nothing is known of that one.
+        """
+        expected = self._whole.get(window - 1, set())
+        return bool(expected) and expected <= self._whole.get(window, set())
+
     def decided(self, window: int) -> dict[str, int] | None:
         """
         Return the decision on a window, or none.
@@ -133,7 +157,7 @@
         return self._decided.get(window)
 
     def _forget(self) -> None:
-        for table in (self._counts, self._decided):
+        for table in (self._counts, self._decided, self._whole):
             while len(table) > 2 * _WINDOWS_KEPT:
                 del table[min(table)]
 
@@ -143,12 +167,15 @@
     What one process has counted, and what of it the log has not been given.
 
     :param source: Names the process.
+    :param window: The one that it begins in.
     """
 
-    def __init__(self, source: str) -> None:
+    def __init__(self, source: str, window: int) -> None:
         self._source = source
         self._counts: dict[int, dict[str, int]] = {}
         self._changed: dict[int, set[str]] = {}
+        self._last_whole = window - 1
+        self._whole: set[int] = set()
 
     def count(self, workspace: str, window: int) -> None:
         """
@@ -162,18 +189,30 @@
             del self._counts[oldest]
             self._changed.pop(oldest, None)
 
+    def close(self, last: int) -> None:
+        """
+        Note that nothing more is to be counted in windows up to one.
+        """
+        first = max(self._last_whole + 1, last - _WINDOWS_KEPT + 1)
+        self._whole.update(range(first, last + 1))
+        self._last_whole = max(self._last_whole, last)
+
     def take(self) -> list[UsageCounted]:
         """
         Return records of what has changed since; each count is the whole of its window.
         """
         changed, self._changed = self._changed, {}
+        whole, self._whole = self._whole, set()
         return [
             UsageCounted(
                 self._source,
                 window,
-                {name: self._counts[window][name] for name in sorted(names)},
+                {name: self._counts[window][name] for name in sorted(changed[window])}
+                if window in changed
+                else {},
+                window in whole,
             )
-            for window, names in sorted(changed.items())
+            for window in sorted(changed.keys() | whole)
         ]
 
     def give_back(self, records: list[UsageCounted]) -> None:
@@ -181,7 +220,9 @@
         Have records taken again that may not have reached the log.
         """
         for record in records:
-            if record.window in self._counts:
+            if record.whole:
+                self._whole.add(record.window)
+            if record.counts and record.window in self._counts:
                 names = self._changed.setdefault(record.window, set())
                 names.update(record.counts)
 
--- a/packages/saddledoord/src/saddledoord/duties/usage_counter.py
+++ b/packages/saddledoord/src/saddledoord/duties/usage_counter.py
@@ -49,8 +49,8 @@
         self._log = log
         self._windows = windows
         self._unix_time = unix_time
-        self._meter = UsageMeter(source)
         self._time = TrueTime(unix_time(), boot_time())
+        self._meter = UsageMeter(source, windows.of(self.now))
         self._counted = asyncio.Event()
 
     @property
@@ -71,18 +71,19 @@
 
     async def run(self) -> None:
         """
-        Give counts to the log, a while after the first one, until cancelled.
+        Give counts to the log, a while after the first one, and say of each window when
+        it is whole, until cancelled.
         """
         while True:
             try:
-                async with asyncio.timeout(self._windows.length):
+                async with asyncio.timeout(_GATHER):
                     await self._counted.wait()
+                await asyncio.sleep(_GATHER)
             except TimeoutError:
                 pass
             self._time.observe(self._unix_time(), boot_time())
-            if self._counted.is_set():
-                await asyncio.sleep(_GATHER)
-                await self.flush()
+            self._meter.close(self._windows.last_counted(self.now))
+            await self.flush()
 
     async def flush(self) -> None:
         """
--- a/packages/saddledoord/src/saddledoord/duties/usage_reporter.py
+++ b/packages/saddledoord/src/saddledoord/duties/usage_reporter.py
@@ -104,19 +104,29 @@
         await self._read_on()
         # The log may hold decisions of windows that this node did not know of.
         for window in self._windows_due(now):
-            if window not in self._sent and not await self._report(window):
+            if window in self._sent:
+                continue
+            if not self._is_ready(window, now) or not await self._report(window):
                 return
 
     def _windows_due(self, now: float) -> list[int]:
         """
-        Return the windows to decide on, and those decided on whose report may not have
-        come, oldest first.
+        Return the windows that may be decided on, and those decided on whose report may
+        not have come, oldest first.
         """
         book, windows = self._book, self._windows
         known = windows.to_repeat(now, book.last_decided)
         decided = [window for window in known if book.decided(window) is not None]
         return decided + windows.to_decide(now, book.first_undecided)
 
+    def _is_ready(self, window: int, now: float) -> bool:
+        """
+        Whether a window is decided, or may be: all have counted it, or time presses.
+        """
+        if self._book.decided(window) is not None or self._book.is_whole(window):
+            return True
+        return window <= self._windows.last_waited_for(now)
+
     async def _report(self, window: int) -> bool:
         """
         Report a window; false if the next one has to wait.
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -24,20 +24,72 @@
 _WINDOWS = UsageWindows(5.0, 10.0)
 
 
-def test_a_window_is_decided_half_way_to_when_its_report_is_due():
+def test_a_window_may_be_decided_on_once_all_of_it_is_counted():
     """
-    Window 20 ends at 105 s, so it is decided from 110 s on, and due at 115 s.
+    Window 20 ends at 105 s; whatever began in it is counted 2 s later.
     """
-    assert _WINDOWS.to_decide(109.9, 20) == []
-    assert _WINDOWS.to_decide(110.0, 20) == [20]
+    assert _WINDOWS.to_decide(106.9, 20) == []
+    assert _WINDOWS.to_decide(107.0, 20) == [20]
+    assert _WINDOWS.last_counted(107.0) == 20
+
+
+def test_those_who_have_not_spoken_are_waited_for_but_not_for_long():
+    """
+    Until 6 s of the 10 s have passed that a report may take.
+    """
+    assert _WINDOWS.last_waited_for(110.9) == 19
+    assert _WINDOWS.last_waited_for(111.0) == 20
+
+
+def test_a_window_is_whole_when_all_have_counted_it_that_counted_the_last():
+    """
+    One that comes later is not waited for; one that went is waited for once.
+    """
+    book = UsageBook()
+    assert not book.is_whole(7)
+    for source in ("vm-1", "vm-2"):
+        book.apply(UsageCounted(source, 7, {}, whole=True))
+    book.apply(UsageCounted("vm-1", 8, {"red": 1}, whole=True))
+    book.apply(UsageCounted("vm-2", 8, {"red": 1}))
+    book.apply(UsageCounted("vm-3", 8, {}, whole=True))
+    assert not book.is_whole(8)
+    book.apply(UsageCounted("vm-2", 8, {}, whole=True))
+    assert book.is_whole(8)
+    assert not book.is_whole(9)
+    for source in ("vm-1", "vm-3"):
+        book.apply(UsageCounted(source, 9, {}, whole=True))
+    assert not book.is_whole(9)
+    for source in ("vm-1", "vm-3"):
+        book.apply(UsageCounted(source, 10, {}, whole=True))
+    assert book.is_whole(10)
+
+
+def test_a_meter_says_of_each_window_once_that_it_is_whole():
+    """
+    Also of those without a request, from the one on that the process began in; what may
+    not have reached the log is said again.
+    """
+    meter = UsageMeter("vm-1", 7)
+    meter.count("red", 8)
+    meter.close(6)
+    meter.close(8)
+    lost = meter.take()
+    assert lost == [
+        UsageCounted("vm-1", 7, {}, whole=True),
+        UsageCounted("vm-1", 8, {"red": 1}, whole=True),
+    ]
+    meter.close(8)
+    assert meter.take() == []
+    meter.give_back(lost)
+    assert meter.take() == lost
 
 
 def test_a_node_that_knows_of_no_decision_begins_with_what_is_not_yet_due():
     """
     At the first start of all, or after the log has dropped what was decided.
     """
-    assert _WINDOWS.to_decide(110.0, None) == [20]
-    assert _WINDOWS.to_decide(114.9, None) == [20]
+    assert _WINDOWS.to_decide(111.0, None) == [20]
+    assert _WINDOWS.to_decide(114.9, None) == [20, 21]
     assert _WINDOWS.first_in_time(114.9) == 20
 
 
@@ -54,7 +106,7 @@
     """
     After an outage of the store they are late, and told all the same.
     """
-    assert _WINDOWS.to_decide(160.0, 26) == [26, 27, 28, 29, 30]
+    assert _WINDOWS.to_decide(157.0, 26) == [26, 27, 28, 29, 30]
     assert len(_WINDOWS.to_decide(100_000.0, 26)) == 24
 
 
@@ -101,7 +153,7 @@
     """
     What may not have reached the log is given again, with what came since.
     """
-    meter = UsageMeter("vm-1")
+    meter = UsageMeter("vm-1", 7)
     meter.count("red", 7)
     meter.count("blue", 7)
     lost = meter.take()
@@ -120,12 +172,14 @@
     """
     Also if the store is away for long.
     """
-    meter, book = UsageMeter("vm-1"), UsageBook()
+    meter, book = UsageMeter("vm-1", 7), UsageBook()
     for window in range(1000):
         meter.count("red", window)
         book.apply(UsageDecided(window, {}))
         book.apply(UsageCounted("vm-1", window, {"red": 1}))
     records = meter.take()
+    meter.close(2000)
+    assert len(meter.take()) == 24
     assert len(records) == 24
     assert records[-1].window == 999
     assert (book.decided(900), book.decided(999)) == (None, {})
--- a/tests/test_usage_duty.py
+++ b/tests/test_usage_duty.py
@@ -78,11 +78,17 @@
 
 
 class _Node:
-    def __init__(self, name: str, log: FakeLog, platform: _Platform) -> None:
+    def __init__(
+        self,
+        name: str,
+        log: FakeLog,
+        platform: _Platform,
+        windows: UsageWindows = _WINDOWS,
+    ) -> None:
         self.lease = _Lease()
-        self.counter = UsageCounter(log, name, _WINDOWS)
+        self.counter = UsageCounter(log, name, windows)
         self.reporter = UsageReporter(
-            log, platform, self.lease, self.counter, _WINDOWS, name
+            log, platform, self.lease, self.counter, windows, name
         )
         self._tasks: list[asyncio.Task] = []
 
@@ -114,6 +120,40 @@
     return log, [_Node(f"vm-{index}", log, platform) for index in range(count)]
 
 
+def test_a_report_waits_only_for_nodes_that_may_be_cut_off():
+    """
+    While all speak it comes early, so that it gets through before most outages; one
+    that falls silent is waited for, and not for ever.
+    """
+
+    async def run() -> None:
+        platform = _Platform()
+        windows = UsageWindows(0.5, 3.0)
+        log = FakeLog()
+        nodes = [_Node(f"vm-{n}", log, platform, windows) for n in range(2)]
+        late: dict[int, float] = {}
+
+        async def report(told: UsageReport) -> str:
+            end = (told.window + 1) * windows.length
+            late.setdefault(told.window, nodes[0].counter.now - end)
+            return DutyOutcome.DONE
+
+        platform.report_usage = report
+        for node in nodes:
+            node.start()
+        nodes[0].lease.fence = 1
+        # All may speak 0.6 s after a window's end, and are waited for until 1.8 s.
+        await _until(lambda: late and late[max(late)] < 1.2)
+        nodes[1].kill()
+        silent_from = windows.of(nodes[0].counter.now)
+        await _until(lambda: max(late) > silent_from + 4)
+        around = [late[silent_from + n] for n in (-1, 0, 1) if silent_from + n in late]
+        assert max(around) >= 1.8
+        assert late[max(late)] < 1.5
+
+    asyncio.run(run())
+
+
 def test_what_all_nodes_counted_is_reported_by_one():
     """
     A window's report holds the requests of every node.
