Look once more before a planned stop ends right after a standstill

Cause: after a standstill the look whether anybody waits and the listener are due in the same step of the loop; the look finds nobody in flight, and the listener is closed with whoever waits there. tests/adapter/test_edge_stops.py brings it about each time: red for new connections on the code before, green for kept ones, so a kept connection's close is ruled out.

--- a/packages/saddledoord/src/saddledoord/_daemon.py
+++ b/packages/saddledoord/src/saddledoord/_daemon.py
@@ -22,6 +22,7 @@
 from .http.server import HttpServer, listen, server_config
 from .peers.server import start_peer_server
 from .samples.collector import collector_lease
+from .standstills import Looks
 
 
 __all__ = ["Daemon"]
@@ -154,8 +155,9 @@
         await keeper.until_taken(handed_over, _TAKEOVER_WAIT)
         drain.handed_over = True
         # Whoever came meanwhile gets its answer too.
+        looks = Looks()
         await asyncio.sleep(_DRAIN_STEP)
-        while not drain.may_stop(boot_time(), in_flight.count):
+        while not (looks.is_on_time() and drain.may_stop(boot_time(), in_flight.count)):
             await asyncio.sleep(_DRAIN_STEP)
 
     def _successor(self) -> str | None:
--- a/packages/saddledoord/src/saddledoord/standstills.py
+++ b/packages/saddledoord/src/saddledoord/standstills.py
@@ -14,7 +14,7 @@
 from ._clock import boot_time
 
 
-__all__ = ["Standstills"]
+__all__ = ["Looks", "Standstills"]
 
 _log = structlog.get_logger()
 
@@ -28,6 +28,32 @@
 #: Time after a standstill, in seconds, in which what came during it is read: all of it
 #: in the loop's first steps, 0.05 s at a load of 18 on 8 cores.
 _READ_WITHIN = 0.2
+#: Time between two looks from which callers may have come meanwhile that this process
+#: has not accepted yet, in seconds: a few steps of the loop take a thousandth of it.
+_LATE_LOOK = 0.1
+
+
+class Looks:
+    """
+    Looks of a process that would end once nobody waits.
+
+    Right after a standstill it has nothing in flight, though callers may wait at its
+    listener: closing that would reset them. So it looks once more.
+
+    :param clock: Monotonic, in seconds, time of suspension included.
+    """
+
+    def __init__(self, clock: Callable[[], float] = boot_time) -> None:
+        self._clock = clock
+        self._looked_at = float("-inf")
+
+    def is_on_time(self) -> bool:
+        """
+        Look; return whether the look before was shortly before.
+        """
+        now = self._clock()
+        passed, self._looked_at = now - self._looked_at, now
+        return passed < _LATE_LOOK
 
 
 class Standstills:
--- /dev/null
+++ b/tests/adapter/test_edge_stops.py
@@ -0,0 +1,61 @@
+# SPDX-License-Identifier: MIT
+
+"""
+A planned stop of an edge that gets no processor just when it would end.
+
+Whoever came meanwhile is read: an edge that had nothing in flight when it went on
+closed its listener before it had looked at what waited there, and callers whose
+requests had been there for tenths of a second got no answer.
+"""
+
+from __future__ import annotations
+
+import signal
+import socket
+import time
+
+import pytest
+
+from platform_documents import HOST
+
+
+#: How long a stopping edge takes callers at least, in seconds; a standstill begins
+#: shortly before that time is over.
+_TAKES_CALLERS = 3.5
+_REQUEST = (
+    f"POST /look/x HTTP/1.1\r\nHost: {HOST}\r\n"
+    "Saddledoor-Attempt-Id: late\r\nContent-Length: 1\r\n\r\nx"
+).encode()
+
+
+def _connect(bed) -> socket.socket:
+    return socket.create_connection(("127.0.0.1", bed.front_ports["edge-0"]), 5.0)
+
+
+def _answer(connection: socket.socket) -> bytes:
+    try:
+        return connection.recv(4096)
+    except ConnectionError as error:
+        return repr(error).encode()
+
+
+@pytest.mark.parametrize("kept", [True, False], ids=["kept", "new"])
+@pytest.mark.parametrize("frozen", [0.4, 0.7])
+def test_what_came_while_a_stopping_edge_stood_still_is_answered(
+    platform_bed, frozen, kept
+):
+    """
+    Over a connection that was there before, or one that it has yet to accept.
+    """
+    connection = _connect(platform_bed) if kept else None
+    time.sleep(0.1)
+    platform_bed.signal("edge-0", signal.SIGTERM)
+    time.sleep(_TAKES_CALLERS - 0.2)
+    platform_bed.signal("edge-0", signal.SIGSTOP)
+    connection = connection or _connect(platform_bed)
+    connection.sendall(_REQUEST)
+    time.sleep(frozen)
+    platform_bed.signal("edge-0", signal.SIGCONT)
+    answer = _answer(connection)
+    assert answer.startswith(b"HTTP/1.1 200 "), answer
+    assert platform_bed.wait_end("edge-0") == 0
--- a/tests/guard_rows/guard.py
+++ b/tests/guard_rows/guard.py
@@ -35,6 +35,7 @@
     "REQUESTS",
     "SHARES",
     "STANDSTILLS",
+    "STOPS",
     "TIMELY",
     "UNREADABLE",
     "USAGE",
@@ -73,6 +74,7 @@
 DUTY = "tests/test_usage_duty.py"
 WORKSPACES = "tests/test_workspaces.py"
 CLOCK = "tests/test_clock.py"
+STOPS = "tests/adapter/test_edge_stops.py"
 
 
 @dataclass(frozen=True)
--- a/tests/guard_rows/keys.py
+++ b/tests/guard_rows/keys.py
@@ -6,7 +6,17 @@
 
 from __future__ import annotations
 
-from .guard import CLOCK, DAEMON, DUTY, KEYS, LIBRARY, USAGE, WORKSPACES, Guard
+from .guard import (
+    CLOCK,
+    DAEMON,
+    DUTY,
+    KEYS,
+    LIBRARY,
+    STOPS,
+    USAGE,
+    WORKSPACES,
+    Guard,
+)
 
 
 __all__ = ["GUARDS"]
@@ -104,6 +114,13 @@
         "else:",
         ("tests/test_usage.py", "taken_back"),
     ),
+    Guard(
+        "an edge that stood still looks again before it ends",
+        "platform/edge.py",
+        "if boot_time() > began + _LAME_DUCK and on_time and not front.in_flight:",
+        "if boot_time() > began + _LAME_DUCK and not front.in_flight:",
+        (STOPS, "stood_still"),
+    ),
     Guard(
         "timers count the time of a suspension",
         f"{DAEMON}/_clock.py",
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -15,7 +15,7 @@
 
 from saddledoord import _clock
 from saddledoord._clock import BootTimeLoop, run_by_boot_time
-from saddledoord.standstills import Standstills
+from saddledoord.standstills import Looks, Standstills
 
 
 class _Vm:
@@ -95,3 +95,14 @@
     text = (request.config.rootpath / program).read_text()
     assert "run_by_boot_time(" in text
     assert "asyncio.run(" not in text
+
+
+def test_a_look_after_a_standstill_is_not_on_time_and_the_next_one_is():
+    """
+    Callers may have come meanwhile; within a step of the loop they have been accepted.
+    """
+    now = [10.0]
+    looks = Looks(lambda: now[0])
+    for passed, on_time in ((0.05, False), (0.05, True), (0.4, False), (0.05, True)):
+        now[0] += passed
+        assert looks.is_on_time() is on_time
