--- a/tests/test_usage_machine.py
+++ b/tests/test_usage_machine.py
@@ -3,9 +3,10 @@
 """
 Three nodes that hold the duty of usage in turn, over a log that delays and loses.
 
-A node does what the reporter does, a step at a time, so that anything may come between:
-claim, read, decide, send. A paused node goes on later with what it knew. Steps are drawn
-evenly from fixed seeds; two broken twins show that the runs meet what they are for.
+A node does what the reporter does, a step at a time, so that anything may come
+between: claim, read, decide, send. A paused node goes on later with what it knew. Steps
+are drawn evenly from fixed seeds; two broken twins show that the runs meet what they
+are for.
 """
 
 from __future__ import annotations
