Take an exemption from keys only as true or false, and settings without duties

Found on reading again: a route whose exemption was the text "false" was open to everybody, since any value but an empty one counted; and settings that name the platform's interface but no duties ended the process.

--- a/tests/adapter/test_boundary.py
+++ b/tests/adapter/test_boundary.py
@@ -124,3 +124,12 @@
     assert done.returncode == 2
     assert len(done.stderr.splitlines()) == 1
     assert said in done.stderr
+
+
+def test_an_interface_of_the_platform_without_duties_asks_for_no_usage(tmp_path):
+    """
+    The settings are taken all the same.
+    """
+    path = tmp_path / "boot.toml"
+    path.write_text(_settings() + '[cloud_api]\naddress = "127.0.0.1:1004"\n')
+    assert load_boot_settings(path).usage is None
--- a/tests/adapter/test_edge_keys.py
+++ b/tests/adapter/test_edge_keys.py
@@ -214,6 +214,16 @@
     assert "red-1" not in str(caught.value)
 
 
+def test_a_route_goes_without_a_key_only_if_it_says_so_clearly():
+    """
+    Anything but true or false refuses the configuration.
+    """
+    config = _config(2, _RED)
+    config["routes"][1]["auth_exempt"] = "false"
+    with pytest.raises(UnusableBodyError, match=r"routes\[1\]\.auth_exempt"):
+        decode_config(json.dumps(config).encode())
+
+
 def test_a_configuration_that_is_refused_leaves_the_one_in_force(keyed):
     """
     Its keys go on being served, and the log says once why.
