Let a node take again the duty that it stepped aside from, and bound what it remembers

Found on reading again: stepping aside had a test with a stand-in of the lease only. Change: a released lease is anybody's. How long a node stays aside follows from the term (three of them) and no longer from a figure of one platform; which reports were sent is remembered only as long as they might be repeated.

--- a/packages/saddledoor/src/saddledoor/_usage.py
+++ b/packages/saddledoor/src/saddledoor/_usage.py
@@ -89,7 +89,13 @@
         """
         if last_decided is None:
             return []
-        return list(range(self.of(unix_time - 2 * self.due_after), last_decided + 1))
+        return list(range(self.first_to_repeat(unix_time), last_decided + 1))
+
+    def first_to_repeat(self, unix_time: float) -> int:
+        """
+        Return the first window whose report is worth sending again.
+        """
+        return self.of(unix_time - 2 * self.due_after)
 
 
 @dataclass
--- a/packages/saddledoord/src/saddledoord/cluster/leases.py
+++ b/packages/saddledoord/src/saddledoord/cluster/leases.py
@@ -153,7 +153,7 @@
         :param term: Of the lease, in seconds.
         """
         lease = self.get(name)
-        if lease is None:
+        if lease is None or lease.released:
             return True
         machine = lease.holder.rpartition(_INCARNATION)[0]
         if machine == self._machine:
--- a/packages/saddledoord/src/saddledoord/duties/lease.py
+++ b/packages/saddledoord/src/saddledoord/duties/lease.py
@@ -22,6 +22,8 @@
 _RENEWALS = 3
 #: How often the lease is looked at, as a share of its term.
 _LOOKS = 12
+#: How long a node stays aside, in terms: nodes must not take turns in one.
+_ASIDE = 3
 
 
 class DutyLease:
@@ -71,11 +73,11 @@
         self._released = True
         await self._give_up()
 
-    async def step_aside(self, seconds: float) -> None:
+    async def step_aside(self) -> None:
         """
         Leave the duty to other nodes for a while: this one cannot do it.
         """
-        self._aside_until = boot_time() + seconds
+        self._aside_until = boot_time() + _ASIDE * self._term
         await self._give_up()
 
     async def _give_up(self) -> None:
--- a/packages/saddledoord/src/saddledoord/duties/usage_reporter.py
+++ b/packages/saddledoord/src/saddledoord/duties/usage_reporter.py
@@ -50,8 +50,6 @@
 #: After how long without any answer the duty is left to another node, which may reach
 #: the platform, in seconds.
 _STEP_ASIDE_AFTER = 2.5
-#: And for how long at least, in seconds: nodes must not take turns within a term.
-_ASIDE = 10.0
 
 
 class UsageReporter:
@@ -149,7 +147,7 @@
         match outcome:
             case DutyOutcome.DONE:
                 self._unheard_since = None
-                self._sent.add(window)
+                self._note_sent(window)
                 return True
             case DutyOutcome.FENCED:
                 self._lease.fenced(held.fence)
@@ -157,6 +155,13 @@
                 await self._not_heard()
         return False
 
+    def _note_sent(self, window: int) -> None:
+        """
+        Remember that a report has come, as long as it might be repeated.
+        """
+        first = self._windows.first_to_repeat(self._counter.now)
+        self._sent = {known for known in self._sent if known >= first} | {window}
+
     async def _decide(self, window: int) -> dict[str, int] | None:
         """
         Return what is reported of a window, none if that is not certain yet.
@@ -205,6 +210,6 @@
             self._unheard_since = now
         if now - self._unheard_since > _STEP_ASIDE_AFTER:
             self._unheard_since = None
-            await self._lease.step_aside(_ASIDE)
+            await self._lease.step_aside()
             return
         await asyncio.sleep(random.uniform(_PAUSE, 2 * _PAUSE))
--- a/tests/test_usage_duty.py
+++ b/tests/test_usage_duty.py
@@ -46,7 +46,7 @@
         self.fenced_at.append(fence)
         self.fence = None
 
-    async def step_aside(self, seconds: float) -> None:
+    async def step_aside(self) -> None:
         self.aside += 1
         self.fence = None
 
