Answer the requests in flight when a stop's grace time is over

Symptom: a look-up that its engine still worked on 7 s after SIGTERM (grace 8 s) got no response; its connection was closed. Cause: giving up meant closing the connections.

--- a/tests/adapter/test_edge_stops.py
+++ b/tests/adapter/test_edge_stops.py
@@ -1,9 +1,10 @@
 # SPDX-License-Identifier: MIT
 
 """
-A planned stop of an edge whose process is paused just before it would exit.
+The last second of a planned stop of an edge.
 
-Guards against an exit that resets connections which arrived during the pause.
+Guards against an exit that resets connections which arrived during a process pause, and
+against one that leaves requests without a response when the grace time is over.
 """
 
 from __future__ import annotations
@@ -14,7 +15,8 @@
 
 import pytest
 
-from platform_documents import HOST
+from platform_bed import PlatformBed, until
+from platform_documents import HOST, make_config
 
 
 #: Minimum time for which a stopping edge accepts requests, in seconds; the pause begins
@@ -57,3 +59,32 @@
     answer = _answer(connection)
     assert answer.startswith(b"HTTP/1.1 200 "), answer
     assert platform_bed.wait_end("edge-0") == 0
+
+
+@pytest.fixture
+def slow_bed(tmp_path):
+    """
+    One edge whose look-ups take longer than the grace time of a stop.
+    """
+    config = make_config()
+    for route in config["routes"]:
+        route["timeout_ms"] = 30_000
+    with PlatformBed.open(tmp_path, config=config) as bed:
+        for name in ("desk-0", "desk-1"):
+            bed.fake_engine(name, delay=30.0)
+        yield bed
+
+
+def test_a_request_in_flight_at_the_end_of_the_grace_time_is_answered(slow_bed):
+    """
+    It may have run, so its outcome is unknown.
+    """
+    connection = _connect(slow_bed)
+    connection.settimeout(10.0)
+    connection.sendall(_REQUEST)
+    until(lambda: slow_bed.runs())
+    slow_bed.signal("edge-0", signal.SIGTERM)
+    answer = _answer(connection)
+    assert answer.startswith(b"HTTP/1.1 502 "), answer
+    assert b"connection: close" in answer
+    assert slow_bed.wait_end("edge-0") == 0
--- a/tests/guard_rows/guard.py
+++ b/tests/guard_rows/guard.py
@@ -36,6 +36,7 @@
     "REQUESTS",
     "WORK_SHARES",
     "PROCESS_PAUSES",
+    "PLANNED_STOPS",
     "SEND_DEADLINE",
     "UNREADABLE",
     "USAGE",
@@ -77,6 +78,7 @@
 WORKSPACES = "tests/test_workspaces.py"
 CLOCK = "tests/test_clock.py"
 HTTP_SERVER = "tests/test_http_server.py"
+PLANNED_STOPS = "tests/adapter/test_edge_stops.py"
 
 
 @dataclass(frozen=True)
--- a/tests/guard_rows/keys.py
+++ b/tests/guard_rows/keys.py
@@ -13,6 +13,7 @@
     HTTP_SERVER,
     KEYS,
     LIBRARY,
+    PLANNED_STOPS,
     USAGE,
     WORKSPACES,
     Guard,
@@ -121,6 +122,13 @@
         "else:",
         ("tests/test_usage.py", "taken_back"),
     ),
+    Guard(
+        "requests in flight at the end of the grace time are answered",
+        "platform/edge.py",
+        "    front.give_up()\n",
+        "",
+        (PLANNED_STOPS, "end_of_the_grace_time"),
+    ),
     Guard(
         "a closed listener leaves no connection in its backlog",
         f"{DAEMON}/http/listener.py",
