Look at a request's age right before the system call that sends it

Cause: the process can be paused between the check that allows a call and the reading of the time of the decision, which the adapter did some forty function calls later, and between the last look at that time and the system call. Change: the time is read before the check and handed down (Engines, DutyCalls). The last look is in the socket's send; it replaces those of the connector and of the request class, so SendDeadlineRequest goes. Its unit test reads the clock once less for each request; the pause is in the same place, between the connection and the first byte. The guard of the context variable has a new test, since a request that was sent no longer holds up later ones by itself.

--- a/packages/saddledoord/src/saddledoord/backends/send_deadline.py
+++ b/packages/saddledoord/src/saddledoord/backends/send_deadline.py
@@ -5,27 +5,49 @@
 
 The process may be paused between the decision and the first byte, and the decision may
 no longer hold when it resumes. The client's connection timeout does not cover this: the
-connection may be ready before the event loop handles the timer.
+connection may be ready before the event loop handles the timer. So the last check is
+made where the first byte is handed to the kernel.
 """
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+import functools
+import socket
+from collections.abc import AsyncIterator, Callable
 from contextlib import AbstractAsyncContextManager, AsyncExitStack, asynccontextmanager
 from contextvars import ContextVar
+from dataclasses import dataclass
 
 import aiohttp
 
 from .._clock import boot_time
+from .sockets import create_resetting_socket
 
 
-__all__ = ["SendDeadlineConnector", "SendDeadlineRequest", "send"]
+__all__ = ["SendDeadlineConnector", "send"]
 
 #: Longest time from the decision to send a request until its first byte is written, in
 #: seconds.
 _MAX_SEND_DELAY = 0.8
 
-_decided_at: ContextVar[float] = ContextVar("decided_at", default=float("inf"))
+
+@dataclass
+class _PendingRequest:
+    """
+    A request whose response head has not arrived.
+
+    :param decided_at: Time of the decision to send it, on the clock of `boot_time`, in
+        seconds.
+    :param is_started: Whether its first byte was written.
+    :param is_dropped: Whether it was dropped before that.
+    """
+
+    decided_at: float
+    is_started: bool = False
+    is_dropped: bool = False
+
+
+_pending: ContextVar[_PendingRequest | None] = ContextVar("pending", default=None)
 
 
 @asynccontextmanager
@@ -33,72 +55,67 @@
     request: AbstractAsyncContextManager[aiohttp.ClientResponse], decided_at: float
 ) -> AsyncIterator[aiohttp.ClientResponse]:
     """
-    Send a request of a session that uses `SendDeadlineRequest` and
-    `SendDeadlineConnector`.
+    Send a request of a session that uses `SendDeadlineConnector`.
 
     :param decided_at: Time of the decision to send it, on the clock of `boot_time`, in
         seconds. Applies to this request only.
+    :raises aiohttp.ConnectionTimeoutError: Also if it was decided on too long ago;
+        nothing was sent.
     """
+    pending = _PendingRequest(decided_at)
     async with AsyncExitStack() as stack:
-        token = _decided_at.set(decided_at)
+        token = _pending.set(pending)
         try:
             response = await stack.enter_async_context(request)
+        except aiohttp.ClientError:
+            if pending.is_dropped:
+                raise aiohttp.ConnectionTimeoutError(
+                    "decided on too long ago"
+                ) from None
+            raise
         finally:
-            _decided_at.reset(token)
+            _pending.reset(token)
         yield response
 
 
 class SendDeadlineConnector(aiohttp.TCPConnector):
     """
-    Provides no connection to a request that was decided on too long ago.
+    Writes nothing of a request that was decided on too long ago.
+
+    Its sockets discard undelivered data when they are closed.
     """
 
-    async def connect(
-        self,
-        req: aiohttp.ClientRequest,
-        traces: list,
-        timeout: aiohttp.ClientTimeout,
-    ) -> aiohttp.connector.Connection:
-        """
-        Get a connection, as `aiohttp.TCPConnector.connect` does.
-
-        :raises TimeoutError: Also if the request was decided on too long ago; nothing
-            was sent.
-        """
-        connection = await super().connect(req, traces, timeout)
-        if _is_decision_too_old():
-            connection.close()
-            raise TimeoutError("decided on too long ago")
-        return connection
+    def __init__(self, **options) -> None:
+        super().__init__(socket_factory=_create_socket, **options)
 
 
-class SendDeadlineRequest(aiohttp.ClientRequest):
+class _SendDeadlineSocket(socket.socket):
     """
-    Writes nothing of a request that was decided on too long ago.
+    Refuses the first byte of a request that was decided on too long ago.
 
-    aiohttp writes the headers and the body in a separate task, which starts one event
-    loop iteration after the connection was acquired; the process may be paused between
-    the two.
+    asyncio closes a connection whose socket refuses a write.
     """
 
-    async def write_bytes(
-        self,
-        writer: aiohttp.abc.AbstractStreamWriter,
-        conn: aiohttp.connector.Connection,
-        content_length: int | None = None,
-    ) -> None:
-        """
-        Write the request, as `aiohttp.ClientRequest.write_bytes` does.
-
-        If it was decided on too long ago, waiting for the response raises
-        `aiohttp.ConnectionTimeoutError`.
-        """
-        if not _is_decision_too_old():
-            await super().write_bytes(writer, conn, content_length)
-        elif conn.protocol is not None:
-            error = aiohttp.ConnectionTimeoutError("decided on too long ago")
-            conn.protocol.set_exception(error)
-
-
-def _is_decision_too_old() -> bool:
-    return boot_time() - _decided_at.get() > _MAX_SEND_DELAY
+    def send(self, *arguments) -> int:
+        return self._start(super().send, *arguments)
+
+    def sendmsg(self, *arguments) -> int:
+        return self._start(super().sendmsg, *arguments)
+
+    def _start(self, write: Callable[..., int], *arguments) -> int:
+        pending = _pending.get()
+        if pending is None or pending.is_started:
+            return write(*arguments)
+        # No function call may come between this check and the system call: a pause
+        # there would not be noticed.
+        if boot_time() - pending.decided_at > _MAX_SEND_DELAY:
+            pending.is_dropped = True
+            raise TimeoutError("decided on too long ago")
+        written = write(*arguments)
+        pending.is_started = True
+        return written
+
+
+_create_socket = functools.partial(
+    create_resetting_socket, socket_class=_SendDeadlineSocket
+)
--- a/packages/saddledoord/src/saddledoord/backends/sockets.py
+++ b/packages/saddledoord/src/saddledoord/backends/sockets.py
@@ -16,7 +16,9 @@
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
-def create_resetting_socket(addr_info: tuple) -> socket.socket:
+def create_resetting_socket(
+    addr_info: tuple, socket_class: type[socket.socket] = socket.socket
+) -> socket.socket:
     """
     Create a socket that discards unsent bytes when it is closed.
 
@@ -26,6 +28,6 @@
     :param addr_info: An entry of the result of `socket.getaddrinfo`.
     """
     family, kind, protocol, *_ = addr_info
-    sock = socket.socket(family, kind, protocol)
+    sock = socket_class(family, kind, protocol)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
     return sock
--- a/packages/saddledoord/src/saddledoord/jobs/attempt.py
+++ b/packages/saddledoord/src/saddledoord/jobs/attempt.py
@@ -75,16 +75,19 @@
         self._paces = paces
         self._placement = placement
 
-    async def run(self, run: ItemRun, route: GatewayRoute, engine: EngineEntry) -> None:
+    async def run(
+        self, run: ItemRun, route: GatewayRoute, engine: EngineEntry, decided_at: float
+    ) -> None:
         """
         Generate the rest of an item's text at one engine.
 
+        :param decided_at: See `Engines.call`.
         :raises GenerationFailedError: If the text is still incomplete.
         """
         try:
             with self._crash_watch.track_run(engine.incarnation, run.key) as at_engine:
                 async with self._timeouts.within(engine.incarnation):
-                    await self._run_tracked(run, route, engine, at_engine)
+                    await self._run_tracked(run, route, engine, decided_at, at_engine)
         except TimeoutError:
             raise GenerationFailedError(
                 GenerationFailedError.RESTARTED, "the engine has restarted"
@@ -95,13 +98,14 @@
         run: ItemRun,
         route: GatewayRoute,
         engine: EngineEntry,
+        decided_at: float,
         at_engine: EngineRun,
     ) -> None:
         """
         Receive the events, and report to the crash tracking how the run ended.
         """
         try:
-            await self._receive_events(run, route, engine)
+            await self._receive_events(run, route, engine, decided_at)
         except GenerationFailedError as error:
             if error.outcome == GenerationFailedError.BROKEN:
                 at_engine.record_interrupted(engine)
@@ -113,10 +117,10 @@
         at_engine.record_completed()
 
     async def _receive_events(
-        self, run: ItemRun, route: GatewayRoute, engine: EngineEntry
+        self, run: ItemRun, route: GatewayRoute, engine: EngineEntry, decided_at: float
     ) -> None:
         generation = Generation(run.request, run.text.last, _URGENCY)
-        stream = self._engines.generate(engine, generation)
+        stream = self._engines.generate(engine, generation, decided_at)
         resumed_after, started_at = run.text.last, boot_time()
         last: float | None = None
         try:
--- a/packages/saddledoord/src/saddledoord/jobs/runner.py
+++ b/packages/saddledoord/src/saddledoord/jobs/runner.py
@@ -315,10 +315,11 @@
         with reservation:
             try:
                 await self._load(run)
+                decided_at = boot_time()
                 # The process may have been paused during the read.
                 complete = self._may_start()
                 if complete:
-                    await self._attempts.run(run, route, engine)
+                    await self._attempts.run(run, route, engine, decided_at)
             except GenerationFailedError as error:
                 self._handle_failure(run, engine, error.outcome, str(error))
                 complete = False
--- a/packages/saddledoord/src/saddledoord/orders/weights.py
+++ b/packages/saddledoord/src/saddledoord/orders/weights.py
@@ -219,6 +219,7 @@
             await self._send_order(load, state)
 
     async def _send_order(self, load: _Load, state: EngineState) -> None:
+        ordered_at = boot_time()
         held = self._lease.current(_ORDER_MARGIN)
         if held is None:
             return
@@ -230,8 +231,7 @@
             state.accepted_orders,
             self._retain_running(load.model),
         )
-        ordered_at = boot_time()
-        outcome = await self._engines.order(load.engine, order)
+        outcome = await self._engines.order(load.engine, order, ordered_at)
         _log.info(
             "engine_ordered",
             engine=load.engine.engine_id,
--- a/packages/saddledoord/src/saddledoord/ports/duties.py
+++ b/packages/saddledoord/src/saddledoord/ports/duties.py
@@ -49,9 +49,11 @@
     Calls to the platform.
     """
 
-    async def report_usage(self, report: UsageReport) -> str:
+    async def report_usage(self, report: UsageReport, decided_at: float) -> str:
         """
         Report a window; the platform ignores an exact repetition.
 
+        :param decided_at: Time before the lease was checked, monotonic, in seconds; the
+            report is not sent if the process was paused since.
         :returns: One of `DutyOutcome`.
         """
--- a/packages/saddledoord/src/saddledoord/ports/engines.py
+++ b/packages/saddledoord/src/saddledoord/ports/engines.py
@@ -181,20 +181,27 @@
     """
 
     async def call(
-        self, engine: EngineEntry, request: ForwardedRequest, deadline: float
+        self,
+        engine: EngineEntry,
+        request: ForwardedRequest,
+        deadline: float,
+        decided_at: float,
     ) -> EngineAnswer | NotRun | OutcomeUnknown:
         """
         Send a request and return its complete answer.
 
         :param deadline: Time that the caller still waits, in seconds.
+        :param decided_at: Time before the checks that allowed to send it, monotonic, in
+            seconds; it is not sent if the process was paused since.
         """
 
     def generate(
-        self, engine: EngineEntry, generation: Generation
+        self, engine: EngineEntry, generation: Generation, decided_at: float
     ) -> AsyncIterator[GeneratedEvent]:
         """
         Stream the events of a generation until its text is complete.
 
+        :param decided_at: See `call`.
         :raises GenerationFailedError: If the text was not completed.
         """
 
@@ -208,9 +215,12 @@
         Whether no process serves at an engine's address; False if that is not certain.
         """
 
-    async def order(self, engine: EngineEntry, order: VersionOrder) -> str:
+    async def order(
+        self, engine: EngineEntry, order: VersionOrder, decided_at: float
+    ) -> str:
         """
         Send an order.
 
+        :param decided_at: See `call`.
         :returns: One of `OrderOutcome`.
         """
--- a/packages/saddledoord/src/saddledoord/serving/pass_through.py
+++ b/packages/saddledoord/src/saddledoord/serving/pass_through.py
@@ -305,6 +305,8 @@
     async def _attempt(
         self, current: RequestState, engine: EngineEntry, attempt: EngineAttempt
     ) -> Outcome:
+        # Before the check, since a pause may come right after it.
+        decided_at = boot_time()
         if not current.may_begin():
             # The process was paused after the attempt was scheduled.
             attempt.finish(AttemptOutcome.NOT_RUN, boot_time())
@@ -319,7 +321,7 @@
                 remaining = max(0.0, current.remaining)
                 async with self._timeouts.within(engine.incarnation, remaining):
                     outcome = await self._engines.call(
-                        engine, current.request, current.remaining
+                        engine, current.request, current.remaining, decided_at
                     )
             except TimeoutError:
                 outcome = self._timed_out(engine)
--- a/tests/adapter/test_engine_report.py
+++ b/tests/adapter/test_engine_report.py
@@ -81,7 +81,10 @@
             client = EngineClient.open()
             try:
                 given = VersionOrder("model-a", 5, "edge-0", 1, 0, True)
-                assert await client.order(engine, given) == "taken"
+                assert (
+                    await client.order(engine, given, send_deadline.boot_time())
+                    == "taken"
+                )
                 later = send_deadline.boot_time() + 3.0
                 with patch.object(send_deadline, "boot_time", lambda: later):
                     return await client.state(engine)
--- a/tests/function_engines.py
+++ b/tests/function_engines.py
@@ -40,7 +40,11 @@
         self._answer = answer
 
     async def call(
-        self, engine: EngineEntry, request: ForwardedRequest, deadline: float
+        self,
+        engine: EngineEntry,
+        request: ForwardedRequest,
+        deadline: float,
+        decided_at: float,
     ) -> Outcome:
         self.called.append(engine.engine_id)
         return await self._answer(engine, request)
--- a/tests/guard_rows/guard.py
+++ b/tests/guard_rows/guard.py
@@ -37,6 +37,7 @@
     "WORK_SHARES",
     "PROCESS_PAUSES",
     "PLANNED_STOPS",
+    "SEND_AFTER_PAUSE",
     "SEND_DEADLINE",
     "UNREADABLE",
     "USAGE",
@@ -58,6 +59,7 @@
 PASS_THROUGH = "tests/test_pass_through.py"
 RETRIES = "tests/adapter/test_edge_asks_again.py"
 SEND_DEADLINE = "tests/test_send_deadline.py"
+SEND_AFTER_PAUSE = "tests/adapter/test_send_after_pause.py"
 PROCESS_PAUSES = "tests/adapter/test_edge_process_pauses.py"
 UNREADABLE = "tests/test_unreadable_records.py"
 LOG_FRESHNESS = "tests/test_log_freshness.py"
--- a/tests/test_attempt.py
+++ b/tests/test_attempt.py
@@ -31,7 +31,7 @@
         self._events = events
         self._gap = gap
 
-    async def generate(self, engine, generation):
+    async def generate(self, engine, generation, decided_at):
         for number in range(generation.resume_after + 1, self._events + 1):
             await asyncio.sleep(self._gap)
             yield GeneratedEvent(number, "data", 1)
@@ -72,7 +72,7 @@
         _Engines(events, gap), paces, _Placement(), timeouts, make_crash_watch(view)
     )
     route = make_route("/train/")
-    asyncio.run(attempts.run(run, route, make_engine_entry("slow")))
+    asyncio.run(attempts.run(run, route, make_engine_entry("slow"), 0.0))
     return run
 
 
--- a/tests/test_engine_lives.py
+++ b/tests/test_engine_lives.py
@@ -254,13 +254,13 @@
         self.called: list[Incarnation] = []
         self._hangs = hangs
 
-    async def call(self, engine, request, deadline):
+    async def call(self, engine, request, deadline, decided_at):
         self.called.append(engine.incarnation)
         if engine.incarnation == self._hangs:
             await asyncio.sleep(60)
         return EngineAnswer(200, (), b"", "mark")
 
-    async def generate(self, engine, generation):
+    async def generate(self, engine, generation, decided_at):
         for number in (1, 2):
             yield GeneratedEvent(number, "data", 1)
         await asyncio.sleep(60)
@@ -327,7 +327,7 @@
 
     async def scenario():
         route = make_route("/train/")
-        trying = asyncio.create_task(attempts.run(run, route, _entry(FIRST)))
+        trying = asyncio.create_task(attempts.run(run, route, _entry(FIRST), 0.0))
         while run.text.last < 2:
             await asyncio.sleep(0.01)
         node.put(_entry(SECOND))
@@ -375,7 +375,7 @@
         await asyncio.sleep(0.005)
         return EngineState({MODEL: self.version}, False, self.taken, self.started_at)
 
-    async def order(self, engine, order):
+    async def order(self, engine, order, decided_at):
         await asyncio.sleep(0.005)
         self.orders.append((self.started_at, order.version, order.accepted_orders))
         if order.accepted_orders != self.taken:
@@ -458,11 +458,11 @@
     _name_version(node, 2)
     original_order = engine.order
 
-    async def order_without_answer(at, order):
+    async def order_without_answer(at, order, decided_at):
         if engine.started_at == FIRST:
             engine.orders.append((FIRST, order.version, order.accepted_orders))
             return OrderOutcome.UNKNOWN
-        return await original_order(at, order)
+        return await original_order(at, order, decided_at)
 
     async def state_without_answer(at):
         if engine.started_at == FIRST and engine.orders:
--- a/tests/test_send_deadline.py
+++ b/tests/test_send_deadline.py
@@ -15,11 +15,7 @@
 
 from saddledoord._clock import boot_time
 from saddledoord.backends import send_deadline
-from saddledoord.backends.send_deadline import (
-    SendDeadlineConnector,
-    SendDeadlineRequest,
-    send,
-)
+from saddledoord.backends.send_deadline import SendDeadlineConnector, send
 
 
 async def _send_requests(
@@ -46,9 +42,7 @@
     url = f"http://127.0.0.1:{runner.addresses[0][1]}/"
     answered = []
     connector = SendDeadlineConnector()
-    async with aiohttp.ClientSession(
-        connector=connector, request_class=SendDeadlineRequest
-    ) as session:
+    async with aiohttp.ClientSession(connector=connector) as session:
         for age in ages:
             sending = session.post(url, data=body or None)
             try:
@@ -74,9 +68,36 @@
     """
     The pause follows the acquired connection; the next request is sent.
     """
-    clock = iter([10.0, 13.8, 20.0, 20.0])
+    clock = iter([13.8, 20.0])
     monkeypatch.setattr(send_deadline, "boot_time", lambda: next(clock))
     times = iter([10.0, 20.0])
     monkeypatch.setattr(sys.modules[__name__], "boot_time", lambda: next(times))
     answered, received = asyncio.run(_send_requests([0.0, 0.0], b"body"))
     assert (answered, received) == ([False, True], 1)
+
+
+def test_a_later_request_of_the_same_task_has_no_deadline_of_an_earlier_one():
+    """
+    The task first sends a request that is dropped, then one without a deadline.
+    """
+
+    async def run() -> int:
+        async def respond(_: web.Request) -> web.Response:
+            return web.Response()
+
+        app = web.Application()
+        app.router.add_get("/", respond)
+        runner = web.AppRunner(app)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        url = f"http://127.0.0.1:{runner.addresses[0][1]}/"
+        async with aiohttp.ClientSession(connector=SendDeadlineConnector()) as session:
+            with pytest.raises(aiohttp.ConnectionTimeoutError):
+                async with send(session.get(url), boot_time() - 3.0):
+                    pass
+            async with session.get(url) as response:
+                status = response.status
+        await runner.cleanup()
+        return status
+
+    assert asyncio.run(run()) == 200
--- a/tests/test_usage_duty.py
+++ b/tests/test_usage_duty.py
@@ -60,7 +60,7 @@
         self.reports: list[UsageReport] = []
         self._answer = answer or (lambda report: DutyOutcome.DONE)
 
-    async def report_usage(self, report: UsageReport) -> str:
+    async def report_usage(self, report: UsageReport, decided_at: float) -> str:
         self.reports.append(report)
         await asyncio.sleep(0)
         return self._answer(report)
@@ -133,7 +133,7 @@
         nodes = [_Node(f"vm-{n}", log, platform, windows) for n in range(2)]
         late: dict[int, float] = {}
 
-        async def report(usage: UsageReport) -> str:
+        async def report(usage: UsageReport, decided_at: float) -> str:
             end = (usage.window + 1) * windows.length
             late.setdefault(usage.window, nodes[0].counter.now - end)
             return DutyOutcome.DONE
