Don't count an edge's own pause as an engine's silence

The successor's log says 'stalled, engine silent' 0.26 s after a sound engine had begun; the stopping edge sent nothing after its hand-over. After a pause of the process the timers are handled before the input that came meanwhile is read. Change: silence adds up at each check, at most two intervals a time. Unit test red before; guard red.

--- a/packages/saddledoord/src/saddledoord/jobs/attempt.py
+++ b/packages/saddledoord/src/saddledoord/jobs/attempt.py
@@ -56,6 +56,28 @@
 )
 
 
+class _Silence:
+    """
+    Time without a sign of life from an engine.
+
+    It counts only while this process runs: input that arrived during a process pause is
+    not read before the timers that became due in it are handled.
+    """
+
+    def __init__(self) -> None:
+        self._seconds = 0.0
+        self._checked_at = boot_time()
+
+    def check(self) -> float:
+        """
+        Return the silence so far, in seconds; called at each `_CHECK_INTERVAL`.
+        """
+        now = boot_time()
+        self._seconds += min(now - self._checked_at, 2 * _CHECK_INTERVAL)
+        self._checked_at = now
+        return self._seconds
+
+
 class AttemptRunner:
     """
     Runs job items at engines, one call for each attempt.
@@ -148,6 +170,7 @@
     async def _next_event(
         self, stream, run: ItemRun, engine: EngineEntry
     ) -> GeneratedEvent | None:
+        silence = _Silence()
         waiting_since = boot_time()
         pending = asyncio.ensure_future(anext(stream, None))
         try:
@@ -155,10 +178,10 @@
                 await asyncio.wait({pending}, timeout=_CHECK_INTERVAL)
                 if pending.done():
                     return pending.result()
-                silence = boot_time() - waiting_since
-                if silence > _MIN_PAUSE and run.times.phase is ItemPhase.EVENTS:
+                waited = boot_time() - waiting_since
+                if waited > _MIN_PAUSE and run.times.phase is ItemPhase.EVENTS:
                     run.times.enter(ItemPhase.PAUSE, waiting_since + _MIN_PAUSE)
-                self._check_silence(run, engine, silence)
+                self._check_silence(run, engine, silence.check())
         finally:
             if not pending.done():
                 pending.cancel()
--- a/tests/guard_rows/jobs.py
+++ b/tests/guard_rows/jobs.py
@@ -147,6 +147,13 @@
         "record.first == 1",
         (DECISIONS, "takes_the_place"),
     ),
+    Guard(
+        "an engine is not silent while the process is paused",
+        f"{DAEMON}/jobs/attempt.py",
+        "min(now - self._checked_at, 2 * _CHECK_INTERVAL)",
+        "now - self._checked_at",
+        ("tests/test_attempt.py", "this_process_is_paused"),
+    ),
     Guard(
         "a short text does not move for a faster engine",
         f"{DAEMON}/jobs/attempt.py",
--- a/tests/test_attempt.py
+++ b/tests/test_attempt.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import pytest
 from crash_watches import make_crash_watch
@@ -61,18 +62,29 @@
         return make_engine_entry("fast")
 
 
-def _run_attempt(events: int, gap: float) -> ItemRun:
+def _run_attempt(events: int, gap: float, pause: float = 0.0) -> ItemRun:
+    """
+    Run an attempt.
+
+    :param pause: Duration of a pause of the event loop, soon after the start; seconds.
+    """
     view = ClusterView()
     paces = EnginePaces(view.engine_tables)
     paces.observe(Incarnation("fast"), 0.001, boot_time())
     job = make_job(1)
     run = ItemRun.create(make_job_state(job), job.items[0])
     timeouts = EngineTimeouts(view)
+    engines = _Engines(events, gap)
     attempts = AttemptRunner(
-        _Engines(events, gap), paces, _Placement(), timeouts, make_crash_watch(view)
+        engines, paces, _Placement(), timeouts, make_crash_watch(view)
     )
     route = make_route("/train/")
-    asyncio.run(attempts.run(run, route, make_engine_entry("slow"), 0.0))
+
+    async def run_paused() -> None:
+        asyncio.get_running_loop().call_later(0.1, time.sleep, pause)
+        await attempts.run(run, route, make_engine_entry("slow"), 0.0)
+
+    asyncio.run(run_paused())
     return run
 
 
@@ -90,3 +102,11 @@
     with pytest.raises(GenerationFailedError) as caught:
         _run_attempt(events=40, gap=0.02)
     assert caught.value.outcome == GenerationFailedError.SLOW
+
+
+def test_an_engine_is_not_silent_while_this_process_is_paused():
+    """
+    An event that arrived meanwhile is read before the engine is judged.
+    """
+    run = _run_attempt(events=2, gap=0.3, pause=0.8)
+    assert (run.text.last, run.stalls) == (2, 0)
