--- a/packages/saddledoord/src/saddledoord/jobs/attempt.py
+++ b/packages/saddledoord/src/saddledoord/jobs/attempt.py
@@ -90,7 +90,7 @@
 
     def restart(self) -> None:
         """
-        Start to wait for an event.
+        Start to wait for an event; also when the engine has accepted the item.
         """
         self._silence = 0.0
         self._checked_at = boot_time()
@@ -170,8 +170,8 @@
         self, run: ItemRun, route: GatewayRoute, engine: EngineEntry, decided_at: float
     ) -> None:
         generation = Generation(run.request, run.text.last, _URGENCY)
-        stream = self._engines.generate(engine, generation, decided_at)
         timer = _StreamTimer()
+        stream = self._engines.generate(engine, generation, decided_at, timer.restart)
         resumed_after, started_at = run.text.last, boot_time()
         last: float | None = None
         try:
--- a/packages/saddledoord/src/saddledoord/ports/engines.py
+++ b/packages/saddledoord/src/saddledoord/ports/engines.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -196,12 +196,17 @@
         """
 
     def generate(
-        self, engine: EngineEntry, generation: Generation, decided_at: float
+        self,
+        engine: EngineEntry,
+        generation: Generation,
+        decided_at: float,
+        on_accepted: Callable[[], None],
     ) -> AsyncIterator[GeneratedEvent]:
         """
         Stream the events of a generation until its text is complete.
 
         :param decided_at: See `call`.
+        :param on_accepted: Called when the engine has begun its response.
         :raises GenerationFailedError: If the text was not completed.
         """
 
--- a/tests/adapter/standin_engine.py
+++ b/tests/adapter/standin_engine.py
@@ -55,6 +55,7 @@
     :ivar extra: A second response follows each plain one on the same connection.
     :ivar wrong_id: Plain answers carry the id of another request.
     :ivar unsigned: Plain answers lack the engine's signature.
+    :ivar accept_delay: Time until a request is started, in seconds.
     :ivar delay: Processing time of a plain request, in seconds.
     :ivar fail: Status of every answer; 0 for no failure.
     :ivar late_orders: Number of orders that are not answered and carried out later.
@@ -66,6 +67,7 @@
     extra: bool = False
     wrong_id: bool = False
     unsigned: bool = False
+    accept_delay: float = 0.0
     delay: float = 0.0
     fail: int = 0
     late_orders: int = 0
@@ -114,6 +116,8 @@
         if self.faults.fail == 503:
             headers = {"Saddledoor-Not-Executed": "1"}
             return web.Response(status=503, headers=headers)
+        if self.faults.accept_delay:
+            await asyncio.sleep(self.faults.accept_delay)
         self.runs.append(run)
         self._record_action(
             "run",
--- a/tests/adapter/test_edge_items.py
+++ b/tests/adapter/test_edge_items.py
@@ -58,6 +58,18 @@
     assert texts(platform_bed.finished("job-1", 2)) == whole_texts(2)
 
 
+def test_an_item_stays_at_an_engine_that_accepted_it_late(platform_bed):
+    """
+    The engine is not silent before it has the item, so nothing is run twice.
+    """
+    for engine in ("engine-0", "engine-1"):
+        platform_bed.fake_engine(engine, accept_delay=0.4, pace=0.3)
+    assert platform_bed.submit("job-1", make_job(2)).status == 202
+    platform_bed.finished("job-1", 2)
+    items = [run for run in platform_bed.runs() if run["request_id"].startswith("item")]
+    assert len(items) == 2
+
+
 def test_a_stream_without_its_end_marker_is_not_taken_as_whole(platform_bed):
     """
     Without the end marker an item has no result until an engine completes the stream.
--- a/tests/guard_rows/jobs.py
+++ b/tests/guard_rows/jobs.py
@@ -154,6 +154,13 @@
         "elapsed",
         ("tests/test_attempt.py", "this_process_is_paused"),
     ),
+    Guard(
+        "an engine that accepts an item late is not silent until then",
+        "platform/engines.py",
+        "                on_accepted()\n",
+        "",
+        ("tests/adapter/test_edge_items.py", "accepted_it_late"),
+    ),
     Guard(
         "events read after a pause say nothing about an engine's pace",
         f"{DAEMON}/jobs/attempt.py",
