Retry every failed accept after a pause

Cause: found on reading: an accept that failed for another reason than lack of resources was tried again at once, up to 2,048 times with a line each. Change: only an aborted connection is passed over at once; after any other error accepting pauses for 1 s. Result: new test of an accept that fails once, green; tests of the server passed.

--- a/packages/saddledoord/src/saddledoord/http/listener.py
+++ b/packages/saddledoord/src/saddledoord/http/listener.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import socket
 from collections.abc import Callable
 
@@ -20,9 +19,8 @@
 
 #: Connections that may wait to be accepted.
 _BACKLOG = 2048
-#: Pause after an accept that failed for lack of resources, in seconds.
+#: Pause after a failed accept, such as for lack of file descriptors, in seconds.
 _RETRY_PAUSE = 1.0
-_RESOURCE_ERRORS = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
 
 
 def listen(address: str) -> socket.socket:
@@ -93,13 +91,12 @@
                 connection, _ = self._listener.accept()
             except BlockingIOError:
                 return
-            except OSError as error:
-                if error.errno in _RESOURCE_ERRORS:
-                    self._pause(error)
-                    return
-                # The client has given up this connection; others may wait behind it.
-                _log.info("connection_not_accepted", reason=str(error))
+            except ConnectionAbortedError:
+                # The client has left; others may wait behind it.
                 continue
+            except OSError as error:
+                self._pause(error)
+                return
             self._connect(connection)
 
     def _pause(self, error: OSError) -> None:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -9,11 +9,13 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 
 import pytest
 
-from saddledoord.http.listener import listen
+from saddledoord.http import listener
+from saddledoord.http.listener import Acceptor, listen
 from saddledoord.http.server import HttpServer, server_config
 
 
@@ -206,3 +208,46 @@
             client.close()
 
     asyncio.run(run())
+
+
+class _OutOfDescriptors(socket.socket):
+    """
+    A listening socket whose first accept fails.
+    """
+
+    has_failed = False
+
+    def accept(self):
+        if not self.has_failed:
+            self.has_failed = True
+            raise OSError(errno.EMFILE, "Too many open files")
+        return super().accept()
+
+
+def test_a_failed_accept_is_retried_after_a_pause(monkeypatch):
+    """
+    The client waits in the backlog meanwhile.
+    """
+    monkeypatch.setattr(listener, "_RETRY_PAUSE", 0.1)
+    sock = _OutOfDescriptors()
+    sock.bind(("127.0.0.1", 0))
+    sock.listen()
+    sock.setblocking(False)
+
+    async def run() -> None:
+        connected = asyncio.Event()
+
+        class _Protocol(asyncio.Protocol):
+            def connection_made(self, transport) -> None:
+                connected.set()
+                transport.close()
+
+        acceptor = Acceptor(sock, _Protocol)
+        acceptor.start()
+        client = _Client(sock.getsockname())
+        await asyncio.wait_for(connected.wait(), _TIMEOUT)
+        acceptor.close()
+        client.close()
+
+    asyncio.run(run())
+    assert sock.has_failed
