Send nothing of a job once its end is read

Cause, by the edge's log: the jobs' log had been read, so what is known counted as fresh, and the end in it was applied; the runs of an ended job are dropped in a later step, 8 ms later under that load. Two calls that waited began in between. Change: a scoring call or an item is sent only if its job has not ended, as far as this node knows at that moment.

--- a/packages/saddledoord/src/saddledoord/jobs/runner.py
+++ b/packages/saddledoord/src/saddledoord/jobs/runner.py
@@ -163,6 +163,14 @@
         """
         return self._log_freshness.may_start(boot_time())
 
+    def _may_score(self, run: ItemRun) -> bool:
+        """
+        Whether a text may be scored now.
+
+        The runs of an ended job are dropped only some time after its end is read.
+        """
+        return self._log_freshness.may_score(boot_time()) and not run.state.ended
+
     def _reconcile(self) -> None:
         """
         Create the items that this node should run, and drop those it should not.
@@ -317,7 +325,7 @@
                 await self._load(run)
                 decided_at = boot_time()
                 # The process may have been paused during the read.
-                complete = self._may_start()
+                complete = self._may_start() and not run.state.ended
                 if complete:
                     await self._attempts.run(run, route, engine, decided_at)
             except GenerationFailedError as error:
@@ -397,7 +405,7 @@
                     lambda: self._writer.put(
                         ItemFailed(job_id, item.item_id, _new_failure(), scoring=True)
                     ),
-                    lambda: self._log_freshness.may_score(boot_time()),
+                    lambda: self._may_score(run),
                 )
             except ScoringFailedError:
                 _log.info("item_not_scored", job=job_id, item=item.item_id)
--- a/tests/guard_rows/jobs.py
+++ b/tests/guard_rows/jobs.py
@@ -11,6 +11,7 @@
     DECISIONS,
     FOLLOW,
     ITEMS,
+    JOB_RUNNER,
     JOBS,
     LIBRARY,
     LOG_FRESHNESS,
@@ -44,10 +45,24 @@
     Guard(
         "a scoring call is made only with a fresh read of the log",
         f"{DAEMON}/jobs/runner.py",
-        "lambda: self._log_freshness.may_score(boot_time()),",
+        "lambda: self._may_score(run),",
         "lambda: True,",
         (PROCESS_PAUSES, "stood_still_sends_nothing"),
     ),
+    Guard(
+        "a text is not scored once its job's end is read",
+        f"{DAEMON}/jobs/runner.py",
+        "return self._log_freshness.may_score(boot_time()) and not run.state.ended",
+        "return self._log_freshness.may_score(boot_time())",
+        (JOB_RUNNER, "scored"),
+    ),
+    Guard(
+        "an item is not sent once its job's end is read",
+        f"{DAEMON}/jobs/runner.py",
+        "complete = self._may_start() and not run.state.ended",
+        "complete = self._may_start()",
+        (JOB_RUNNER, "sent"),
+    ),
     Guard(
         "a scoring call goes to no second engine without a fresh read of the log",
         f"{DAEMON}/serving/pass_through.py",
