--- a/packages/saddledoord/src/saddledoord/http/server.py
+++ b/packages/saddledoord/src/saddledoord/http/server.py
@@ -47,7 +47,7 @@
     @property
     def is_awaited(self) -> bool:
         """
-        Whether a request is in flight or has partly arrived, or the first one may follow.
+        Whether a request is in flight, has partly arrived, or may follow as the first.
         """
         if self.transport.is_closing():
             return False
