Decode regions, evacuations, cold starts and scaling, and plan what uses them

Cause: the configurations of two new deployments name regions, cold starts and limits for ordering engines, and their operator evacuates data centres; all of it was ignored or checked and dropped.

Change: the decoders put these fields into the configuration, the entries of engines and the settings; nothing uses them yet. check_send is the one decision that all sends will ask. docs/design/placement-and-history.md is the plan.

--- a/packages/saddledoor/src/saddledoor/__init__.py
+++ b/packages/saddledoor/src/saddledoor/__init__.py
@@ -162,9 +162,23 @@
     plan_weight_loads,
 )
 from ._workspaces import Admitted, KeyFreshnessBounds, Workspace, WorkspaceTable, admit
+from .eligibility import (
+    Denial,
+    EngineFacts,
+    SendNeeds,
+    check_send,
+    intersect_regions,
+)
+from .scaling import ScalingLimits
 
 
 __all__ = [
+    "Denial",
+    "EngineFacts",
+    "ScalingLimits",
+    "SendNeeds",
+    "check_send",
+    "intersect_regions",
     "request_key",
     "time_left",
     "RequestsCleared",
--- a/packages/saddledoor/src/saddledoor/_engine_directory.py
+++ b/packages/saddledoor/src/saddledoor/_engine_directory.py
@@ -30,6 +30,11 @@
     :param slots: Number of requests that the engine runs concurrently.
     :param versions: Weight version of each model that is loaded.
     :param started_at: Start of the process, in Unix milliseconds; none if not given.
+    :param cold_left: How long the engine stays cold, in seconds, when it wrote the
+        entry.
+    :param is_spot: Whether the platform may take the engine away at short notice.
+    :param leaves_in: Time until the engine ends, in seconds, when it wrote the entry;
+        none if it gave no time.
     """
 
     engine_id: str
@@ -40,6 +45,9 @@
     draining: bool = False
     versions: Mapping[str, int] = field(default_factory=dict)
     started_at: int | None = None
+    cold_left: float = 0.0
+    is_spot: bool = False
+    leaves_in: float | None = None
 
     @cached_property
     def incarnation(self) -> Incarnation:
--- a/packages/saddledoor/src/saddledoor/_route_table.py
+++ b/packages/saddledoor/src/saddledoor/_route_table.py
@@ -11,6 +11,7 @@
 from enum import Enum
 
 from ._workspaces import WorkspaceTable
+from .scaling import ScalingLimits
 
 
 __all__ = [
@@ -66,6 +67,8 @@
         none if items are never given up.
     :param needs_key: Whether a request needs a workspace's API key, if workspaces are
         configured.
+    :param allowed_regions: Regions that may serve and store its requests; none if any
+        region may.
     """
 
     name: str
@@ -81,6 +84,7 @@
     single_version: bool = False
     max_item_age: float | None = None
     needs_key: bool = True
+    allowed_regions: frozenset[str] | None = None
 
     def service(self, draw: float) -> str:
         """
@@ -103,11 +107,18 @@
     Configuration of a service's back ends.
 
     :param models: Names of the models that its engines run; empty for a plain service.
+    :param cold_start: How long an engine is cold after its start, in seconds.
+    :param cold_rate: Requests that a cold engine bears, per second; 0 for no limit.
+    :param scaling: Limits and prices for ordering engines; none if their number cannot
+        be ordered.
     """
 
     name: str
     max_connections: int
     models: tuple[str, ...] = ()
+    cold_start: float = 0.0
+    cold_rate: float = 0.0
+    scaling: ScalingLimits | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/saddledoor/src/saddledoor/_workspaces.py
+++ b/packages/saddledoor/src/saddledoor/_workspaces.py
@@ -27,20 +27,28 @@
     :param key_digests: Digests of the valid keys, made by `Workspace.digest`.
     :param rank: Priority; 0 is the most urgent. It overrides the route's rank; none
         applies the route's.
+    :param allowed_regions: Regions that may serve and store its requests; none if any
+        region may.
     """
 
     name: str
     key_digests: frozenset[bytes]
     rank: int | None = None
+    allowed_regions: frozenset[str] | None = None
 
     @classmethod
     def from_keys(
-        cls, name: str, keys: Iterable[str], rank: int | None = None
+        cls,
+        name: str,
+        keys: Iterable[str],
+        rank: int | None = None,
+        allowed_regions: frozenset[str] | None = None,
     ) -> Workspace:
         """
         Return a workspace that stores only the digests of its keys.
         """
-        return cls(name, frozenset(cls.digest(key) for key in keys), rank)
+        digests = frozenset(cls.digest(key) for key in keys)
+        return cls(name, digests, rank, allowed_regions)
 
     @staticmethod
     def digest(key: str) -> bytes:
--- a/packages/saddledoord/src/saddledoord/ports/store.py
+++ b/packages/saddledoord/src/saddledoord/ports/store.py
@@ -28,6 +28,7 @@
     "StoreUnavailableError",
     "DEFAULT_ANSWER_TIMEOUT",
     "AppendOutcomeUnknown",
+    "Evacuation",
     "UnusableValue",
 ]
 
@@ -214,4 +215,14 @@
     version: int
 
 
-OperatorValue = GatewayConfig | NamedVersion
+@dataclass(frozen=True)
+class Evacuation:
+    """
+    The operator's request to send nothing to a data centre's engines; it holds until
+    its key is removed.
+    """
+
+    data_centre: str
+
+
+OperatorValue = GatewayConfig | NamedVersion | Evacuation
