--- a/packages/saddledoor/src/saddledoor/_engine_directory.py
+++ b/packages/saddledoor/src/saddledoor/_engine_directory.py
@@ -141,6 +141,22 @@
         """
         return self._entries.get(engine_id)
 
+    def is_usable(self, entry: EngineEntry, now: float) -> bool:
+        """
+        Return whether the incarnation of an entry may still get new work.
+
+        :param now: Monotonic, in seconds.
+        """
+        current = self._entries.get(entry.engine_id)
+        if current is not None:
+            return current.incarnation == entry.incarnation and not current.draining
+        missing, usable_until = self._missing.get(entry.engine_id, (None, 0.0))
+        return (
+            missing is not None
+            and missing.incarnation == entry.incarnation
+            and now < usable_until
+        )
+
     def usable(self, service: str, now: float) -> list[EngineEntry]:
         """
         Return the engines of a service that may get new work: those that are not
--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -10,12 +10,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
+from collections.abc import Callable, Coroutine, Mapping
+from dataclasses import dataclass, field
 
 import structlog
 
 from saddledoor import (
+    Denial,
     JobFold,
     KeyFreshnessBounds,
     ResultCode,
@@ -47,6 +48,7 @@
 from .process_pauses import ProcessPauses
 from .serving.admission import Admission
 from .serving.engine_crash_watch import EngineCrashWatch
+from .serving.gate import SendGate
 from .serving.pace import EnginePaces
 from .serving.pass_through import PassThrough
 from .serving.pool import EnginePool
@@ -86,6 +88,7 @@
     :param retention: Age up to which the log keeps records, in seconds.
     :param key_bounds: Freshness bounds for the known keys.
     :param usage: Windows of the usage that is reported; None if no usage is reported.
+    :param regions: Region of each data centre.
     """
 
     vm: str
@@ -99,6 +102,7 @@
     retention: float
     key_bounds: KeyFreshnessBounds
     usage: UsageWindows | None = None
+    regions: Mapping[str, str] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
@@ -153,7 +157,9 @@
             view.retain_engines,
             view.store_reached,
         )
-        pool = EnginePool(self.view, least_outstanding_rendezvous(settings.vm))
+        self._gate = SendGate(view, settings.regions)
+        choose = least_outstanding_rendezvous(settings.vm)
+        pool = EnginePool(view, choose, self._gate)
         timeouts = EngineTimeouts(self.view)
         self.admission = Admission(
             view, lambda: self._operator.synced_at, settings.key_bounds
@@ -165,6 +171,7 @@
         self.pass_through = PassThrough(
             self.view,
             pool,
+            self._gate,
             ports.engines,
             timeouts,
             self._crash_watch,
@@ -201,6 +208,7 @@
             self.jobs,
             self.view,
             pool,
+            self._gate,
             unresponsive,
             placement,
             AttemptRunner(ports.engines, paces, placement, timeouts, self._crash_watch),
@@ -259,6 +267,12 @@
             "items": self._runner.unreadable_items,
         }
 
+    def denials(self) -> Mapping[Denial, int]:
+        """
+        Return the number of sends that the gate denied, by reason.
+        """
+        return self._gate.denials
+
     @property
     def pause_count(self) -> int:
         """
--- a/packages/saddledoord/src/saddledoord/jobs/attempt.py
+++ b/packages/saddledoord/src/saddledoord/jobs/attempt.py
@@ -12,7 +12,7 @@
 
 from .._clock import boot_time
 from ..cluster.engine_timeouts import EngineTimeouts
-from ..ports import Engines, Generation, GenerationFailedError
+from ..ports import Engines, Generation, GenerationFailedError, SendPermit
 from ..serving.engine_crash_watch import EngineCrashWatch, EngineRun
 from ..serving.pace import EnginePaces
 from .item_run import ItemRun
@@ -125,19 +125,17 @@
         self._paces = paces
         self._placement = placement
 
-    async def run(
-        self, run: ItemRun, route: GatewayRoute, engine: EngineEntry, decided_at: float
-    ) -> None:
+    async def run(self, run: ItemRun, route: GatewayRoute, permit: SendPermit) -> None:
         """
         Generate the rest of an item's text at one engine.
 
-        :param decided_at: See `Engines.call`.
         :raises GenerationFailedError: If the text is still incomplete.
         """
+        incarnation = permit.engine.incarnation
         try:
-            with self._crash_watch.track_run(engine.incarnation, run.key) as at_engine:
-                async with self._timeouts.within(engine.incarnation):
-                    await self._run_tracked(run, route, engine, decided_at, at_engine)
+            with self._crash_watch.track_run(incarnation, run.key) as at_engine:
+                async with self._timeouts.within(incarnation):
+                    await self._run_tracked(run, route, permit, at_engine)
         except TimeoutError:
             raise GenerationFailedError(
                 GenerationFailedError.RESTARTED, "the engine has restarted"
@@ -147,18 +145,17 @@
         self,
         run: ItemRun,
         route: GatewayRoute,
-        engine: EngineEntry,
-        decided_at: float,
+        permit: SendPermit,
         at_engine: EngineRun,
     ) -> None:
         """
         Receive the events, and report to the crash tracking how the run ended.
         """
         try:
-            await self._receive_events(run, route, engine, decided_at)
+            await self._receive_events(run, route, permit)
         except GenerationFailedError as error:
             if error.outcome == GenerationFailedError.BROKEN:
-                at_engine.record_interrupted(engine)
+                at_engine.record_interrupted(permit.engine)
             elif error.outcome in _ANSWERED:
                 at_engine.record_completed()
             elif error.outcome in _NOT_RUN:
@@ -167,11 +164,12 @@
         at_engine.record_completed()
 
     async def _receive_events(
-        self, run: ItemRun, route: GatewayRoute, engine: EngineEntry, decided_at: float
+        self, run: ItemRun, route: GatewayRoute, permit: SendPermit
     ) -> None:
+        engine = permit.engine
         generation = Generation(run.request, run.text.last, _URGENCY)
         timer = _StreamTimer()
-        stream = self._engines.generate(engine, generation, decided_at, timer.restart)
+        stream = self._engines.generate(permit, generation, timer.restart)
         resumed_after, started_at = run.text.last, boot_time()
         last: float | None = None
         try:
--- a/packages/saddledoord/src/saddledoord/jobs/item_run.py
+++ b/packages/saddledoord/src/saddledoord/jobs/item_run.py
@@ -18,6 +18,7 @@
     ItemCheckpoint,
     JobItem,
     JobState,
+    SendNeeds,
     TextSegment,
     decode_events,
     encode_events,
@@ -56,6 +57,7 @@
     :param quarantine_logged: Whether its quarantine has been logged.
     :param ineligible: Engines that are not eligible for the item at present.
     :param engines: Ids of the engines that it was sent to, in order.
+    :param needs: What the gate has to check.
     :param times: Seconds spent in each phase.
     """
 
@@ -76,6 +78,7 @@
     quarantine_logged: bool = False
     ineligible: set[Incarnation] = field(default_factory=set)
     engines: list[str] = field(default_factory=list)
+    needs: SendNeeds = field(default_factory=SendNeeds)
     times: ItemTimes = field(default_factory=lambda: ItemTimes(boot_time()))
 
     @classmethod
--- a/packages/saddledoord/src/saddledoord/jobs/placement.py
+++ b/packages/saddledoord/src/saddledoord/jobs/placement.py
@@ -133,7 +133,7 @@
         engines = {
             engine.incarnation: engine
             for engine in self._pool.with_free_slots(
-                route.service(random.random()), model
+                route.service(random.random()), model, run.needs
             )
             if engine.incarnation not in exclude
             and self._is_new_enough(engine, run)
--- a/packages/saddledoord/src/saddledoord/jobs/runner.py
+++ b/packages/saddledoord/src/saddledoord/jobs/runner.py
@@ -13,6 +13,7 @@
 import structlog
 
 from saddledoor import (
+    Denial,
     EngineEntry,
     GatewayRoute,
     ItemFailed,
@@ -21,6 +22,7 @@
     JobItem,
     JobState,
     PoisonStatus,
+    SendNeeds,
 )
 from saddledoor.exceptions import UndecodableRecordError
 
@@ -28,6 +30,7 @@
 from ..cluster.view import ClusterView
 from ..ports import GenerationFailedError, StoreUnavailableError
 from ..serving.engine_crash_watch import EngineCrashWatch
+from ..serving.gate import SendGate
 from ..serving.pool import EnginePool, Reservation
 from ..serving.unresponsive_engines import UnresponsiveEngines
 from .attempt import AttemptRunner
@@ -77,6 +80,7 @@
         jobs: JobService,
         view: ClusterView,
         pool: EnginePool,
+        gate: SendGate,
         unresponsive: UnresponsiveEngines,
         placement: Placement,
         attempts: AttemptRunner,
@@ -90,6 +94,7 @@
         self._jobs = jobs
         self._view = view
         self._pool = pool
+        self._gate = gate
         self._unresponsive = unresponsive
         self._writer = writer
         self._texts = texts
@@ -225,7 +230,7 @@
         run.persist(self._writer)
 
     def _dispatch(self) -> None:
-        unavailable: set[tuple[str, str, int]] = set()
+        unavailable: set[tuple[str, str, int, SendNeeds]] = set()
         idle = [run for run in self._runs.values() if run.is_idle]
         idle.sort(key=self._placement.latest_start)
         for run in idle:
@@ -236,7 +241,7 @@
             if self._is_expired(run, route):
                 self._give_up(run)
                 continue
-            requirements = (route.name, job.model, job.oldest_version)
+            requirements = (route.name, job.model, job.oldest_version, run.needs)
             if requirements in unavailable and not run.ineligible:
                 continue
             self._placement.update_is_long(run)
@@ -327,7 +332,10 @@
                 # The process may have been paused during the read.
                 complete = self._may_start() and not run.state.ended
                 if complete:
-                    await self._attempts.run(run, route, engine, decided_at)
+                    permit = self._gate.permit(engine, run.needs, decided_at)
+                    complete = not isinstance(permit, Denial)
+                if complete:
+                    await self._attempts.run(run, route, permit)
             except GenerationFailedError as error:
                 self._handle_failure(run, engine, error.outcome, str(error))
                 complete = False
--- a/packages/saddledoord/src/saddledoord/observability/gateway_metrics.py
+++ b/packages/saddledoord/src/saddledoord/observability/gateway_metrics.py
@@ -6,14 +6,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from prometheus_client import REGISTRY, generate_latest
 
-from saddledoor import ResultCode
+from saddledoor import Denial, ResultCode
 
 
 __all__ = ["GatewayMetrics"]
@@ -26,6 +26,7 @@
     :param settings: Returns the version of the settings in force.
     :param skipped: Returns the numbers of skipped store records, by kind of record.
     :param pause_count: Returns the number of process pauses.
+    :param denials: Returns the number of sends that were denied, by reason.
     """
 
     def __init__(
@@ -33,6 +34,7 @@
         settings: Callable[[], str],
         skipped: Callable[[], dict[str, int]],
         pause_count: Callable[[], int],
+        denials: Callable[[], Mapping[Denial, int]],
     ) -> None:
         meter = MeterProvider(metric_readers=[PrometheusMetricReader()]).get_meter(
             "saddledoord"
@@ -56,6 +58,16 @@
             [lambda _: [Observation(pause_count())]],
             description="Times that the process did not run for 0.8 s or longer",
         )
+        meter.create_observable_counter(
+            "saddledoor_sends_denied",
+            [
+                lambda _: [
+                    Observation(n, {"number": str(int(reason))})
+                    for reason, n in denials().items()
+                ]
+            ],
+            description="Engines that a request was not sent to, by number of reason",
+        )
         self._seconds = meter.create_histogram(
             "saddledoor_gateway_seconds",
             unit="s",
--- a/packages/saddledoord/src/saddledoord/ports/__init__.py
+++ b/packages/saddledoord/src/saddledoord/ports/__init__.py
@@ -18,6 +18,7 @@
     Generation,
     GenerationFailedError,
     OrderOutcome,
+    SendPermit,
     UnusableAnswer,
     VersionOrder,
 )
@@ -62,6 +63,7 @@
     "OperatorValue",
     "OrderOutcome",
     "Registry",
+    "SendPermit",
     "SharedLog",
     "StoreUnavailableError",
     "DEFAULT_ANSWER_TIMEOUT",
--- a/packages/saddledoord/src/saddledoord/ports/engines.py
+++ b/packages/saddledoord/src/saddledoord/ports/engines.py
@@ -21,6 +21,7 @@
     "Generation",
     "GenerationFailedError",
     "OrderOutcome",
+    "SendPermit",
     "UnusableAnswer",
     "VersionOrder",
 ]
@@ -175,37 +176,49 @@
     UNKNOWN = "unknown"
 
 
+@dataclass(frozen=True)
+class SendPermit:
+    """
+    The permit to send one request to an engine.
+
+    Only the gate (`saddledoord.serving.gate`) makes permits, so that every send passes
+    its check.
+
+    :param decided_at: Time before the checks that allowed to send it, monotonic, in
+        seconds; it is not sent if the process was paused since.
+    :param check: Number of the gate's check since the start of the process.
+    """
+
+    engine: EngineEntry
+    decided_at: float
+    check: int
+
+
 class Engines(Protocol):
     """
     Calls to engines.
+
+    Every call that carries a request needs a permit.
     """
 
     async def call(
-        self,
-        engine: EngineEntry,
-        request: ForwardedRequest,
-        deadline: float,
-        decided_at: float,
+        self, permit: SendPermit, request: ForwardedRequest, deadline: float
     ) -> EngineAnswer | NotRun | OutcomeUnknown:
         """
         Send a request and return its complete answer.
 
         :param deadline: Time that the caller still waits, in seconds.
-        :param decided_at: Time before the checks that allowed to send it, monotonic, in
-            seconds; it is not sent if the process was paused since.
         """
 
     def generate(
         self,
-        engine: EngineEntry,
+        permit: SendPermit,
         generation: Generation,
-        decided_at: float,
         on_accepted: Callable[[], None],
     ) -> AsyncIterator[GeneratedEvent]:
         """
         Stream the events of a generation until its text is complete.
 
-        :param decided_at: See `call`.
         :param on_accepted: Called when the engine has begun its response.
         :raises GenerationFailedError: If the text was not completed.
         """
@@ -226,6 +239,6 @@
         """
         Send an order.
 
-        :param decided_at: See `call`.
+        :param decided_at: See `SendPermit`.
         :returns: One of `OrderOutcome`.
         """
--- a/packages/saddledoord/src/saddledoord/serving/engine_choice.py
+++ b/packages/saddledoord/src/saddledoord/serving/engine_choice.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Callable, Iterable
 
-from saddledoor import EngineAttempts, EngineEntry, Incarnation, PoisonStatus
+from saddledoor import EngineAttempts, EngineEntry, Incarnation, PoisonStatus, SendNeeds
 
 from .._clock import boot_time
 from .engine_crash_watch import EngineCrashWatch
@@ -31,7 +31,7 @@
         self._crash_watch = crash_watch
 
     def choose_new(
-        self, service: str, key: str, attempts: EngineAttempts
+        self, service: str, key: str, attempts: EngineAttempts, needs: SendNeeds
     ) -> EngineEntry | None:
         """
         Return an engine that has not received the request, or None.
@@ -43,12 +43,12 @@
         tried = attempts.engines
 
         def choose(excluded: Iterable[Incarnation]) -> EngineEntry | None:
-            return self._pool.choose(service, exclude=[*tried, *excluded])
+            return self._pool.choose(service, [*tried, *excluded], needs)
 
         return self._choose_for(key, choose)
 
     def choose_again(
-        self, service: str, key: str, attempts: EngineAttempts
+        self, service: str, key: str, attempts: EngineAttempts, needs: SendNeeds
     ) -> EngineEntry | None:
         """
         Return an engine that has received the request and may receive it again now, or
@@ -58,12 +58,13 @@
         eligible = {e for e, at in attempts.earliest_retry_times().items() if at <= now}
 
         def choose(excluded: Iterable[Incarnation]) -> EngineEntry | None:
-            return self._pool.choose_again(service, eligible.difference(excluded))
+            among = eligible.difference(excluded)
+            return self._pool.choose_again(service, among, needs)
 
         return self._choose_for(key, choose)
 
     def next_retry_at(
-        self, service: str, key: str, attempts: EngineAttempts
+        self, service: str, key: str, attempts: EngineAttempts, needs: SendNeeds
     ) -> float | None:
         """
         Return the earliest time at which an engine may receive the request again,
@@ -75,7 +76,7 @@
             or self._crash_watch.poison_status(key) is PoisonStatus.QUARANTINED
         ):
             return None
-        retry_times = self._pool.retry_times(service)
+        retry_times = self._pool.retry_times(service, needs)
         times = [
             max(at, retry_times[e]) for e, at in earliest.items() if e in retry_times
         ]
--- a/packages/saddledoord/src/saddledoord/serving/pass_through.py
+++ b/packages/saddledoord/src/saddledoord/serving/pass_through.py
@@ -15,6 +15,7 @@
 
 from saddledoor import (
     AttemptOutcome,
+    Denial,
     EngineAttempt,
     EngineAttempts,
     EngineEntry,
@@ -35,6 +36,7 @@
 from .admission import Admission
 from .engine_choice import EngineChoice
 from .engine_crash_watch import EngineCrashWatch
+from .gate import SendGate
 from .outcomes import Outcome, attempt_end, describe, is_final, record_run
 from .pool import EnginePool
 from .request_state import FirstStart, RequestState
@@ -95,6 +97,7 @@
         self,
         view: ClusterView,
         pool: EnginePool,
+        gate: SendGate,
         engines: Engines,
         timeouts: EngineTimeouts,
         crash_watch: EngineCrashWatch,
@@ -110,6 +113,7 @@
         self._choice = EngineChoice(pool, crash_watch)
         self._view = view
         self._pool = pool
+        self._gate = gate
         self._engines = engines
         self._record_request = record_request
         self._read_delay = read_delay
@@ -236,7 +240,7 @@
         """
         if not current.may_begin():
             return set()
-        target = (current.service, current.key, current.attempts)
+        target = (current.service, current.key, current.attempts, current.needs)
         engine = self._choice.choose_new(*target)
         if engine is None and self._may_retry(current, is_pending):
             engine = self._choice.choose_again(*target)
@@ -258,7 +262,7 @@
         """
         if not is_pending and current.last is None:
             return False
-        target = (current.service, current.key, current.attempts)
+        target = (current.service, current.key, current.attempts, current.needs)
         at = self._choice.next_retry_at(*target)
         needed = _MIN_RETRY_SHARE * current.route.objective
         return at is not None and max(at, boot_time()) + needed <= current.deadline
@@ -311,6 +315,10 @@
             # The process was paused after the attempt was scheduled.
             attempt.finish(AttemptOutcome.NOT_RUN, boot_time())
             return NotRun(ResultCode.NO_BACKEND, "not sent: what is known is too old")
+        permit = self._gate.permit(engine, current.needs, decided_at)
+        if isinstance(permit, Denial):
+            attempt.finish(AttemptOutcome.NOT_RUN, boot_time())
+            return NotRun(ResultCode.NO_BACKEND, f"not sent: {permit.name.lower()}")
         number = current.attempts.count
         sent_at = boot_time()
         with (
@@ -321,7 +329,7 @@
                 remaining = max(0.0, current.remaining)
                 async with self._timeouts.within(engine.incarnation, remaining):
                     outcome = await self._engines.call(
-                        engine, current.request, current.remaining, decided_at
+                        permit, current.request, current.remaining
                     )
             except TimeoutError:
                 outcome = self._timed_out(engine)
@@ -385,7 +393,9 @@
                 if not current.attempts.count
                 else ResultCode.OVERLOADED
             )
-            outcome = NotRun(code, "no back end took it", _RETRY_AFTER)
+            outcome = self._gate.refusal(current.service, current.needs) or NotRun(
+                code, "no back end took it", _RETRY_AFTER
+            )
         _log.info(
             "request_given_up",
             request=current.request.request_id,
--- a/packages/saddledoord/src/saddledoord/serving/pool.py
+++ b/packages/saddledoord/src/saddledoord/serving/pool.py
@@ -9,14 +9,23 @@
 from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
-from saddledoor import Candidate, EngineEntry, Incarnation, RoutingPolicy
+from saddledoor import (
+    Candidate,
+    EngineEntry,
+    Incarnation,
+    RoutingPolicy,
+    SendNeeds,
+)
 
 from .._clock import boot_time
 from ..cluster.view import ClusterView
+from .gate import SendGate
 
 
 __all__ = ["EnginePool", "Reservation"]
 
+#: Needs of a request that any engine may run.
+_NO_NEEDS = SendNeeds()
 #: First and longest backoff of an engine that refused a kind of request, in seconds;
 #: doubled with each refusal. Loading weights is the usual reason.
 _REFUSAL_BACKOFF = 0.05
@@ -119,16 +128,24 @@
     Refusals are tracked by engine and kind of request: an engine that loads the weights
     of one model refuses items of that model and goes on with those of other models.
 
+    Engines that the gate denies are never chosen.
+
     :param choose: Routing policy that chooses among candidates.
     """
 
-    def __init__(self, view: ClusterView, choose: RoutingPolicy) -> None:
+    def __init__(
+        self, view: ClusterView, choose: RoutingPolicy, gate: SendGate
+    ) -> None:
+        self._gate = gate
         self._view = view
         self._choose = choose
         self._loads = view.engine_tables.table(_EngineLoad)
 
     def choose(
-        self, service: str, exclude: Iterable[Incarnation] = (), kind: str = ""
+        self,
+        service: str,
+        exclude: Iterable[Incarnation] = (),
+        needs: SendNeeds = _NO_NEEDS,
     ) -> EngineEntry | None:
         """
         Return an engine for a request that is not a job item, or None.
@@ -136,20 +153,20 @@
         If all engines are backing off, one of them is chosen all the same.
 
         :param exclude: Engines that were tried already.
-        :param kind: Model of a job item; empty for any other request.
         """
         now = boot_time()
         tried = set(exclude)
-        usable = self._view.directory.usable(service, now)
-        untried = [engine for engine in usable if engine.incarnation not in tried]
-        eligible = [
-            engine for engine in untried if self._is_eligible(engine, kind, now)
-        ]
+        allowed = self._allowed(service, needs, now)
+        untried = [engine for engine in allowed if engine.incarnation not in tried]
+        eligible = [engine for engine in untried if self._is_eligible(engine, "", now)]
         fast = [e for e in eligible if self._load_of(e).overtaken_until <= now]
         return self._choose_among({e.engine_id: e for e in fast or eligible or untried})
 
     def choose_again(
-        self, service: str, among: Collection[Incarnation]
+        self,
+        service: str,
+        among: Collection[Incarnation],
+        needs: SendNeeds = _NO_NEEDS,
     ) -> EngineEntry | None:
         """
         Return an engine at which a request may be retried now, or None.
@@ -159,18 +176,20 @@
         now = boot_time()
         engines = {
             engine.engine_id: engine
-            for engine in self._view.directory.usable(service, now)
+            for engine in self._allowed(service, needs, now)
             if engine.incarnation in among and self._load_of(engine).may_retry(now)
         }
         return self._choose_among(engines)
 
-    def retry_times(self, service: str) -> dict[Incarnation, float]:
+    def retry_times(
+        self, service: str, needs: SendNeeds = _NO_NEEDS
+    ) -> dict[Incarnation, float]:
         """
         Return the earliest time of a retry at each engine of a service, monotonic, in
         seconds.
         """
-        usable = self._view.directory.usable(service, boot_time())
-        return {e.incarnation: self._load_of(e).retry_at for e in usable}
+        allowed = self._allowed(service, needs, boot_time())
+        return {e.incarnation: self._load_of(e).retry_at for e in allowed}
 
     def record_retry(self, engine: EngineEntry) -> None:
         """
@@ -180,7 +199,9 @@
         """
         self._load_of(engine).retry_at = boot_time() + _RETRY_INTERVAL
 
-    def with_free_slots(self, service: str, kind: str) -> list[EngineEntry]:
+    def with_free_slots(
+        self, service: str, kind: str, needs: SendNeeds = _NO_NEEDS
+    ) -> list[EngineEntry]:
         """
         Return the engines that have more slots than requests of this node in flight,
         and that accept requests of a kind.
@@ -188,7 +209,7 @@
         now = boot_time()
         return [
             engine
-            for engine in self._view.directory.usable(service, now)
+            for engine in self._allowed(service, needs, now)
             if self._load_of(engine).in_flight < engine.slots
             and self._is_eligible(engine, kind, now)
         ]
@@ -253,6 +274,16 @@
         ]
         return engines[self._choose(candidates).name]
 
+    def _allowed(self, service: str, needs: SendNeeds, now: float) -> list[EngineEntry]:
+        """
+        Return the engines of a service that the gate allows.
+        """
+        return [
+            engine
+            for engine in self._view.directory.usable(service, now)
+            if self._gate.is_allowed(engine, needs, now)
+        ]
+
     def _load_of(self, engine: EngineEntry) -> _EngineLoad:
         return self._loads[engine.incarnation]
 
--- a/packages/saddledoord/src/saddledoord/serving/request_state.py
+++ b/packages/saddledoord/src/saddledoord/serving/request_state.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from saddledoor import EngineAttempts, EngineEntry, GatewayRoute
+from saddledoor import EngineAttempts, EngineEntry, GatewayRoute, SendNeeds
 
 from .._clock import boot_time
 from ..ports import ForwardedRequest
@@ -65,6 +65,7 @@
     :param attempts: The attempts so far.
     :param may_begin: Called before each attempt; none starts while it returns false.
     :param first_start: Records when the first engine started the request.
+    :param needs: What the gate has to check.
     :param engines: Engine of each attempt's task, in the order of the attempts.
     :param last: Last outcome that is not `NotRun`; None before any.
     """
@@ -78,6 +79,7 @@
     attempts: EngineAttempts
     may_begin: Callable[[], bool]
     first_start: FirstStart
+    needs: SendNeeds = field(default_factory=SendNeeds)
     engines: dict[asyncio.Task, EngineEntry] = field(default_factory=dict)
     last: Outcome | None = None
 
--- a/tests/adapter/test_send_after_pause.py
+++ b/tests/adapter/test_send_after_pause.py
@@ -21,6 +21,7 @@
 
 import pytest
 from function_engines import make_pass_through
+from send_permits import make_permit
 
 from builders import make_engine_entry, make_request, make_route
 from engines import EngineClient
@@ -129,9 +130,10 @@
 async def _generate(client, engine, may_begin):
     decided_at = boot_time()
     if may_begin():
+        permit = make_permit(engine, decided_at)
         generation = Generation(make_request("/train/x"), 0, 5)
         with contextlib.suppress(GenerationFailedError):
-            await anext(client.generate(engine, generation, decided_at, _ignore))
+            await anext(client.generate(permit, generation, _ignore))
 
 
 async def _order(client, engine, may_begin):
--- a/tests/function_engines.py
+++ b/tests/function_engines.py
@@ -15,8 +15,9 @@
 from saddledoord._clock import boot_time
 from saddledoord.cluster.engine_timeouts import EngineTimeouts
 from saddledoord.cluster.view import ClusterView
-from saddledoord.ports import ForwardedRequest, KeyedEntry
+from saddledoord.ports import ForwardedRequest, KeyedEntry, SendPermit
 from saddledoord.serving.admission import Admission
+from saddledoord.serving.gate import SendGate
 from saddledoord.serving.outcomes import Outcome
 from saddledoord.serving.pass_through import PassThrough
 from saddledoord.serving.pool import EnginePool
@@ -40,12 +41,9 @@
         self._answer = answer
 
     async def call(
-        self,
-        engine: EngineEntry,
-        request: ForwardedRequest,
-        deadline: float,
-        decided_at: float,
+        self, permit: SendPermit, request: ForwardedRequest, deadline: float
     ) -> Outcome:
+        engine = permit.engine
         self.called.append(engine.engine_id)
         return await self._answer(engine, request)
 
@@ -63,12 +61,13 @@
     for index in range(count):
         entry = make_engine_entry(f"desk-{index}")
         view.apply_engine(KeyedEntry(entry.engine_id, index, entry))
-    pool = EnginePool(view, least_outstanding(lambda: 0.0))
+    gate = SendGate(view)
+    pool = EnginePool(view, least_outstanding(lambda: 0.0), gate)
     timeouts = EngineTimeouts(view)
     crash_watch = make_crash_watch(view)
     admission = Admission(view, boot_time, KeyFreshnessBounds(2.0))
     pass_through = PassThrough(
-        view, pool, engines, timeouts, crash_watch, admission, _ignore_request
+        view, pool, gate, engines, timeouts, crash_watch, admission, _ignore_request
     )
     return pass_through, pool, view
 
--- a/tests/guard_rows/jobs.py
+++ b/tests/guard_rows/jobs.py
@@ -94,8 +94,8 @@
     Guard(
         "the decision to send a request dates from before its check",
         f"{DAEMON}/serving/pass_through.py",
-        "engine, current.request, current.remaining, decided_at",
-        "engine, current.request, current.remaining, boot_time()",
+        "permit = self._gate.permit(engine, current.needs, decided_at)",
+        "permit = self._gate.permit(engine, current.needs, boot_time())",
         (SEND_AFTER_PAUSE, "wherever_it_comes and unrepeatable"),
     ),
     Guard(
--- a/tests/test_attempt.py
+++ b/tests/test_attempt.py
@@ -11,6 +11,7 @@
 
 import pytest
 from crash_watches import make_crash_watch
+from send_permits import make_permit
 
 from builders import make_engine_entry, make_job, make_job_state, make_route
 from saddledoor import GeneratedEvent, Incarnation
@@ -35,7 +36,7 @@
         self._gap = gap
         self._accept_time = accept_time
 
-    async def generate(self, engine, generation, decided_at, on_accepted):
+    async def generate(self, permit, generation, on_accepted):
         await asyncio.sleep(self._accept_time)
         on_accepted()
         for number in range(generation.resume_after + 1, self._events + 1):
@@ -48,7 +49,7 @@
     Engines whose events arrive regardless of pauses of this process.
     """
 
-    async def generate(self, engine, generation, decided_at, on_accepted):
+    async def generate(self, permit, generation, on_accepted):
         on_accepted()
         started_at = boot_time()
         for number in range(1, self._events + 1):
@@ -102,7 +103,7 @@
 
     async def run_paused() -> None:
         asyncio.get_running_loop().call_later(0.1, time.sleep, pause)
-        await attempts.run(run, route, make_engine_entry("slow"), 0.0)
+        await attempts.run(run, route, make_permit(make_engine_entry("slow"), 0.0))
 
     asyncio.run(run_paused())
     return run
--- a/tests/test_engine_lives.py
+++ b/tests/test_engine_lives.py
@@ -52,6 +52,7 @@
     OrderOutcome,
 )
 from saddledoord.serving.admission import Admission
+from saddledoord.serving.gate import SendGate
 from saddledoord.serving.pace import EnginePaces
 from saddledoord.serving.pass_through import PassThrough
 from saddledoord.serving.pool import EnginePool
@@ -82,7 +83,8 @@
             self.put(entry)
         engine_tables = self.view.engine_tables
         self.timeouts = EngineTimeouts(self.view)
-        self.pool = EnginePool(self.view, least_outstanding(lambda: 0.0))
+        self.gate = SendGate(self.view)
+        self.pool = EnginePool(self.view, least_outstanding(lambda: 0.0), self.gate)
         self.paces = EnginePaces(engine_tables)
         self.unresponsive = UnresponsiveEngines(_EnginesWithoutAnswer(), engine_tables)
         self.placement = Placement(self.view, self.pool, self.paces, self.unresponsive)
@@ -254,13 +256,14 @@
         self.called: list[Incarnation] = []
         self._hangs = hangs
 
-    async def call(self, engine, request, deadline, decided_at):
+    async def call(self, permit, request, deadline):
+        engine = permit.engine
         self.called.append(engine.incarnation)
         if engine.incarnation == self._hangs:
             await asyncio.sleep(60)
         return EngineAnswer(200, (), b"", "mark")
 
-    async def generate(self, engine, generation, decided_at, on_accepted):
+    async def generate(self, permit, generation, on_accepted):
         for number in (1, 2):
             yield GeneratedEvent(number, "data", 1)
         await asyncio.sleep(60)
@@ -273,6 +276,7 @@
     return PassThrough(
         node.view,
         node.pool,
+        node.gate,
         engines,
         node.timeouts,
         make_crash_watch(node.view),
@@ -327,7 +331,8 @@
 
     async def scenario():
         route = make_route("/train/")
-        trying = asyncio.create_task(attempts.run(run, route, _entry(FIRST), 0.0))
+        permit = node.gate.permit(_entry(FIRST), run.needs, 0.0)
+        trying = asyncio.create_task(attempts.run(run, route, permit))
         while run.text.last < 2:
             await asyncio.sleep(0.01)
         node.put(_entry(SECOND))
--- a/tests/test_job_runner.py
+++ b/tests/test_job_runner.py
@@ -55,6 +55,7 @@
         Mock(route=lambda host, path: make_route("/train/", max_item_age=None)),
         Mock(),
         Mock(),
+        Mock(),
         Mock(
             latest_start=lambda run: 0.0,
             choose=lambda *_: make_engine_entry("engine-0"),
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -24,6 +24,7 @@
 from saddledoord.jobs.item_times import ItemPhase
 from saddledoord.jobs.placement import Placement
 from saddledoord.ports import KeyedEntry
+from saddledoord.serving.gate import SendGate
 from saddledoord.serving.pace import EnginePaces
 from saddledoord.serving.pool import EnginePool
 
@@ -47,7 +48,9 @@
             entry = make_engine_entry(f"e-{index}", versions={"model-a": version})
             self.view.apply_engine(KeyedEntry(entry.engine_id, index, entry))
         self.paces = EnginePaces(self.view.engine_tables)
-        pool = EnginePool(self.view, least_outstanding(lambda: 0.0))
+        pool = EnginePool(
+            self.view, least_outstanding(lambda: 0.0), SendGate(self.view)
+        )
         self.silent: set[Incarnation] = set()
         self.placement = Placement(self.view, pool, self.paces, self.silent)
         self._oldest = oldest
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -11,6 +11,7 @@
 from saddledoord._clock import boot_time
 from saddledoord.cluster.view import ClusterView
 from saddledoord.ports import KeyedEntry
+from saddledoord.serving.gate import SendGate
 from saddledoord.serving.pool import EnginePool
 
 
@@ -21,7 +22,7 @@
     view = ClusterView()
     engine = make_engine_entry("e-1", slots=2)
     view.apply_engine(KeyedEntry("e-1", 0, engine))
-    return EnginePool(view, least_outstanding(lambda: 0.0)), engine
+    return EnginePool(view, least_outstanding(lambda: 0.0), SendGate(view)), engine
 
 
 def _pool_of_two() -> tuple[EnginePool, EngineEntry, EngineEntry]:
@@ -32,7 +33,7 @@
     engines = [make_engine_entry(f"e-{n}") for n in (1, 2)]
     for offset, engine in enumerate(engines):
         view.apply_engine(KeyedEntry(engine.engine_id, offset, engine))
-    pool = EnginePool(view, least_outstanding(lambda: 0.0))
+    pool = EnginePool(view, least_outstanding(lambda: 0.0), SendGate(view))
     return pool, *engines
 
 
