--- a/tests/adapter/standin_engine.py
+++ b/tests/adapter/standin_engine.py
@@ -21,6 +21,8 @@
 
 #: Prefix of the body of a request that crashes each engine which starts it.
 CRASHING = b"crash"
+#: Events of a stream, for its late copy.
+_EVENTS = web.ResponseKey("events", bytes)
 #: Time that such a request runs before its engine crashes, in seconds.
 _CRASH_AFTER = 0.05
 
@@ -59,6 +61,10 @@
     :ivar delay: Processing time of a plain request, in seconds.
     :ivar fail: Status of every answer; 0 for no failure.
     :ivar late_orders: Number of orders that are not answered and carried out later.
+    :ivar late_copies: Each answer is sent a second time, where the next answer on its
+        connection is expected. Answers repeat the request's id, also refusals, reports
+        and those to orders, and tell the number of their run.
+    :ivar bare_refusals: Refusals carry no id all the same.
     """
 
     cut_after: int = 0
@@ -71,6 +77,8 @@
     delay: float = 0.0
     fail: int = 0
     late_orders: int = 0
+    late_copies: bool = False
+    bare_refusals: bool = False
 
 
 @dataclass
@@ -95,6 +103,24 @@
     orders: list[dict] = field(default_factory=list)
     history: list[int] = field(default_factory=list)
     tasks: set[asyncio.Task] = field(default_factory=set)
+    copies: dict[asyncio.Transport, bytes] = field(default_factory=dict)
+
+    @web.middleware
+    async def send_late_copies(self, request: web.Request, handler):
+        """
+        Send the copy of the connection's previous answer before the next answer.
+        """
+        copy = self.copies.pop(request.transport, b"")
+        if copy:
+            request.transport.write(copy)
+        response = await handler(request)
+        if self.faults.late_copies and request.path != "/fake":
+            name = request.headers.get("Saddledoor-Attempt-Id")
+            is_bare = self.faults.bare_refusals and response.status == 503
+            if not response.prepared and name and not is_bare:
+                response.headers["Saddledoor-Attempt-Id"] = name
+            self.copies[request.transport] = _serialize(response)
+        return response
 
     async def request(self, request: web.Request) -> web.StreamResponse:
         body = await request.read()
@@ -150,6 +176,8 @@
             "Saddledoor-Attempt-Id": answered_id,
             "Saddledoor-Server-Seal": f"seal-{name}",
         }
+        if self.faults.late_copies:
+            headers["Saddledoor-Server-Seal"] = f"seal-{name}-{len(self.runs)}"
         if self.faults.unsigned:
             del headers["Saddledoor-Server-Seal"]
         if self.faults.extra:
@@ -173,7 +201,10 @@
             if self.version != sent_version:
                 sent_version = self.version
                 head = f"saddledoor-weight-versions: {sent_version}\n"
-            event = f"{head}id: {number}\ndata: {name}-{number}\n\n".encode()
+            text = f"{name}-{number}"
+            if self.faults.late_copies:
+                text += f"-{len(self.runs)}"
+            event = f"{head}id: {number}\ndata: {text}\n\n".encode()
             self._record_action("event", id=name, number=number, version=sent_version)
             if self.faults.cut_after and number == self.faults.cut_after + 1:
                 await response.write(event[: len(event) // 2])
@@ -186,9 +217,15 @@
             request.transport.close()
             return response
         await response.write_eof()
+        if self.faults.late_copies:
+            response[_EVENTS] = b"".join(
+                f"id: {n}\ndata: {name}-{n}-{len(self.runs)}\n\n".encode()
+                for n in range(after + 1, self.events + 1)
+            )
         return response
 
     async def report(self, request: web.Request) -> web.Response:
+        headers = {"Saddledoor-Attempt-Id": "another"} if self.faults.wrong_id else {}
         return web.json_response(
             {
                 "stage": "both",
@@ -196,7 +233,8 @@
                 "busy": self.busy,
                 "seq_no": self.accepted_orders,
                 "born": self.born,
-            }
+            },
+            headers=headers,
         )
 
     async def order(self, request: web.Request) -> web.StreamResponse:
@@ -208,7 +246,9 @@
             self._spawn(self._execute_late(order))
             request.transport.abort()
             return web.Response()
-        return web.Response(status=self._execute_order(order))
+        status = self._execute_order(order)
+        headers = {"Saddledoor-Attempt-Id": "another"} if self.faults.wrong_id else {}
+        return web.Response(status=status, headers=headers)
 
     async def _execute_late(self, order: dict) -> None:
         await asyncio.sleep(3.0)
@@ -295,6 +335,17 @@
         )
 
 
+def _serialize(response: web.StreamResponse) -> bytes:
+    """
+    Return the bytes of a response that has a body or a list of events, with a length.
+    """
+    body = response.get(_EVENTS) or getattr(response, "body", None) or b""
+    kept = ("content-length", "transfer-encoding", "connection")
+    lines = [f"HTTP/1.1 {response.status} Copy"]
+    lines += [f"{n}: {v}" for n, v in response.headers.items() if n.lower() not in kept]
+    return "\r\n".join([*lines, f"Content-Length: {len(body)}", "", ""]).encode() + body
+
+
 async def _with_second_response(
     request, headers: dict, body: bytes
 ) -> web.StreamResponse:
@@ -324,6 +375,7 @@
     """
     Return an engine's application; without a model it is a plain service.
 
+    :param store: Address of the store that its entry is written to; empty for none.
     :param journal: File in which requests, events and orders are recorded; empty for
         none.
     """
@@ -333,8 +385,11 @@
     async def started(_: web.Application) -> None:
         await engine.write_entry()
 
-    app = web.Application(client_max_size=8_000_000)
-    app.on_startup.append(started)
+    app = web.Application(
+        client_max_size=8_000_000, middlewares=[engine.send_late_copies]
+    )
+    if store:
+        app.on_startup.append(started)
     app.router.add_get("/v1/report", engine.report)
     app.router.add_post("/v1/order", engine.order)
     app.router.add_post("/fake", engine.fake)
--- /dev/null
+++ b/tests/adapter/test_late_answers.py
@@ -0,0 +1,266 @@
+# SPDX-License-Identifier: MIT
+
+"""
+An engine that sends each answer a second time, where the next answer is expected.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import aiohttp
+import pytest
+from aiohttp.test_utils import TestServer
+
+from engines import EngineClient
+from saddledoor import EngineEntry, NotRun, OutcomeUnknown
+from saddledoord._clock import boot_time
+from saddledoord.ports import (
+    EngineAnswer,
+    ForwardedRequest,
+    Generation,
+    GenerationFailedError,
+    OrderOutcome,
+    VersionOrder,
+)
+from standin_engine import engine_app
+
+
+_ORDER = VersionOrder("model-a", 2, "edge-0", 1, 0, True)
+
+
+class _Bed:
+    """
+    A client and one engine with the fault.
+    """
+
+    def __init__(self, client: EngineClient, address: str) -> None:
+        self.client = client
+        self.engine = EngineEntry("engine-a", "pool", address, "dc-a", 4)
+
+    async def fake(self, **changes: object) -> None:
+        url = f"http://{self.engine.address}/fake"
+        async with aiohttp.ClientSession() as session:
+            await (await session.post(url, json=changes)).read()
+
+    async def call(self, request_id: str, *, repeatable: bool = True):
+        request = ForwardedRequest(
+            "POST", "a.example", "/look", (), b"score", request_id, repeatable
+        )
+        return await self.client.call(self.engine, request, 5.0, boot_time())
+
+    async def generate(self, request_id: str, after: int = 0) -> list[str]:
+        request = ForwardedRequest(
+            "POST", "a.example", "/roll", (), b"text", request_id
+        )
+        stream = self.client.generate(
+            self.engine, Generation(request, after, 0), boot_time(), lambda: None
+        )
+        return [event.data async for event in stream]
+
+
+@asynccontextmanager
+async def _open_bed(**faults: object):
+    app = engine_app("", "engine-a", "pool", "", "model-a")
+    async with TestServer(app, host="127.0.0.1") as server:
+        client = EngineClient.open()
+        bed = _Bed(client, f"127.0.0.1:{server.port}")
+        try:
+            await bed.fake(**(faults or {"late_copies": True}))
+            yield bed
+        finally:
+            await client.close()
+
+
+def _play(story: Callable[[_Bed], Awaitable[None]], **faults: object) -> None:
+    async def play() -> None:
+        async with _open_bed(**faults) as bed:
+            await story(bed)
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("repeatable", [True, False])
+def test_a_call_that_keeps_its_id_gets_its_own_answer(repeatable):
+    """
+    A scoring call or a plain request that is sent again would otherwise get the
+    signature of the earlier run.
+    """
+
+    async def story(bed):
+        for run in range(1, 4):
+            answer = await bed.call("r-1", repeatable=repeatable)
+            assert isinstance(answer, EngineAnswer)
+            assert answer.signature == f"seal-r-1-{run}"
+
+    _play(story)
+
+
+def test_a_call_with_another_id_is_not_answered_by_a_copy():
+    """
+    The copy carries the id of the earlier call, so the outcome is unknown.
+    """
+
+    async def story(bed):
+        assert (await bed.call("r-1")).signature == "seal-r-1-1"
+        assert isinstance(await bed.call("r-2"), OutcomeUnknown)
+
+    _play(story)
+
+
+def test_the_copy_of_a_refusal_refuses_no_other_request():
+    """
+    The second request may have run, which must not be denied.
+    """
+
+    async def story(bed):
+        await bed.fake(fail=503)
+        await bed.call("r-1")
+        await bed.fake(fail=0)
+        assert isinstance(await bed.call("r-2"), OutcomeUnknown)
+
+    _play(story)
+
+
+def test_the_copy_of_a_refusal_without_an_id_refuses_no_other_request():
+    """
+    No id tells it from a refusal of the second request.
+    """
+
+    async def story(bed):
+        await bed.fake(fail=503, bare_refusals=True)
+        assert isinstance(await bed.call("r-1"), NotRun)
+        with pytest.raises(GenerationFailedError):
+            await bed.generate("i-1")
+        await bed.fake(fail=0, late_copies=False)
+        assert isinstance(await bed.call("r-2"), EngineAnswer)
+        assert len(await bed.generate("i-2")) == 5
+
+    _play(story)
+
+
+def test_a_call_without_an_id_gets_a_new_one_for_each_send():
+    """
+    Two such calls could not be told apart.
+    """
+
+    async def story(bed):
+        bodies = {(await bed.call("")).body for _ in range(3)}
+        assert len(bodies) == 3
+        assert b"answer to " not in bodies
+
+    _play(story, delay=0.0)
+
+
+@pytest.mark.parametrize("after", [0, 2])
+def test_an_item_that_is_sent_again_gets_the_events_of_its_own_run(after):
+    """
+    In a later job, or resumed, under the same id.
+    """
+
+    async def story(bed):
+        await bed.generate("i-1")
+        texts = await bed.generate("i-1", after)
+        assert texts == [f"i-1-{n}-2" for n in range(after + 1, 6)]
+
+    _play(story)
+
+
+def test_an_item_is_not_answered_by_the_copy_of_another_one():
+    """
+    Neither by its events nor by its refusal.
+    """
+
+    async def story(bed):
+        await bed.generate("i-1")
+        with pytest.raises(GenerationFailedError) as failure:
+            await bed.generate("i-2")
+        assert failure.value.outcome == GenerationFailedError.BROKEN
+        await bed.fake(fail=503)
+        with pytest.raises(GenerationFailedError):
+            await bed.generate("i-3")
+        await bed.fake(fail=0)
+        with pytest.raises(GenerationFailedError) as failure:
+            await bed.generate("i-4")
+        assert failure.value.outcome == GenerationFailedError.BROKEN
+
+    _play(story)
+
+
+def test_a_report_is_never_the_one_asked_for_before():
+    """
+    It would tell a weight version that the engine no longer uses.
+    """
+
+    async def story(bed):
+        answered = 0
+        for version in range(1, 6):
+            await bed.fake(version=version)
+            state = await bed.client.state(bed.engine)
+            assert state is None or state.versions == {"model-a": version}
+            answered += state is not None
+        # A refused answer closes its connection, so the next report is answered.
+        assert answered == 3
+
+    _play(story)
+
+
+def test_an_order_is_answered_by_its_own_answer():
+    """
+    The copy of an acceptance would hide that the second order was refused.
+    """
+
+    async def story(bed):
+        orders = [
+            await bed.client.order(bed.engine, _ORDER, boot_time()) for _ in range(2)
+        ]
+        assert orders == [OrderOutcome.ACCEPTED, OrderOutcome.CONFLICT]
+
+    _play(story)
+
+
+def test_a_report_or_an_order_s_answer_with_another_id_is_refused():
+    """
+    It belongs to something else; the order's outcome is unknown.
+    """
+
+    async def story(bed):
+        assert await bed.client.state(bed.engine) is None
+        outcome = await bed.client.order(bed.engine, _ORDER, boot_time())
+        assert outcome == OrderOutcome.UNKNOWN
+
+    _play(story, wrong_id=True)
+
+
+def test_each_kind_of_send_after_each_other():
+    """
+    Whatever was sent before on the connection, an answer is the send's own or none.
+    """
+
+    async def story(bed):
+        for round_number in range(1, 4):
+            for earlier in ("call", "generate", "state"):
+                await _send(bed, earlier, f"{earlier}-{round_number}")
+                for later in ("call", "generate", "state"):
+                    await _send(bed, later, f"{earlier}-{later}-{round_number}")
+
+    async def _send(bed, kind: str, request_id: str) -> None:
+        match kind:
+            case "call":
+                answer = await bed.call(request_id)
+                assert getattr(answer, "body", request_id.encode()).endswith(
+                    request_id.encode()
+                )
+            case "generate":
+                try:
+                    texts = await bed.generate(request_id)
+                except GenerationFailedError:
+                    return
+                assert {text.rsplit("-", 2)[0] for text in texts} == {request_id}
+            case "state":
+                state = await bed.client.state(bed.engine)
+                assert state is None or state.versions == {"model-a": 1}
+
+    _play(story)
--- a/tests/guard_rows/guard.py
+++ b/tests/guard_rows/guard.py
@@ -19,6 +19,7 @@
     "DUTY",
     "CRASH_FOLD",
     "CRASH_WATCH",
+    "EVENT_STREAM",
     "FOLLOW",
     "Guard",
     "HTTP_SERVER",
@@ -26,6 +27,7 @@
     "JOBS",
     "JOB_RUNNER",
     "KEYS",
+    "LATE_ANSWERS",
     "LOG_FRESHNESS",
     "LIBRARY",
     "INCARNATIONS",
@@ -55,6 +57,8 @@
 ITEMS = "tests/adapter/test_edge_items.py"
 WEIGHTS = "tests/adapter/test_edge_weights.py"
 REQUESTS = "tests/adapter/test_edge_requests.py"
+LATE_ANSWERS = "tests/adapter/test_late_answers.py"
+EVENT_STREAM = "tests/adapter/test_event_stream.py"
 PROOFS = "tests/test_proofs.py"
 DECISIONS = "tests/test_gateway_decisions.py"
 PASS_THROUGH = "tests/test_pass_through.py"
