--- a/tests/adapter/test_edge_settings.py
+++ b/tests/adapter/test_edge_settings.py
@@ -6,8 +6,12 @@
 
 from __future__ import annotations
 
+import os
 import signal
+import subprocess
+import sys
 import time
+from pathlib import Path
 
 import pytest
 
@@ -41,6 +45,40 @@
     assert [run["resume_after"] for run in items] == [0, 0]
 
 
+@pytest.mark.parametrize("held", ["imports", "settings"])
+def test_a_signal_before_the_handler_does_not_end_the_process(tmp_path, held):
+    """
+    It may come as soon as the file is written, while the process still imports its
+    modules or reads its settings.
+    """
+    pipe = tmp_path / "pipe"
+    os.mkfifo(pipe)
+    if held == "imports":
+        code = f"open({str(pipe)!r}).read()"
+        (tmp_path / "click.py").write_text(f"{code}\nraise SystemExit(7)\n")
+    edge = Path(__file__).parent.parent.parent / "platform" / "edge.py"
+    process = subprocess.Popen(
+        [sys.executable, str(edge)],
+        env={
+            **os.environ,
+            "PYTHONPATH": f"{tmp_path}:{os.environ.get('PYTHONPATH', '')}",
+            "SADDLEDOOR_BOOT": str(pipe),
+        },
+        stderr=subprocess.DEVNULL,
+    )
+    try:
+        # Opening the pipe waits until the process reads from it.
+        with pipe.open("w") as stream:
+            process.send_signal(signal.SIGHUP)
+            time.sleep(0.2)
+            assert process.poll() is None
+            stream.write("unusable")
+        assert process.wait(10.0) == (7 if held == "imports" else 2)
+    finally:
+        process.kill()
+        process.wait()
+
+
 @pytest.mark.parametrize(
     ("before", "after", "expected"),
     [
--- a/tests/adapter/test_edge_stops.py
+++ b/tests/adapter/test_edge_stops.py
@@ -88,3 +88,17 @@
     assert answer.startswith(b"HTTP/1.1 502 "), answer
     assert b"connection: close" in answer
     assert slow_bed.wait_end("edge-0") == 0
+
+
+def test_the_time_from_stopped_to_the_exit_is_logged(platform_bed):
+    """
+    A slow exit could otherwise not be told from a slow stop.
+    """
+    platform_bed.signal("edge-0", signal.SIGTERM)
+    until(lambda: platform_bed.log("edge-0")[-1]["event"] in ("stopped", "exiting"))
+    # Neither does a late signal end the process otherwise than by its exit.
+    platform_bed.signal("edge-0", signal.SIGHUP)
+    assert platform_bed.wait_end("edge-0") == 0
+    *_, stopped, exiting = platform_bed.log("edge-0")
+    assert (stopped["event"], exiting["event"]) == ("stopped", "exiting")
+    assert 0.0 <= exiting["since_stopped"] < 5.0
