--- a/packages/saddledoor-standins/src/saddledoor_standins/__main__.py
+++ b/packages/saddledoor-standins/src/saddledoor_standins/__main__.py
@@ -156,7 +156,7 @@
             continue
         path = record_one(name, folder)
         click.echo(f"recorded {path}")
-        events = read_trace(str(path), path.read_text().splitlines())
+        events = read_trace(str(path), path.read_text().split("\n"))
         for promise, (source, _) in TRACE_ALTERATIONS.items():
             if source == name:
                 click.echo(f"recorded {write_altered_trace(path, events, promise)}")
--- a/packages/saddledoor-standins/src/saddledoor_standins/testbed.py
+++ b/packages/saddledoor-standins/src/saddledoor_standins/testbed.py
@@ -181,8 +181,8 @@
         """
         events: list[TracedEvent] = []
         for path in sorted(self.fleet.folder.glob("*.trace")):
-            lines = path.read_text().splitlines()
-            events += read_trace(path.name, lines) if lines else []
+            lines = path.read_text().split("\n")
+            events += read_trace(path.name, lines) if any(lines) else []
         return sorted(events, key=lambda traced: traced.at)
 
     def start_engine(self, name: str, version: int = 1) -> None:
--- a/packages/saddledoorctl/src/saddledoorctl/_replay.py
+++ b/packages/saddledoorctl/src/saddledoorctl/_replay.py
@@ -54,7 +54,7 @@
     :raises InvalidDocumentError: If either file is missing or invalid.
     """
     try:
-        lines = path.read_text(encoding="utf-8").splitlines()
+        lines = path.read_text(encoding="utf-8").split("\n")
     except UnicodeDecodeError:
         raise _unusable(path, "bytes that are not UTF-8") from None
     except OSError as error:
--- a/packages/saddledoord/src/saddledoord/filters/identify.py
+++ b/packages/saddledoord/src/saddledoord/filters/identify.py
@@ -42,7 +42,7 @@
         return NotRun(ResultCode.NO_CONFIGURATION, "no accepted configuration yet")
     if not authorization or not authorization.lower().startswith(_SCHEME):
         return NotRun(ResultCode.UNAUTHENTICATED, "a bearer token is needed", 0.0)
-    digest = token_digest(authorization[len(_SCHEME) :].strip())
+    digest = token_digest(authorization[len(_SCHEME) :].strip(" "))
     for partner in deployment.partners:
         if partner.token_sha256 == digest:
             return Caller(partner.name, partner.weight)
--- a/tests/adapter/test_event_stream.py
+++ b/tests/adapter/test_event_stream.py
@@ -168,3 +168,13 @@
     with pytest.raises(GenerationFailedError) as failure:
         _generate(b"id: 1\ndata: a\n\nid: 2\ndata: b\n")
     assert failure.value.outcome == GenerationFailedError.BROKEN
+
+
+@pytest.mark.parametrize("number", ["1_0", " 1", "\u0661", "-1", ""])
+def test_a_number_that_is_not_one_breaks_the_stream(number):
+    """
+    `int` would accept these characters; the event's place in the text is uncertain.
+    """
+    with pytest.raises(GenerationFailedError) as failure:
+        _generate(f"id: {number}\ndata: a\n\n".encode())
+    assert failure.value.outcome == GenerationFailedError.BROKEN
--- a/tests/adapter/test_late_answers.py
+++ b/tests/adapter/test_late_answers.py
@@ -124,19 +124,46 @@
     _play(story)
 
 
-def test_the_copy_of_a_refusal_without_an_id_refuses_no_other_request():
+@pytest.mark.parametrize("later", ["call", "state"])
+def test_one_copy_costs_one_answer(later):
+    """
+    The connection would otherwise stay one answer behind for all later sends.
+    """
+
+    async def story(bed):
+        await bed.call("r-0")
+        await bed.fake(late_copies=False)
+        usable = []
+        for number in range(1, 5):
+            if later == "call":
+                answer = await bed.call(f"r-{number}")
+                usable.append(isinstance(answer, EngineAnswer))
+            else:
+                usable.append(await bed.client.state(bed.engine) is not None)
+        assert usable[1:] == [True] * 3
+
+    _play(story)
+
+
+@pytest.mark.parametrize("earlier", ["call", "generate"])
+def test_the_copy_of_a_refusal_without_an_id_refuses_no_other_request(earlier):
     """
     No id tells it from a refusal of the second request.
     """
 
     async def story(bed):
-        await bed.fake(fail=503, bare_refusals=True)
-        assert isinstance(await bed.call("r-1"), NotRun)
-        with pytest.raises(GenerationFailedError):
-            await bed.generate("i-1")
-        await bed.fake(fail=0, late_copies=False)
-        assert isinstance(await bed.call("r-2"), EngineAnswer)
-        assert len(await bed.generate("i-2")) == 5
+        for number in range(2):
+            await bed.fake(fail=503, late_copies=True, bare_refusals=True)
+            if earlier == "call":
+                assert isinstance(await bed.call(f"r-{number}"), NotRun)
+            else:
+                with pytest.raises(GenerationFailedError):
+                    await bed.generate(f"r-{number}")
+            await bed.fake(fail=0, late_copies=False)
+            if number:
+                assert isinstance(await bed.call("s-1"), EngineAnswer)
+            else:
+                assert len(await bed.generate("s-2")) == 5
 
     _play(story)
 
--- a/tests/guard_rows/requests.py
+++ b/tests/guard_rows/requests.py
@@ -99,6 +99,13 @@
         "    if False:\n",
         (LATE_ANSWERS, "without_an_id"),
     ),
+    Guard(
+        "the connection of another request's answer is closed",
+        "platform/engine_answers.py",
+        "            self._transport.close()\n",
+        "            pass\n",
+        (LATE_ANSWERS, "one_copy or without_an_id"),
+    ),
     Guard(
         "a line of an event stream does not end at U+2028",
         "platform/event_stream.py",
@@ -227,6 +234,13 @@
         "pass",
         ("tests/adapter/test_edge_settings.py", "refused_whole"),
     ),
+    Guard(
+        "a signal before its handler is ignored",
+        "platform/edge.py",
+        "signal.signal(signal.SIGHUP, signal.SIG_IGN)\n\n",
+        "",
+        ("tests/adapter/test_edge_settings.py", "before_the_handler"),
+    ),
     Guard(
         "a settings file that changes is noticed without a signal",
         "platform/edge.py",
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -75,3 +75,15 @@
     result = _replay(path)
     assert result.exit_code == 2
     assert "found" in result.output
+
+
+def test_a_line_separator_in_a_name_does_not_end_a_line(tmp_path):
+    """
+    Events are encoded without escapes, and only a line feed ends one.
+    """
+    path = tmp_path / "trace.jsonl"
+    line = '{"at": 1, "node": "a\u2028b", "event": {"kind": "node_began"}}\n'
+    path.write_text(line, encoding="utf-8")
+    path.with_suffix(".outcomes.json").write_text('{"promises": [], "counts": {}}')
+    result = _replay(path)
+    assert result.exit_code == 0, result.output
