--- a/tests/adapter/test_event_stream.py
+++ b/tests/adapter/test_event_stream.py
@@ -14,6 +14,7 @@
 from aiohttp.test_utils import TestServer
 from hypothesis import given
 from hypothesis import strategies as st
+from send_permits import make_permit
 
 from engines import EngineClient
 from event_stream import EventSplitter
@@ -140,7 +141,9 @@
             request = ForwardedRequest("POST", "a", "/roll", (), b"", "i-1")
             generation = Generation(request, 0, 0)
             try:
-                stream = client.generate(engine, generation, boot_time(), lambda: None)
+                stream = client.generate(
+                    make_permit(engine, boot_time()), generation, lambda: None
+                )
                 return [(e.number, e.data) async for e in stream]
             finally:
                 await client.close()
--- a/tests/adapter/test_late_answers.py
+++ b/tests/adapter/test_late_answers.py
@@ -13,6 +13,7 @@
 import aiohttp
 import pytest
 from aiohttp.test_utils import TestServer
+from send_permits import make_permit
 
 from engines import EngineClient
 from saddledoor import EngineEntry, NotRun, OutcomeUnknown
@@ -23,6 +24,7 @@
     Generation,
     GenerationFailedError,
     OrderOutcome,
+    SendPermit,
     VersionOrder,
 )
 from standin_engine import engine_app
@@ -49,17 +51,20 @@
         request = ForwardedRequest(
             "POST", "a.example", "/look", (), b"score", request_id, repeatable
         )
-        return await self.client.call(self.engine, request, 5.0, boot_time())
+        return await self.client.call(self._permit(), request, 5.0)
 
     async def generate(self, request_id: str, after: int = 0) -> list[str]:
         request = ForwardedRequest(
             "POST", "a.example", "/roll", (), b"text", request_id
         )
         stream = self.client.generate(
-            self.engine, Generation(request, after, 0), boot_time(), lambda: None
+            self._permit(), Generation(request, after, 0), lambda: None
         )
         return [event.data async for event in stream]
 
+    def _permit(self) -> SendPermit:
+        return make_permit(self.engine, boot_time())
+
 
 @asynccontextmanager
 async def _open_bed(**faults: object):
