Quarantine only requests that crash an engine alone, and remember rejected items

Three crashes with an item in flight withheld it from all engines although it was only beside them. After two crashes a request now starts alone at an engine, after a pause, and only a crash then quarantines it, for 240 s. Items that an engine rejected with 422 are given up in later jobs unsent.

--- a/packages/saddledoor/src/saddledoor/__init__.py
+++ b/packages/saddledoor/src/saddledoor/__init__.py
@@ -85,6 +85,7 @@
 from ._jobs import (
     ItemCheckpoint,
     ItemFailed,
+    ItemRejected,
     ItemResult,
     ItemResultRecorded,
     Job,
@@ -232,6 +233,7 @@
     "Instance",
     "IssuedKeys",
     "ItemFailed",
+    "ItemRejected",
     "ItemCheckpoint",
     "ItemResultRecorded",
     "ItemResult",
--- a/packages/saddledoor/src/saddledoor/_engine_crash_fold.py
+++ b/packages/saddledoor/src/saddledoor/_engine_crash_fold.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import hashlib
-from collections import Counter, OrderedDict
+from collections import OrderedDict
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -17,15 +17,21 @@
 
 __all__ = ["EngineCrashFold", "PoisonStatus", "request_key"]
 
-#: Crashes with a request in flight after which it may be quarantined; fewer may be
-#: coincidence.
-_QUARANTINE_THRESHOLD = 3
-#: How long a crash is remembered after its last report, in seconds; shorter than the
-#: log's retention of records.
+#: Crashes with a request in flight after which it starts only in isolation; one may
+#: be a coincidence, and the isolated start may crash a third engine, the last one.
+_ISOLATION_THRESHOLD = 2
+#: Least time between the newest crash of any request and an isolated start, in seconds.
+#: Engines that crash by themselves do so in bursts 0.6 s apart, and an isolated start
+#: within a burst would quarantine its request.
+_ISOLATION_PAUSE = 1.0
+#: Longest time between the newest crash of a request and its isolated start that
+#: crashes of other requests cause, in seconds; longer than a series of four bursts.
+_MAX_ISOLATION_PAUSE = 2.0
+#: How long a crash is remembered after its first report, and a request is quarantined
+#: after its proof, in seconds; shorter than the log's retention of records (300 s).
 _RETENTION = 240.0
-#: Age of a crash report, in seconds, after which it is published again while callers
-#: keep sending a quarantined request that was in flight at the crash.
-_REPUBLISH_AFTER = 60.0
+#: How long an expired proof still demands an isolated start, in seconds.
+_PROBATION = 240.0
 #: Maximum number of crashes that are remembered; the oldest are evicted first.
 _MAX_CRASHES = 256
 #: Maximum number of requests that are remembered for one crash.
@@ -55,13 +61,13 @@
 
     #: No unattributed crash happened while the request was in flight.
     CLEAN = "free"
-    #: The request was in flight at too few crashes for a quarantine. It still runs,
-    #: preferably not on an engine that runs another suspect.
+    #: The request was in flight at one crash. It still runs, preferably not on an
+    #: engine that runs another suspect.
     SUSPECT = "suspect"
-    #: The request was in flight at enough crashes, but never as the only suspect. It
-    #: runs only on an engine that runs no other suspect.
-    AMBIGUOUS = "unclear"
-    #: A poison request; it is sent to no engine.
+    #: The request was in flight at two or more crashes, or its quarantine has expired.
+    #: It starts after a pause, at an engine where nothing else has just begun.
+    ISOLATED = "isolated"
+    #: An engine crashed under an isolated start; the request is sent to no engine.
     QUARANTINED = "barred"
 
 
@@ -70,7 +76,7 @@
     """
     The crash of an engine.
 
-    :param reported_at: Time of the last report of the crash, monotonic, in seconds.
+    :param reported_at: Time of the first report of the crash, monotonic, in seconds.
     :param requests: Keys of the requests that the engine had just begun to run.
     """
 
@@ -78,22 +84,33 @@
     requests: set[str] = field(default_factory=set)
 
 
+@dataclass(frozen=True)
+class _Proof:
+    """
+    The crash of an engine under an isolated start.
+
+    :param proved_at: Time of its first report, monotonic, in seconds.
+    """
+
+    engine: Incarnation
+    proved_at: float
+
+
 class EngineCrashFold:
     """
     Engine crashes reported by all VMs, folded from the log.
 
-    A crash with a quarantined request in flight is attributed to that request and
-    counts against no other one. A request is quarantined once it was in flight at three
-    unattributed crashes, if at one of them it was the only request that was also in
-    flight at another unattributed crash. A successful run of a request clears it. The
-    quarantine is computed anew from all remembered crashes, so late records correct it.
+    A request that was in flight at two crashes starts next in isolation, and only a
+    crash under such a start quarantines it. A crash with a quarantined request in
+    flight is attributed to that request and counts against no other one. A successful
+    run of a request clears it. Nothing that callers do renews a quarantine.
     """
 
     def __init__(self) -> None:
         self._crashes: OrderedDict[Incarnation, _Crash] = OrderedDict()
-        self._quarantined: set[str] = set()
-        # By request: unattributed crashes with the request in flight.
-        self._crash_counts: Counter[str] = Counter()
+        self._proofs: OrderedDict[str, _Proof] = OrderedDict()
+        # By request: times of its unattributed crashes.
+        self._crash_times: dict[str, list[float]] = {}
 
     def __len__(self) -> int:
         return len(self._crashes)
@@ -108,115 +125,109 @@
             case EngineCrashed():
                 self._record_crash(record, now)
             case RequestsCleared():
-                for crash in self._crashes.values():
-                    crash.requests.difference_update(record.requests)
+                self._clear(record)
             case _:
                 return
         self._evict(now)
-        self._classify()
+        self._attribute()
 
-    def poison_status(self, key: str, now: float) -> PoisonStatus:
+    def poison_status(self, key: str, now: float, presumed: int = 0) -> PoisonStatus:
         """
         Return the status of a request.
 
         :param now: Monotonic, in seconds.
+        :param presumed: Number of engines under the request that may have crashed and
+            are being checked.
         """
         if self._evict(now):
-            self._classify()
-        if key in self._quarantined:
-            return PoisonStatus.QUARANTINED
-        crash_count = self._crash_counts[key]
+            self._attribute()
+        proof = self._proofs.get(key)
+        if proof is not None:
+            if now - proof.proved_at <= _RETENTION:
+                return PoisonStatus.QUARANTINED
+            return PoisonStatus.ISOLATED
+        crash_count = presumed + len(self._crash_times.get(key, ()))
         if not crash_count:
             return PoisonStatus.CLEAN
-        return (
-            PoisonStatus.SUSPECT
-            if crash_count < _QUARANTINE_THRESHOLD
-            else PoisonStatus.AMBIGUOUS
-        )
+        if crash_count < _ISOLATION_THRESHOLD:
+            return PoisonStatus.SUSPECT
+        return PoisonStatus.ISOLATED
 
-    def is_implicated(self, key: str) -> bool:
+    def isolated_start_at(self, key: str) -> float:
         """
-        Return whether a request was in flight at any remembered crash.
+        Return the earliest time of an isolated start of a request, monotonic, in
+        seconds.
         """
-        return any(key in crash.requests for crash in self._crashes.values())
+        never = float("-inf")
+        own = max(self._crash_times.get(key, ()), default=never)
+        newest = max((max(times) for times in self._crash_times.values()), default=own)
+        return min(newest + _ISOLATION_PAUSE, own + _MAX_ISOLATION_PAUSE)
 
-    def crashes_to_republish(self, key: str, now: float) -> list[EngineCrashed]:
+    def is_suspected(self, key: str) -> bool:
+        """
+        Return whether a request is suspected, and neither quarantined nor proved to
+        have crashed an engine.
         """
-        Return the crashes to publish again so that a quarantine outlives the log's
-        retention of the first reports.
+        return key in self._crash_times and key not in self._proofs
 
-        :param now: Monotonic, in seconds.
+    def is_implicated(self, key: str) -> bool:
         """
-        crashes = [
-            (i, crash) for i, crash in self._crashes.items() if key in crash.requests
-        ]
-        old = [
-            (i, crash)
-            for i, crash in crashes
-            if now - crash.reported_at > _REPUBLISH_AFTER
-        ]
-        if not old or len(crashes) - len(old) >= _QUARANTINE_THRESHOLD:
-            return []
-        for incarnation, crash in old:
-            crash.reported_at = now
-            self._crashes.move_to_end(incarnation)
-        return [
-            EngineCrashed(i.engine_id, i.started_at, tuple(sorted(crash.requests)))
-            for i, crash in old
-        ]
+        Return whether a request was in flight at any remembered crash.
+        """
+        return key in self._proofs or any(
+            key in crash.requests for crash in self._crashes.values()
+        )
 
     def _record_crash(self, record: EngineCrashed, now: float) -> None:
         incarnation = Incarnation(record.engine, record.started_at)
         crash = self._crashes.setdefault(incarnation, _Crash(now))
-        crash.reported_at = now
-        self._crashes.move_to_end(incarnation)
         room = max(0, _MAX_REQUESTS_PER_CRASH - len(crash.requests))
         crash.requests.update(record.requests[:room])
+        key = record.isolated
+        if key is None:
+            return
+        known = self._proofs.get(key)
+        # The same report may come from the log again, which must not renew the proof.
+        if known is None or known.engine != incarnation:
+            self._proofs[key] = _Proof(incarnation, crash.reported_at)
+            self._proofs.move_to_end(key)
+
+    def _clear(self, record: RequestsCleared) -> None:
+        for crash in self._crashes.values():
+            crash.requests.difference_update(record.requests)
+        if record.unproved_only:
+            return
+        for key in record.requests:
+            self._proofs.pop(key, None)
 
     def _evict(self, now: float) -> bool:
         """
-        Drop crashes that are too old or too many; return whether any was dropped.
+        Drop crashes and proofs that are too old or too many; return whether any was
+        dropped.
         """
-        before = len(self._crashes)
+        before = len(self._crashes) + len(self._proofs)
         while self._crashes:
             oldest = next(iter(self._crashes.values()))
             over_limit = len(self._crashes) > _MAX_CRASHES
             if not over_limit and now - oldest.reported_at <= _RETENTION:
                 break
             self._crashes.popitem(last=False)
-        return len(self._crashes) < before
-
-    def _classify(self) -> None:
-        """
-        Compute the quarantined requests anew, those with the most crashes first.
-        """
-        self._quarantined = set()
-        while True:
-            unattributed = self._unattributed()
-            crash_counts = Counter(
-                key for crash in unattributed for key in crash.requests
-            )
-            self._crash_counts = crash_counts
-            frequent = {
-                key
-                for key, count in crash_counts.items()
-                if count >= _QUARANTINE_THRESHOLD
-            }
-            candidates = [
-                (crash_counts[key], key)
-                for crash in unattributed
-                for key in crash.requests & frequent
-                if all(crash_counts[other] == 1 for other in crash.requests - {key})
-            ]
-            if not candidates:
-                return
-            self._quarantined.add(max(candidates)[1])
+        while self._proofs:
+            first = next(iter(self._proofs.values()))
+            too_many = len(self._proofs) > _MAX_CRASHES
+            if not too_many and now - first.proved_at <= _RETENTION + _PROBATION:
+                break
+            self._proofs.popitem(last=False)
+        return len(self._crashes) + len(self._proofs) < before
 
-    def _unattributed(self) -> list[_Crash]:
+    def _attribute(self) -> None:
         """
-        Return the crashes at which no quarantined request was in flight.
+        Collect the crashes at which no request was in flight that is proved to crash
+        engines.
         """
-        crashes = self._crashes.values()
-        return [
-            crash for crash in crashes if crash.requests.isdisjoint(self._quarantined)
-        ]
+        self._crash_times = {}
+        for crash in self._crashes.values():
+            if not crash.requests.isdisjoint(self._proofs):
+                continue
+            for key in crash.requests:
+                self._crash_times.setdefault(key, []).append(crash.reported_at)
--- a/packages/saddledoor/src/saddledoor/_job_fold.py
+++ b/packages/saddledoor/src/saddledoor/_job_fold.py
@@ -16,6 +16,7 @@
 from ._jobs import (
     ItemCheckpoint,
     ItemFailed,
+    ItemRejected,
     ItemResult,
     ItemResultRecorded,
     JobEnded,
@@ -28,6 +29,9 @@
 
 __all__ = ["JobFold", "JobState", "CheckpointedText"]
 
+#: Maximum number of rejected items that are remembered; the oldest are dropped first.
+_MAX_REJECTED = 65_536
+
 
 @dataclass(frozen=True)
 class CheckpointedText:
@@ -112,6 +116,8 @@
         self._jobs: dict[str, JobState] = {}
         self._accepted = 0
         self._oldest_allowed: dict[str, int] = {}
+        # By item key: time of the first record, monotonic, in seconds.
+        self._rejected: dict[str, float] = {}
 
     def get(self, job_id: str) -> JobState | None:
         """
@@ -131,6 +137,14 @@
         """
         return self._oldest_allowed.get(model, 0)
 
+    def is_rejected(self, key: str) -> bool:
+        """
+        Return whether an engine answered, in any job, that an item can never be done.
+
+        :param key: The item by `request_key`.
+        """
+        return key in self._rejected
+
     def apply(self, record: JobRecord, now: float = 0.0) -> str:
         """
         Fold one record.
@@ -141,6 +155,12 @@
         if isinstance(record, JobOpened):
             self._open(record, now)
             return record.job_id
+        if isinstance(record, ItemRejected):
+            # Kept apart from the job, which may be forgotten sooner.
+            self._rejected.setdefault(record.key, now)
+            if len(self._rejected) > _MAX_REJECTED:
+                del self._rejected[next(iter(self._rejected))]
+            return record.job_id
         state = self._jobs.get(record.job_id)
         if state is not None:
             _apply_change(state, record)
@@ -148,16 +168,21 @@
 
     def forget(self, now: float, ended_retention: float, open_retention: float) -> None:
         """
-        Drop the jobs whose retention has expired.
+        Drop the jobs and the rejected items whose retention has expired.
 
         :param now: Monotonic, in seconds.
         :param ended_retention: Maximum age of an ended job, in seconds.
-        :param open_retention: Maximum age of any other job, in seconds.
+        :param open_retention: Maximum age of any other job, and of a rejected item, in
+            seconds.
         """
         for job_id, state in list(self._jobs.items()):
             retention = ended_retention if state.ended else open_retention
             if now - state.first_seen_at > retention:
                 del self._jobs[job_id]
+        for key, since in list(self._rejected.items()):
+            if now - since <= open_retention:
+                break
+            del self._rejected[key]
 
     def _open(self, job: JobOpened, now: float) -> None:
         if job.job_id in self._jobs:
--- a/packages/saddledoor/src/saddledoor/_job_records.py
+++ b/packages/saddledoor/src/saddledoor/_job_records.py
@@ -11,6 +11,7 @@
 from ._jobs import (
     ItemCheckpoint,
     ItemFailed,
+    ItemRejected,
     ItemResult,
     ItemResultRecorded,
     JobEnded,
@@ -55,6 +56,8 @@
         case ItemFailed():
             fields = [record.item_id, record.failure_id, record.scoring]
             return msgpack.packb(["f", record.job_id, *fields])
+        case ItemRejected():
+            return msgpack.packb(["x", record.job_id, record.key])
         case ItemCheckpoint():
             fields = [record.item_id, record.first, record.count, record.follows]
             provenance = [record.chain, list(record.versions)]
@@ -173,6 +176,10 @@
     )
 
 
+def _decode_rejected(job_id, key) -> ItemRejected:
+    return ItemRejected(_require_str(job_id), _require_str(key))
+
+
 def _decode_checkpoint(
     job_id, item_id, first, count, follows, chain, versions, *location
 ) -> ItemCheckpoint:
@@ -196,6 +203,7 @@
     "o": _decode_opened,
     "r": _decode_result,
     "f": _decode_failed,
+    "x": _decode_rejected,
     "k": _decode_checkpoint,
     "e": _decode_ended,
 }
--- a/packages/saddledoor/src/saddledoor/_jobs.py
+++ b/packages/saddledoor/src/saddledoor/_jobs.py
@@ -12,6 +12,7 @@
 __all__ = [
     "ItemFailed",
     "ItemCheckpoint",
+    "ItemRejected",
     "ItemResultRecorded",
     "ItemResult",
     "Job",
@@ -201,6 +202,21 @@
     scoring: bool = False
 
 
+@dataclass(frozen=True)
+class ItemRejected:
+    """
+    Record that an engine answered that an item can never be done.
+
+    Such an item is given up in later jobs without another attempt. A release without
+    this record skips it.
+
+    :param key: The item by `request_key`, which covers its id and its body.
+    """
+
+    job_id: str
+    key: str
+
+
 @dataclass(frozen=True)
 class ItemCheckpoint:
     """
@@ -234,4 +250,11 @@
     job_id: str
 
 
-JobRecord = JobOpened | ItemResultRecorded | ItemFailed | ItemCheckpoint | JobEnded
+JobRecord = (
+    JobOpened
+    | ItemResultRecorded
+    | ItemFailed
+    | ItemRejected
+    | ItemCheckpoint
+    | JobEnded
+)
--- a/packages/saddledoor/src/saddledoor/_records.py
+++ b/packages/saddledoor/src/saddledoor/_records.py
@@ -203,11 +203,14 @@
     :param started_at: Start of the crashed process, in Unix milliseconds; None if
         unknown.
     :param requests: Requests that it had started shortly before, by `request_key`.
+    :param isolated: The request among them that had started in isolation; None if there
+        is none. Records of earlier releases lack the field.
     """
 
     engine: str
     started_at: int | None
     requests: tuple[str, ...]
+    isolated: str | None = None
     kind: Literal["engine_ended"] = "engine_ended"
 
 
@@ -217,9 +220,12 @@
     Requests that engines have run without a crash.
 
     :param requests: The requests by `request_key`.
+    :param unproved_only: Whether quarantines stay in force: the requests have not run,
+        but their job has ended. Records of earlier releases lack the field.
     """
 
     requests: tuple[str, ...]
+    unproved_only: bool = False
     kind: Literal["requests_cleared"] = "requests_cleared"
 
 
--- a/packages/saddledoord/src/saddledoord/jobs/attempt.py
+++ b/packages/saddledoord/src/saddledoord/jobs/attempt.py
@@ -152,7 +152,7 @@
         Receive the events, and report to the crash tracking how the run ended.
         """
         try:
-            await self._receive_events(run, route, permit)
+            await self._receive_events(run, route, permit, at_engine)
         except GenerationFailedError as error:
             if error.outcome == GenerationFailedError.BROKEN:
                 at_engine.record_interrupted(permit.engine)
@@ -164,7 +164,11 @@
         at_engine.record_completed()
 
     async def _receive_events(
-        self, run: ItemRun, route: GatewayRoute, permit: SendPermit
+        self,
+        run: ItemRun,
+        route: GatewayRoute,
+        permit: SendPermit,
+        at_engine: EngineRun,
     ) -> None:
         engine = permit.engine
         generation = Generation(run.request, run.text.last, _URGENCY)
@@ -184,6 +188,9 @@
                 gap = None if last is None or timer.is_catching_up else now - last
                 self._paces.observe(engine.incarnation, gap, now)
                 last = now
+                if not timer.is_catching_up:
+                    # An event that arrived during a pause has no known time.
+                    at_engine.record_event()
                 self._add_event(run, route, engine, event)
                 received = run.text.last - resumed_after
                 if (
--- a/packages/saddledoord/src/saddledoord/jobs/runner.py
+++ b/packages/saddledoord/src/saddledoord/jobs/runner.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import structlog
 
@@ -16,7 +16,9 @@
     Denial,
     EngineEntry,
     GatewayRoute,
+    Incarnation,
     ItemFailed,
+    ItemRejected,
     ItemResult,
     ItemResultRecorded,
     JobItem,
@@ -217,6 +219,8 @@
         run = self._runs.pop(key)
         if run.task is not None:
             run.task.cancel()
+        if run.state.ended:
+            self._crash_watch.end_suspicion(run.key)
         listed = run.item.item_id in run.state.listed
         if listed or run.state.ended:
             return
@@ -241,17 +245,27 @@
             if self._is_expired(run, route):
                 self._give_up(run)
                 continue
+            if self._jobs.is_rejected(run.key):
+                _log.info(
+                    "rejected_item_given_up",
+                    job=job.job_id,
+                    item=run.item.item_id,
+                    content=run.key,
+                )
+                self._give_up(run)
+                continue
             requirements = (route.name, job.model, job.oldest_version, run.needs)
-            if requirements in unavailable and not run.ineligible:
+            poison_status = self._crash_watch.poison_status(run.key)
+            is_isolated = poison_status is PoisonStatus.ISOLATED
+            if requirements in unavailable and not (run.ineligible or is_isolated):
                 continue
             self._placement.update_is_long(run)
-            poison_status = self._crash_watch.poison_status(run.key)
             if poison_status is PoisonStatus.QUARANTINED:
                 self._log_quarantined(run)
                 continue
             engine = self._choose(run, route, poison_status)
             if engine is None:
-                if poison_status is not PoisonStatus.AMBIGUOUS:
+                if not is_isolated:
                     unavailable.add(requirements)
                 run.ineligible.clear()
                 continue
@@ -263,16 +277,20 @@
         """
         Return an engine for an item, or None.
 
-        A suspect goes to an engine without other suspects if there is one; an item
-        whose status is ambiguous goes to no other engine.
+        A suspect goes to an engine without other suspects if there is one; no item goes
+        to an engine that is held for the isolated start of another one.
         """
+
+        def choose(excluded: Iterable[Incarnation]) -> EngineEntry | None:
+            return self._placement.choose(run, route, run.ineligible.union(excluded))
+
+        if poison_status is PoisonStatus.ISOLATED:
+            return self._crash_watch.choose_isolated(run.key, choose)
+        held = self._crash_watch.held_engines(run.key)
         if poison_status is PoisonStatus.CLEAN:
-            return self._placement.choose(run, route, run.ineligible)
-        suspects = self._crash_watch.engines_with_suspects(run.key)
-        isolated = self._placement.choose(run, route, run.ineligible | suspects)
-        if isolated is not None or poison_status is PoisonStatus.AMBIGUOUS:
-            return isolated
-        return self._placement.choose(run, route, run.ineligible)
+            return choose(held)
+        isolated = choose(held | self._crash_watch.engines_with_suspects(run.key))
+        return isolated if isolated is not None else choose(held)
 
     def _log_quarantined(self, run: ItemRun) -> None:
         if run.quarantine_logged:
@@ -331,6 +349,9 @@
                 decided_at = boot_time()
                 # The process may have been paused during the read.
                 complete = self._may_start() and not run.state.ended
+                # The engine may have been reserved for another item meanwhile.
+                if not self._crash_watch.may_start(engine.incarnation, run.key):
+                    complete = False
                 if complete:
                     permit = self._gate.permit(engine, run.needs, decided_at)
                     complete = not isinstance(permit, Denial)
@@ -388,6 +409,8 @@
                 run.ineligible.add(engine.incarnation)
                 self._count_failure(run)
             case GenerationFailedError.REJECTED:
+                # Before the result, so that the next job's reader knows of it.
+                self._writer.put(ItemRejected(job_id, run.key))
                 self._give_up(run)
             case _:
                 self._pool.record_failure(engine)
--- a/packages/saddledoord/src/saddledoord/jobs/service.py
+++ b/packages/saddledoord/src/saddledoord/jobs/service.py
@@ -204,6 +204,12 @@
         """
         return self._fold.open_jobs()
 
+    def is_rejected(self, key: str) -> bool:
+        """
+        Return whether an engine answered that an item can never be done; see `JobFold`.
+        """
+        return self._fold.is_rejected(key)
+
     def set_retention(self, result_retention: float, retention: float) -> None:
         """
         Change the ages up to which jobs may be read and records are retained, in
--- a/packages/saddledoord/src/saddledoord/serving/engine_choice.py
+++ b/packages/saddledoord/src/saddledoord/serving/engine_choice.py
@@ -6,20 +6,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 from saddledoor import EngineAttempts, EngineEntry, Incarnation, PoisonStatus, SendNeeds
 
 from .._clock import boot_time
 from .engine_crash_watch import EngineCrashWatch
+from .isolation import Choose
 from .pool import EnginePool
 
 
 __all__ = ["EngineChoice"]
 
-#: Chooses an engine that is not among the given ones.
-_Choose = Callable[[Iterable[Incarnation]], EngineEntry | None]
-
 
 class EngineChoice:
     """
@@ -82,17 +80,35 @@
         ]
         return min(times, default=None)
 
-    def _choose_for(self, key: str, choose: _Choose) -> EngineEntry | None:
+    def must_wait(
+        self, service: str, key: str, attempts: EngineAttempts, needs: SendNeeds
+    ) -> bool:
+        """
+        Return whether a request must wait because it, or another request, may be sent
+        to engines only in isolation.
+        """
+        poison_status = self._crash_watch.poison_status(key)
+        if poison_status is PoisonStatus.QUARANTINED:
+            return False
+        is_isolated = poison_status is PoisonStatus.ISOLATED
+        if not is_isolated and not self._crash_watch.held_engines(key):
+            return False
+        if not attempts.may_try_another_engine():
+            return False
+        return self._pool.choose(service, attempts.engines, needs) is not None
+
+    def _choose_for(self, key: str, choose: Choose) -> EngineEntry | None:
         """
-        Choose an engine: none for a quarantined request, one without other suspects for
-        an ambiguous request, and preferably such an engine for a suspect.
+        Choose an engine: none for a quarantined request, preferably one without other
+        suspects for a suspect, and none that is held for another request.
         """
         poison_status = self._crash_watch.poison_status(key)
         if poison_status is PoisonStatus.QUARANTINED:
             return None
+        if poison_status is PoisonStatus.ISOLATED:
+            return self._crash_watch.choose_isolated(key, choose)
+        held = self._crash_watch.held_engines(key)
         if poison_status is PoisonStatus.CLEAN:
-            return choose(())
-        isolated = choose(self._crash_watch.engines_with_suspects(key))
-        if isolated is not None or poison_status is PoisonStatus.AMBIGUOUS:
-            return isolated
-        return choose(())
+            return choose(held)
+        isolated = choose(held | self._crash_watch.engines_with_suspects(key))
+        return isolated if isolated is not None else choose(held)
--- a/packages/saddledoord/src/saddledoord/serving/engine_crash_watch.py
+++ b/packages/saddledoord/src/saddledoord/serving/engine_crash_watch.py
@@ -7,10 +7,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass, field
 
 import structlog
 
@@ -22,13 +20,14 @@
     Incarnation,
     PoisonStatus,
     RequestsCleared,
-    encode_record,
 )
 
 from .._clock import boot_time
-from ..cluster.leases import CONTROL_STREAM, LeaseLog
-from ..jobs.appending import append_until_acknowledged
+from ..cluster.leases import LeaseLog
 from ..ports import Engines, SharedLog
+from .crash_records import CrashRecord, CrashRecordWriter
+from .engine_runs import EngineRuns, Run
+from .isolation import Choose, Isolation
 
 
 __all__ = ["EngineCrashWatch", "EngineRun"]
@@ -47,50 +46,8 @@
 _MAX_READ_AGE = 1.5
 #: Longest time that a request waits for that read, in seconds.
 _REFRESH_TIMEOUT = 0.3
-#: How long records are collected for one append, in seconds; all requests of an engine
-#: are interrupted at nearly the same time.
-_BATCH_DELAY = 0.02
 #: Largest number of requests in one record.
 _MAX_REQUESTS_PER_RECORD = 16
-#: Largest number of records in one append.
-_MAX_RECORDS_PER_APPEND = 32
-#: Largest number of records that wait for the store; the oldest are dropped first.
-_MAX_PENDING_RECORDS = 256
-
-_Record = EngineCrashed | RequestsCleared
-
-
-@dataclass(eq=False)
-class _Run:
-    """
-    A request that was sent to an engine.
-
-    :param started_at: When it was sent, monotonic, in seconds.
-    :param finished_at: When the attempt ended; None while it runs.
-    :param is_interrupted: Whether the attempt ended without an answer.
-    """
-
-    key: str
-    started_at: float
-    finished_at: float | None = None
-    is_interrupted: bool = False
-
-
-@dataclass(eq=False)
-class _EngineRuns:
-    """
-    The requests that this node has or recently had at one incarnation of an engine.
-
-    :param engine: The incarnation; None before its first request.
-    :param interrupted_at: When the request was interrupted for which the engine is
-        being checked, monotonic, in seconds; None while no check runs.
-    :param has_ended: Whether the incarnation has ended.
-    """
-
-    engine: Incarnation | None = None
-    runs: set[_Run] = field(default_factory=set)
-    interrupted_at: float | None = None
-    has_ended: bool = False
 
 
 class EngineRun:
@@ -99,7 +56,7 @@
     """
 
     def __init__(
-        self, watch: EngineCrashWatch, engine_runs: _EngineRuns, run: _Run
+        self, watch: EngineCrashWatch, engine_runs: EngineRuns, run: Run
     ) -> None:
         self._watch = watch
         self._engine_runs = engine_runs
@@ -118,6 +75,13 @@
         """
         self._engine_runs.runs.discard(self._run)
 
+    def record_event(self) -> None:
+        """
+        Record an event that the engine has just delivered.
+        """
+        if self._run.record_event(boot_time()):
+            self._watch.clear_request(self._run.key)
+
     def record_interrupted(self, engine: EngineEntry) -> None:
         """
         Record that the request ended without an answer; the engine may have crashed.
@@ -145,29 +109,53 @@
     ) -> None:
         self._engines = engines
         self._leases = leases
-        self._log = log
+        self._writer = CrashRecordWriter(log)
         self._crashes = EngineCrashFold()
-        self._runs = engine_tables.table(_EngineRuns, self._on_incarnation_ended)
-        self._checks: dict[asyncio.Task, _EngineRuns] = {}
-        self._pending = deque[_Record](maxlen=_MAX_PENDING_RECORDS)
-        self._has_pending = asyncio.Event()
+        self._runs = engine_tables.table(EngineRuns, self._on_incarnation_ended)
+        self._isolation = Isolation(self._runs, lambda: _CRASH_WINDOW)
+        self._checks: dict[asyncio.Task, EngineRuns] = {}
         leases.on_record(self._apply)
 
     def poison_status(self, key: str) -> PoisonStatus:
         """
         Return the poison status of a request.
 
-        Crashes of a quarantined request that the log may lose are appended again.
-
         :param key: As `request_key` returns it.
         """
-        now = boot_time()
-        poison_status = self._crashes.poison_status(key, now)
-        if poison_status is PoisonStatus.QUARANTINED:
-            self._publish(self._crashes.crashes_to_republish(key, now))
-        if poison_status is PoisonStatus.CLEAN and self._is_interrupted(key):
-            return PoisonStatus.SUSPECT
-        return poison_status
+        return self._crashes.poison_status(key, boot_time(), self._interruptions(key))
+
+    def held_engines(self, key: str) -> set[Incarnation]:
+        """
+        Return the engines that are reserved for the isolated starts of other requests.
+        """
+        return self._isolation.held_engines(key)
+
+    def choose_isolated(self, key: str, choose: Choose) -> EngineEntry | None:
+        """
+        Return an engine for a request with the status ISOLATED, or None if it must
+        wait.
+
+        :param choose: Chooses an engine that is not among the given ones.
+        """
+        if not self._may_start_isolated(key):
+            return None
+        return self._isolation.choose(key, choose)
+
+    def may_start(self, engine: Incarnation, key: str) -> bool:
+        """
+        Return whether a request may be sent to an engine that was chosen for it.
+
+        Other requests may have been sent there since, or its status may have changed.
+        """
+        match self.poison_status(key):
+            case PoisonStatus.QUARANTINED:
+                return False
+            case PoisonStatus.ISOLATED:
+                return self._may_start_isolated(key) and self._isolation.is_free(
+                    engine, key
+                )
+            case _:
+                return engine not in self._isolation.held_engines(key)
 
     def is_current(self) -> bool:
         """
@@ -211,10 +199,19 @@
         """
         engine_runs = self._runs[engine]
         engine_runs.engine = engine
-        run = _Run(key, boot_time())
-        engine_runs.runs.add(run)
+        run = Run(key, boot_time())
         timer = None
-        if self.poison_status(key) is not PoisonStatus.CLEAN:
+        poison_status = self.poison_status(key)
+        if poison_status is PoisonStatus.ISOLATED:
+            run.is_isolated = self._isolation.record_start(engine, key)
+            _log.info(
+                "isolated_start",
+                engine=engine.engine_id,
+                content=key,
+                alone=run.is_isolated,
+            )
+        engine_runs.runs.add(run)
+        if poison_status is not PoisonStatus.CLEAN:
             timer = asyncio.get_running_loop().call_later(
                 _CRASH_WINDOW, self._check_survival, run
             )
@@ -222,7 +219,7 @@
             yield EngineRun(self, engine_runs, run)
         finally:
             run.finished_at = boot_time()
-            self._drop_old_runs(engine_runs)
+            engine_runs.drop_old(run.finished_at, _CRASH_WINDOW)
             if timer is not None:
                 timer.cancel()
 
@@ -233,7 +230,14 @@
         if self._crashes.is_implicated(key):
             self._publish([RequestsCleared((key,))])
 
-    def check_engine(self, engine: EngineEntry, engine_runs: _EngineRuns) -> None:
+    def end_suspicion(self, key: str) -> None:
+        """
+        End the suspicion of a request whose job has ended; a quarantine stays.
+        """
+        if self._crashes.is_suspected(key):
+            self._publish([RequestsCleared((key,), unproved_only=True)])
+
+    def check_engine(self, engine: EngineEntry, engine_runs: EngineRuns) -> None:
         """
         Check whether an engine has crashed, once for all interrupted requests.
         """
@@ -248,31 +252,21 @@
         """
         Append pending records to the log, until cancelled.
         """
-        while True:
-            await self._has_pending.wait()
-            await asyncio.sleep(_BATCH_DELAY)
-            self._has_pending.clear()
-            while self._pending:
-                count = min(len(self._pending), _MAX_RECORDS_PER_APPEND)
-                batch = [self._pending.popleft() for _ in range(count)]
-                records = [encode_record(record).encode() for record in batch]
-                await append_until_acknowledged(self._log, CONTROL_STREAM, records)
-
-    async def _check_engine(
-        self, engine: EngineEntry, engine_runs: _EngineRuns
-    ) -> None:
+        await self._writer.run()
+
+    async def _check_engine(self, engine: EngineEntry, engine_runs: EngineRuns) -> None:
         if await self._engines.has_exited(engine):
             self._report_crash(engine_runs, engine_runs.interrupted_at or boot_time())
         # The next interruption starts a new check.
         engine_runs.interrupted_at = None
 
-    def _on_incarnation_ended(self, engine_runs: _EngineRuns) -> None:
+    def _on_incarnation_ended(self, engine_runs: EngineRuns) -> None:
         """
         Called when the entry names a later incarnation or has been missing for long.
         """
         self._report_crash(engine_runs, boot_time())
 
-    def _report_crash(self, engine_runs: _EngineRuns, ended_at: float) -> None:
+    def _report_crash(self, engine_runs: EngineRuns, ended_at: float) -> None:
         """
         Report the requests that an engine received shortly before it crashed.
         """
@@ -280,74 +274,76 @@
             return
         engine_runs.has_ended = True
         # The engine may have started a request that was cancelled just before.
-        keys = sorted(
-            {
-                run.key
-                for run in engine_runs.runs
-                if run.started_at <= ended_at <= run.started_at + _CRASH_WINDOW
-                and (
-                    run.finished_at is None
-                    or run.is_interrupted
-                    or run.finished_at + _CRASH_WINDOW >= ended_at
-                )
-            }
-        )
+        suspects = [
+            run
+            for run in engine_runs.runs
+            if run.may_cause_crash(ended_at, _CRASH_WINDOW)
+            and (
+                run.finished_at is None
+                or run.is_interrupted
+                or run.finished_at + _CRASH_WINDOW >= ended_at
+            )
+        ]
+        keys = sorted({run.key for run in suspects})
         if not keys:
             return
-        _log.info("engine_ended", engine=engine_runs.engine.engine_id, requests=keys)
+        is_proof = len(keys) == 1 and any(run.is_isolated for run in suspects)
+        isolated = keys[0] if is_proof else None
+        _log.info(
+            "engine_ended",
+            engine=engine_runs.engine.engine_id,
+            requests=keys,
+            isolated=isolated,
+        )
         self._publish(
             [
                 EngineCrashed(
                     engine_runs.engine.engine_id,
                     engine_runs.engine.started_at,
                     tuple(keys[first : first + _MAX_REQUESTS_PER_RECORD]),
+                    isolated,
                 )
                 for first in range(0, len(keys), _MAX_REQUESTS_PER_RECORD)
             ]
         )
 
-    def _publish(self, records: list[_Record]) -> None:
+    def _publish(self, records: list[CrashRecord]) -> None:
         """
         Apply records at once and queue them for the log.
         """
         for record in records:
             self._apply(record)
-            if len(self._pending) == _MAX_PENDING_RECORDS:
-                _log.warning("engine_ends_dropped", kept=_MAX_PENDING_RECORDS)
-            self._pending.append(record)
-            self._has_pending.set()
+            self._writer.put(record)
 
     def _apply(self, record: object) -> None:
         self._crashes.apply(record, boot_time())
 
-    def _check_survival(self, run: _Run) -> None:
+    def _check_survival(self, run: Run) -> None:
         if boot_time() - run.started_at <= _CRASH_WINDOW + _TIMER_TOLERANCE:
             self.clear_request(run.key)
 
-    def _is_interrupted(self, key: str) -> bool:
+    def _may_start_isolated(self, key: str) -> bool:
         """
-        Whether a request was interrupted at an engine that is being checked.
+        Whether the pause before an isolated start has passed, and all attempts of the
+        request have shown whether they crash their engines.
         """
-        return any(
-            run.key == key and run.is_interrupted
+        if self._interruptions(key) or self._isolation.is_running(key):
+            return False
+        return boot_time() >= self._crashes.isolated_start_at(key)
+
+    def _interruptions(self, key: str) -> int:
+        """
+        Return the number of engines that are being checked and at which a request was
+        interrupted.
+        """
+        return sum(
+            any(run.key == key and run.is_interrupted for run in engine_runs.runs)
             for engine_runs in self._checks.values()
-            for run in engine_runs.runs
         )
 
-    def _is_other_suspect(self, run: _Run, key: str) -> bool:
+    def _is_other_suspect(self, run: Run, key: str) -> bool:
         if run.finished_at is not None or run.key == key:
             return False
         return (
             self._crashes.poison_status(run.key, boot_time()) is not PoisonStatus.CLEAN
         )
-
-    def _drop_old_runs(self, engine_runs: _EngineRuns) -> None:
-        """
-        Drop the requests that ended too long ago to be suspects.
-        """
-        now = boot_time()
-        engine_runs.runs = {
-            run
-            for run in engine_runs.runs
-            if run.finished_at is None or run.finished_at + _CRASH_WINDOW >= now
-        }
--- a/packages/saddledoord/src/saddledoord/serving/pass_through.py
+++ b/packages/saddledoord/src/saddledoord/serving/pass_through.py
@@ -211,9 +211,14 @@
             while current.remaining > _MIN_TIME_LEFT:
                 if not pending or self._may_hedge(current):
                     pending |= self._start(current, bool(pending))
-                if not pending and not self._may_retry(current, False):
+                if not (
+                    pending
+                    or self._may_retry(current, False)
+                    or self._must_wait(current)
+                ):
                     break
-                done, pending = await _wait_for_first(pending, self._wait_time(current))
+                wait_time = self._wait_time(current, bool(pending))
+                done, pending = await _wait_for_first(pending, wait_time)
                 for task in done:
                     if is_final(route, task.result()):
                         self._record_overtaken(current, task, pending)
@@ -293,12 +298,19 @@
             return False
         return self._crash_watch.poison_status(current.key) is PoisonStatus.CLEAN
 
-    def _wait_time(self, current: RequestState) -> float:
+    def _must_wait(self, current: RequestState) -> bool:
+        """
+        Whether the request must wait for an isolated start, its own or another one.
+        """
+        target = (current.service, current.key, current.attempts, current.needs)
+        return current.may_begin() and self._choice.must_wait(*target)
+
+    def _wait_time(self, current: RequestState, is_pending: bool) -> float:
         """
         Return how long to wait before the next attempt may start, in seconds.
         """
         remaining = max(0.0, current.remaining)
-        if self._may_retry(current, True):
+        if not is_pending or self._may_retry(current, True):
             return min(remaining, _POLL_INTERVAL)
         if not self._may_hedge(current):
             return remaining
@@ -319,6 +331,10 @@
         if isinstance(permit, Denial):
             attempt.finish(AttemptOutcome.NOT_RUN, boot_time())
             return NotRun(ResultCode.NO_BACKEND, f"not sent: {permit.name.lower()}")
+        if not self._crash_watch.may_start(engine.incarnation, current.key):
+            # The engine was reserved for an isolated start after it was chosen.
+            attempt.finish(AttemptOutcome.NOT_RUN, boot_time())
+            return NotRun(ResultCode.NO_BACKEND, "not sent: the engine is reserved")
         number = current.attempts.count
         sent_at = boot_time()
         with (
--- a/tests/adapter/test_edge_items.py
+++ b/tests/adapter/test_edge_items.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import base64
 import time
 
 from platform_bed import until
@@ -107,6 +108,25 @@
     assert len(platform_bed.runs()) == 1
 
 
+def test_an_item_that_can_never_be_done_is_not_sent_in_a_later_job(platform_bed):
+    """
+    It was sent again in each job; an item with the same id and a changed body is new.
+    """
+    for engine in ("engine-0", "engine-1"):
+        platform_bed.fake_engine(engine, fail=422)
+    assert platform_bed.submit("job-1", make_job(1)).status == 202
+    assert platform_bed.finished("job-1", 1)[0]["state"] == "dead"
+    for engine in ("engine-0", "engine-1"):
+        platform_bed.fake_engine(engine, fail=0)
+    assert platform_bed.submit("job-2", make_job(1)).status == 202
+    assert platform_bed.finished("job-2", 1)[0]["state"] == "dead"
+    assert len(platform_bed.runs()) == 1
+    changed = make_job(1)
+    changed["requests"][0]["body"] = base64.b64encode(b"changed").decode()
+    assert platform_bed.submit("job-3", changed).status == 202
+    assert platform_bed.finished("job-3", 1)[0]["state"] == "completed"
+
+
 def test_items_go_to_no_service_that_their_route_gives_nothing(platform_bed):
     """
     A service with weight 0 gets no item, even if it is listed first.
--- a/tests/guard_rows/jobs.py
+++ b/tests/guard_rows/jobs.py
@@ -277,4 +277,11 @@
         "                raise\n",
         ("tests/test_spread_texts.py", "before_a_page_failed"),
     ),
+    Guard(
+        "an item that can never be done is not sent in a later job",
+        f"{DAEMON}/jobs/runner.py",
+        "            if self._jobs.is_rejected(run.key):\n",
+        "            if False:\n",
+        (ITEMS, "not_sent_in_a_later_job"),
+    ),
 )
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -16,6 +16,7 @@
     EngineDirectory,
     ItemCheckpoint,
     ItemFailed,
+    ItemRejected,
     ItemResult,
     ItemResultRecorded,
     JobEnded,
@@ -102,6 +103,7 @@
             "j", ItemResult("i", True, StoredText((7, 9), 30), (1, 2), "mark")
         ),
         ItemFailed("j", "i", "f-1", True),
+        ItemRejected("j", "0123abcd"),
         ItemCheckpoint("j", "i", 3, 2, "c-1", "c-2", (1,), StoredText((8,), 20)),
         JobEnded("j"),
     ],
@@ -328,3 +330,28 @@
     checkpoint = state.kept["item-0"]
     assert (checkpoint.count, checkpoint.chain) == (7, "c-2")
     assert [part.offsets for part in checkpoint.parts] == [(1, 6), (7, 1)]
+
+
+def test_a_rejected_item_is_remembered_for_as_long_as_the_log_keeps_the_record():
+    """
+    It was sent again in the next job once its own job was forgotten.
+    """
+    fold = JobFold()
+    fold.apply(ItemRejected("job-a", "key"), 0.0)
+    fold.apply(ItemRejected("job-b", "key"), 200.0)
+    fold.forget(300.0, 130.0, 300.0)
+    assert fold.is_rejected("key")
+    assert not fold.is_rejected("another key")
+    fold.forget(300.1, 130.0, 300.0)
+    assert not fold.is_rejected("key")
+
+
+def test_rejected_items_are_bounded_in_count():
+    """
+    The oldest are forgotten first.
+    """
+    fold = JobFold()
+    for number in range(65_540):
+        fold.apply(ItemRejected("job-a", f"{number}"), 0.0)
+    assert not fold.is_rejected("3")
+    assert fold.is_rejected("4")
--- a/tests/test_unreadable_records.py
+++ b/tests/test_unreadable_records.py
@@ -21,6 +21,7 @@
 from saddledoor import (
     ItemCheckpoint,
     ItemFailed,
+    ItemRejected,
     ItemResult,
     ItemResultRecorded,
     JobEnded,
@@ -52,6 +53,7 @@
     _OPENED,
     ItemResultRecorded("job-a", ItemResult("item-0", True, _STORED, (1, 2), "mark")),
     ItemFailed("job-a", "item-1", "f-1", True),
+    ItemRejected("job-a", "0123abcd"),
     ItemCheckpoint("job-a", "item-1", 1, 2, "", "c-1", (1,), _STORED),
     JobEnded("job-a"),
 )
