--- a/packages/saddledoor/src/saddledoor/_codes.py
+++ b/packages/saddledoor/src/saddledoor/_codes.py
@@ -123,7 +123,7 @@
     ResultCode.ENDS_ENGINES: (
         503,
         "three engines have ended under this request, and no engine gets it again",
-        "do not send it again; it is forgotten after `Retry-After` without it",
+        "do not send it again; it may run again after `Retry-After`",
     ),
     ResultCode.KEYS_UNSURE: (
         503,
--- a/packages/saddledoord/src/saddledoord/serving/pass_through.py
+++ b/packages/saddledoord/src/saddledoord/serving/pass_through.py
@@ -60,8 +60,8 @@
 #: How often a request that waits for a retry checks whether it is eligible, in seconds;
 #: another request's answer may make it eligible sooner.
 _POLL_INTERVAL = 0.05
-#: Retry delay told to the caller of a quarantined request, in seconds: the quarantine
-#: ends then if nobody sends the request meanwhile.
+#: Retry delay told to the caller of a quarantined request, in seconds: the longest time
+#: that a quarantine lasts.
 _QUARANTINE_RETRY_AFTER = 240.0
 
 
