--- a/tests/test_send_gate.py
+++ b/tests/test_send_gate.py
@@ -338,9 +338,17 @@
         reserve=lambda *_: reservation,
         latest_start=lambda run: 0.0,
     )
-    crash_watch = Mock(refresh=AsyncMock(), poison_status=lambda _: PoisonStatus.CLEAN)
+    crash_watch = Mock(
+        refresh=AsyncMock(),
+        poison_status=lambda _: PoisonStatus.CLEAN,
+        held_engines=lambda _: set(),
+    )
     runner = JobRunner(
-        Mock(caught_up=True, open_jobs=lambda: [state]),
+        Mock(
+            caught_up=True,
+            open_jobs=lambda: [state],
+            is_rejected=lambda _: False,
+        ),
         view,
         pool,
         gate,
