--- a/packages/saddledoor/src/saddledoor/__init__.py
+++ b/packages/saddledoor/src/saddledoor/__init__.py
@@ -97,7 +97,7 @@
     StoredText,
 )
 from ._labels import VersionRun, append_part, is_fresh, is_fully_labelled
-from ._leases import TAKEOVER_FACTOR, HeldLease, Lease, LeaseFold, LeaseWatch
+from ._leases import TAKEOVER_FACTOR, HeldLease, LeaseFold, LeaseWatch
 from ._members import (
     BackendReport,
     MemberEntry,
@@ -116,9 +116,6 @@
     ConfigVerdict,
     EngineCrashed,
     KeyClaim,
-    LeaseClaim,
-    LeaseRelease,
-    LeaseRenewal,
     PendingProposal,
     Record,
     RequestsCleared,
@@ -170,6 +167,7 @@
     check_send,
     intersect_regions,
 )
+from .leases import Lease, LeaseClaim, LeaseRelease, LeaseRenewal
 from .scaling import ScalingLimits
 
 
--- a/packages/saddledoor/src/saddledoor/_leases.py
+++ b/packages/saddledoor/src/saddledoor/_leases.py
@@ -14,7 +14,8 @@
 
 from dataclasses import dataclass, field, replace
 
-from ._records import LeaseClaim, LeaseRelease, LeaseRenewal, Record
+from ._records import Record
+from .leases import Lease, LeaseClaim, LeaseRelease, LeaseRenewal, LeaseSnapshot
 
 
 __all__ = ["HeldLease", "Lease", "LeaseFold", "LeaseWatch", "TAKEOVER_FACTOR"]
@@ -23,32 +24,27 @@
 TAKEOVER_FACTOR = 1.1
 
 
-@dataclass(frozen=True)
-class Lease:
-    """
-    State of a lease according to the log.
-
-    :param fence: Offset of the holder's claim.
-    :param last_offset: Offset of the newest effective claim or renewal.
-    :param claim_id: Identifier of the holder's claim.
-    """
-
-    name: str
-    holder: str
-    fence: int
-    last_offset: int
-    released: bool = False
-    claim_id: str = ""
-
-
 @dataclass(frozen=True)
 class LeaseFold:
     """
     All leases, folded from the log.
+
+    A fold whose history is incomplete, since the log had dropped the oldest records,
+    does not know who holds a lease. It has no leases until it reads a snapshot.
+
+    :param is_complete: Whether the state takes all earlier records into account.
     """
 
     next_offset: int = 0
     leases: dict[str, Lease] = field(default_factory=dict)
+    is_complete: bool = True
+
+    @classmethod
+    def starting_at(cls, first: int) -> LeaseFold:
+        """
+        Return the fold of a reader whose oldest record is at an offset.
+        """
+        return cls(next_offset=first, is_complete=first == 0)
 
     def apply(self, offset: int, record: Record) -> LeaseFold:
         """
@@ -57,6 +53,10 @@
         if offset < self.next_offset:
             return self
         advanced = replace(self, next_offset=offset + 1)
+        if isinstance(record, LeaseSnapshot):
+            return _apply_snapshot(advanced, offset, record)
+        if not self.is_complete:
+            return advanced
         match record:
             case LeaseClaim():
                 return _with_lease(
@@ -77,6 +77,23 @@
     def get(self, name: str) -> Lease | None:
         return self.leases.get(name)
 
+    def snapshot(self, end: int) -> LeaseSnapshot:
+        """
+        Return a record of the state.
+
+        :param end: Offset of the end of the stream, to which all records are folded.
+        """
+        return LeaseSnapshot(end, tuple(self.leases.values()))
+
+
+def _apply_snapshot(state: LeaseFold, offset: int, record: LeaseSnapshot) -> LeaseFold:
+    # At any other offset there are records that the snapshot does not include. Complete
+    # folds take it too, so that all readers have the same state after it.
+    if offset != record.folded_to:
+        return state
+    leases = {lease.name: lease for lease in record.leases}
+    return replace(state, leases=leases, is_complete=True)
+
 
 def _with_lease(state: LeaseFold, lease: Lease | None) -> LeaseFold:
     if lease is None:
--- a/packages/saddledoor/src/saddledoor/_records.py
+++ b/packages/saddledoor/src/saddledoor/_records.py
@@ -14,6 +14,13 @@
 from pydantic import Field, TypeAdapter, ValidationError
 
 from .exceptions import UndecodableRecordError
+from .leases import (
+    LeaseClaim,
+    LeaseRelease,
+    LeaseRenewal,
+    LeaseSnapshot,
+    LeaseSnapshotRequest,
+)
 
 
 __all__ = [
@@ -102,45 +109,6 @@
     kind: Literal["config_snapshot"] = "config_snapshot"
 
 
-@dataclass(frozen=True)
-class LeaseClaim:
-    """
-    An attempt to acquire a lease.
-
-    :param record_id: Identifier of the claim, the same in a repeated append.
-    :param seen: Offset of the newest claim or renewal that the claimant had read; -1
-        for none.
-    """
-
-    record_id: str
-    name: str
-    holder: str
-    seen: int
-    kind: Literal["lease_claim"] = "lease_claim"
-
-
-@dataclass(frozen=True)
-class LeaseRenewal:
-    """
-    Extends the lease for the holder with this fencing number.
-    """
-
-    name: str
-    fence: int
-    kind: Literal["lease_renewal"] = "lease_renewal"
-
-
-@dataclass(frozen=True)
-class LeaseRelease:
-    """
-    Ends the lease of the holder with this fencing number.
-    """
-
-    name: str
-    fence: int
-    kind: Literal["lease_release"] = "lease_release"
-
-
 @dataclass(frozen=True)
 class KeyClaim:
     """
@@ -270,6 +238,8 @@
     | LeaseClaim
     | LeaseRenewal
     | LeaseRelease
+    | LeaseSnapshot
+    | LeaseSnapshotRequest
     | ClaimBatch
     | ClaimRelease
     | EngineCrashed
--- a/packages/saddledoord/src/saddledoord/cluster/follow.py
+++ b/packages/saddledoord/src/saddledoord/cluster/follow.py
@@ -46,6 +46,9 @@
 _REPLAY_WAIT = 1.0
 #: Pause after a failed read, in seconds.
 _RETRY_PAUSE = 0.1
+#: Pause before the next read if the store dropped the records of two reads in a row, in
+#: seconds.
+_TRUNCATED_PAUSE = 0.05
 #: Pause after a change of a registry, in seconds, in which further changes are
 #: collected: engines renew their entries all the time.
 _REGISTRY_BATCH_DELAY = 0.2
@@ -86,6 +89,10 @@
     return 0.0
 
 
+def _ignore_gap(first: int) -> None:
+    pass
+
+
 class LogFollower:
     """
     Applies the records of a stream in order, each of them once.
@@ -101,6 +108,8 @@
     :param answer_timeout: Longest wait for an answer beyond that, in seconds.
     :param batch_delay: Returns the pause after new records, in seconds, in which
         further records are collected.
+    :param on_truncated: Called with the offset of the oldest record that is left, when
+        the log has dropped records before this follower read them.
     """
 
     def __init__(
@@ -112,6 +121,7 @@
         wait: float = _READ_WAIT,
         answer_timeout: float = DEFAULT_ANSWER_TIMEOUT,
         batch_delay: Callable[[], float] = _no_delay,
+        on_truncated: Callable[[int], None] = _ignore_gap,
     ) -> None:
         self._wait = wait
         self._batch_delay = batch_delay
@@ -119,6 +129,7 @@
         self._log = log
         self._stream = stream
         self._apply = apply
+        self._on_truncated = on_truncated
         self._next = 0
         self._skipped = 0
         self._page_size = PageSize(MAX_PAGE_BYTES)
@@ -136,6 +147,13 @@
         """
         return self._reachability.is_store_reachable
 
+    @property
+    def next_offset(self) -> int:
+        """
+        Offset after the newest record that was applied.
+        """
+        return self._next
+
     @property
     def skipped(self) -> int:
         """
@@ -236,16 +254,34 @@
         return page
 
     async def _page(self, wait: float, answer_timeout: float) -> LogPage:
+        """
+        Read from the next record on; from the oldest one that is left if the log has
+        dropped the next one, as often as it does so.
+        """
         size = self._page_size.current
-        try:
-            return await self._log.read(
-                self._stream, self._next, wait, size, answer_timeout
-            )
-        except LogTruncatedError as error:
-            _log.warning("records_gone", stream=self._stream, first=error.first)
-            # A concurrent read may have advanced meanwhile.
-            self._next = max(self._next, error.first)
-            return await self._log.read(self._stream, self._next, 0.0, size)
+        failures = 0
+        while True:
+            try:
+                return await self._log.read(
+                    self._stream,
+                    self._next,
+                    0.0 if failures else wait,
+                    size,
+                    answer_timeout,
+                )
+            except LogTruncatedError as error:
+                self._skip_to(error.first)
+                if not failures:
+                    _log.warning("records_gone", stream=self._stream, first=error.first)
+                else:
+                    await asyncio.sleep(_TRUNCATED_PAUSE)
+                failures += 1
+
+    def _skip_to(self, first: int) -> None:
+        # A concurrent read may have advanced meanwhile; then there is no gap.
+        if first > self._next:
+            self._next = first
+            self._on_truncated(first)
 
     def _apply_page(self, page: LogPage, started_at: float) -> None:
         for index, record in enumerate(page.records):
--- a/packages/saddledoord/src/saddledoord/cluster/leases.py
+++ b/packages/saddledoord/src/saddledoord/cluster/leases.py
@@ -9,6 +9,8 @@
 import secrets
 from collections.abc import Callable, Iterable, Sequence
 
+import structlog
+
 from saddledoor import (
     Lease,
     LeaseClaim,
@@ -19,6 +21,7 @@
     decode_record,
     encode_record,
 )
+from saddledoor.leases import LeaseSnapshot, LeaseSnapshotRequest
 
 from .._clock import boot_time
 from ..ports import Appended, AppendOutcomeUnknown, NotAppended, SharedLog
@@ -28,6 +31,12 @@
 
 __all__ = ["LeaseLog"]
 
+_log = structlog.get_logger()
+
+_LeaseRecord = (
+    LeaseClaim | LeaseRenewal | LeaseRelease | LeaseSnapshot | LeaseSnapshotRequest
+)
+
 #: The log stream of leases and of engine crashes.
 CONTROL_STREAM = "control"
 #: Separates the node's name from the process's token in a holder's name.
@@ -55,7 +64,7 @@
         self._watches: dict[str, LeaseWatch] = {}
         self._regained_at = float("-inf")
         self._changes = ChangeNotifier()
-        self._on_record: Callable[[object], None] = lambda record: None
+        self._observers: list[Callable[[object], None]] = []
         self._follower = LogFollower(
             log,
             CONTROL_STREAM,
@@ -63,12 +72,28 @@
             self._on_store_reachable,
             _READ_WAIT,
             _ANSWER_TIMEOUT,
+            on_truncated=self._restart,
         )
 
+    @property
+    def is_complete(self) -> bool:
+        """
+        Whether the state of all leases is known. If the log has dropped records that
+        were not read, no lease is held, or may be claimed, before a snapshot is read.
+        """
+        return self._fold.is_complete
+
+    @property
+    def next_offset(self) -> int:
+        """
+        Offset after the newest record that was read.
+        """
+        return self._follower.next_offset
+
     @property
     def caught_up(self) -> bool:
         """
-        Whether the leases claimed before this process started are known.
+        Whether all records that were in the log at the start have been read.
         """
         return self._follower.caught_up
 
@@ -103,9 +128,9 @@
 
     def on_record(self, apply: Callable[[object], None]) -> None:
         """
-        Set the function that is called with each record of the stream.
+        Add a function that is called with each record of the stream.
         """
-        self._on_record = apply
+        self._observers.append(apply)
 
     async def sync(self) -> bool:
         """
@@ -156,6 +181,8 @@
 
         :param term: Term of the lease, in seconds.
         """
+        if not self.is_complete:
+            return False
         lease = self.get(name)
         if lease is None or lease.released:
             return True
@@ -169,6 +196,8 @@
         """
         Try to claim a lease; return it if the claim succeeded.
         """
+        if not self.is_complete:
+            return None
         seen = self.get(name)
         claim = LeaseClaim(
             secrets.token_hex(8), name, self._holder, seen.last_offset if seen else -1
@@ -191,9 +220,11 @@
         outcome = await self._append(renewals)
         if not isinstance(outcome, Appended) or not await self._follower.sync():
             return False
-        renewed = [self._fold.leases[lease.name] for lease in held]
+        renewed = [self.get(lease.name) for lease in held]
         return all(
-            lease.fence == before.fence and lease.last_offset >= outcome.offset
+            lease is not None
+            and lease.fence == before.fence
+            and lease.last_offset >= outcome.offset
             for before, lease in zip(held, renewed, strict=True)
         )
 
@@ -204,20 +235,52 @@
         held = [self._fold.leases[name] for name in names]
         await self._append([LeaseRelease(lease.name, lease.fence) for lease in held])
 
+    async def request_snapshot(self) -> None:
+        """
+        Ask the nodes that know all leases for a snapshot.
+        """
+        await self._append([LeaseSnapshotRequest(self._node)])
+
+    async def append_snapshot(self) -> Appended | NotAppended | AppendOutcomeUnknown:
+        """
+        Append the state of all leases, unless there are records that were not read; if
+        the state is not known, a snapshot without leases.
+        """
+        end = self.next_offset
+        return await self._append([self._fold.snapshot(end)], expected_end=end)
+
     async def _append(
-        self, records: Sequence[LeaseClaim | LeaseRenewal | LeaseRelease]
+        self, records: Sequence[_LeaseRecord], expected_end: int | None = None
     ) -> Appended | NotAppended | AppendOutcomeUnknown:
         data = [encode_record(record).encode() for record in records]
-        return await self._log.append(CONTROL_STREAM, data, _ANSWER_TIMEOUT)
+        return await self._log.append(
+            CONTROL_STREAM, data, _ANSWER_TIMEOUT, expected_end
+        )
+
+    def _restart(self, first: int) -> None:
+        """
+        Forget the leases: the log has dropped records that were not read.
+        """
+        self._fold = LeaseFold.starting_at(first)
+        _log.warning("lease_history_incomplete", first=first)
+        self._observe_watches()
+        self._changes.notify(CONTROL_STREAM)
 
     def _apply(self, offset: int, data: bytes) -> None:
         record = decode_record(data)
+        was_complete = self.is_complete
         self._fold = self._fold.apply(offset, record)
-        self._on_record(record)
+        if self.is_complete and not was_complete:
+            _log.info("lease_snapshot_read", offset=offset, leases=len(record.leases))
+        for observer in self._observers:
+            observer(record)
         # The term starts when the newest renewal has been read.
+        self._observe_watches()
+        self._changes.notify(CONTROL_STREAM)
+
+    def _observe_watches(self) -> None:
         for name, watch in self._watches.items():
             watch.observe(self.get(name), boot_time())
-        self._changes.notify(CONTROL_STREAM)
 
     def _on_store_reachable(self, is_store_reachable: bool) -> None:
         if is_store_reachable:
--- a/packages/saddledoord/src/saddledoord/cluster/store_watch.py
+++ b/packages/saddledoord/src/saddledoord/cluster/store_watch.py
@@ -126,14 +126,18 @@
         self._watch = watch
 
     async def append(
-        self, stream: str, records: Sequence[bytes], answer_timeout: float = 1.5
+        self,
+        stream: str,
+        records: Sequence[bytes],
+        answer_timeout: float = 1.5,
+        expected_end: int | None = None,
     ) -> Appended | NotAppended | AppendOutcomeUnknown:
         """
         See `SharedLog.append`.
         """
         try:
             outcome = await self._watch.call(
-                self._log.append(stream, records, answer_timeout)
+                self._log.append(stream, records, answer_timeout, expected_end)
             )
         except StoreUnavailableError as error:
             return AppendOutcomeUnknown(str(error))
--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -29,6 +29,7 @@
 from .cluster.change_notifier import ChangeNotifier
 from .cluster.engine_timeouts import EngineTimeouts
 from .cluster.follow import RegistryFollower
+from .cluster.lease_snapshots import LeaseSnapshotWriter
 from .cluster.leases import LeaseLog
 from .cluster.store_watch import StoreWatch, WatchedLog, WatchedRegistry
 from .cluster.view import ClusterView
@@ -165,6 +166,9 @@
             view, lambda: self._operator.synced_at, settings.key_bounds
         )
         self._leases = LeaseLog(log, f"{settings.vm}@{settings.address}")
+        self._lease_snapshots = LeaseSnapshotWriter(
+            self._leases, settings.retention, settings.lease_term
+        )
         self._crash_watch = EngineCrashWatch(
             ports.engines, self.view.engine_tables, self._leases, log
         )
@@ -293,6 +297,7 @@
         self.admission.set_bounds(key_bounds)
         self._log_freshness.set_cancel_limit(cancel_limit)
         self.jobs.set_retention(result_retention, retention)
+        self._lease_snapshots.set_retention(retention)
 
     def start(self, failed: Callable[[BaseException], None]) -> None:
         """
@@ -307,6 +312,7 @@
             self.jobs.run(),
             self._writer.run(),
             self._leases.run(),
+            self._lease_snapshots.run(),
             self._crash_watch.run(),
             self._shares.run(),
             self._runner.run(),
--- a/packages/saddledoord/src/saddledoord/ports/store.py
+++ b/packages/saddledoord/src/saddledoord/ports/store.py
@@ -113,12 +113,18 @@
     """
 
     async def append(
-        self, stream: str, records: Sequence[bytes], answer_timeout: float = 1.5
+        self,
+        stream: str,
+        records: Sequence[bytes],
+        answer_timeout: float = 1.5,
+        expected_end: int | None = None,
     ) -> Appended | NotAppended | AppendOutcomeUnknown:
         """
         Append all records atomically.
 
         :param answer_timeout: Longest wait for the answer, in seconds.
+        :param expected_end: Offset at which the stream must end for the records to be
+            appended; None for any.
         """
 
     async def read(
--- a/tests/adapter/standin_store.py
+++ b/tests/adapter/standin_store.py
@@ -88,6 +88,7 @@
     async def append(self, request: web.Request) -> web.StreamResponse:
         await self._fail(request)
         name = request.query["topic"]
+        expected = request.query.get("as_of")
         records = list(_split(await request.read()))
         if any(len(record) > _RECORD_BYTES for record in records):
             return web.json_response({}, status=413)
@@ -98,12 +99,11 @@
         if self.lose_undone > 0 and self.lose_in in ("", name):
             self.lose_undone -= 1
             if self.late_by:
-                task = asyncio.create_task(self._put_late(name, records))
+                task = asyncio.create_task(self._put_late(name, records, expected))
                 self._late.add(task)
                 task.add_done_callback(self._late.discard)
             return await _no_answer(request)
-        expected = request.query.get("as_of")
-        if expected is not None and int(expected) != self.topic(name).end:
+        if not self._is_expected(name, expected):
             return web.json_response({"end": self.topic(name).end}, status=412)
         offset = await self.put(name, records)
         if self.lose_done > 0 and self.lose_in in ("", name):
@@ -111,9 +111,15 @@
             return await _no_answer(request)
         return web.json_response({"offset": offset, "end": self.topic(name).end})
 
-    async def _put_late(self, name: str, records: list[bytes]) -> None:
+    def _is_expected(self, name: str, expected: str | None) -> bool:
+        return expected is None or int(expected) == self.topic(name).end
+
+    async def _put_late(
+        self, name: str, records: list[bytes], expected: str | None
+    ) -> None:
         await asyncio.sleep(self.late_by)
-        await self.put(name, records)
+        if self._is_expected(name, expected):
+            await self.put(name, records)
 
     async def read(self, request: web.Request) -> web.StreamResponse:
         await self._fail(request)
--- a/tests/crash_watches.py
+++ b/tests/crash_watches.py
@@ -50,7 +50,9 @@
         self.last_read_at = boot_time()
         return True
 
-    async def append(self, stream, records, answer_timeout=1.0) -> Appended:
+    async def append(
+        self, stream, records, answer_timeout=1.0, expected_end=None
+    ) -> Appended:
         self.records += records
         return Appended(0)
 
--- a/tests/fake_log.py
+++ b/tests/fake_log.py
@@ -16,6 +16,8 @@
     Appended,
     AppendOutcomeUnknown,
     LogPage,
+    LogTruncatedError,
+    NotAppended,
     StoreUnavailableError,
 )
 
@@ -32,19 +34,31 @@
     :ivar unreachable: Whether reads and appends fail without an effect.
     :ivar appends: All records of attempted appends.
     :ivar reads: Number of reads by stream.
+    :ivar first: Offset of the oldest record that is left, by stream.
     """
 
     def __init__(self, largest_record: int = 1000) -> None:
         self.records: defaultdict[str, list[bytes]] = defaultdict(list)
         self.reads: defaultdict[str, int] = defaultdict(int)
+        self.first: defaultdict[str, int] = defaultdict(int)
         self.appends: list[bytes] = []
         self.lose_answers = 0
         self.unreachable = False
         self._largest_record = largest_record
 
+    def drop(self, stream: str) -> None:
+        """
+        Drop all records of a stream; offsets continue.
+        """
+        self.first[stream] = len(self.records[stream])
+
     async def append(
-        self, stream: str, records: Sequence[bytes], answer_timeout: float = 1.5
-    ) -> Appended | AppendOutcomeUnknown:
+        self,
+        stream: str,
+        records: Sequence[bytes],
+        answer_timeout: float = 1.5,
+        expected_end: int | None = None,
+    ) -> Appended | NotAppended | AppendOutcomeUnknown:
         assert records
         assert all(len(record) <= self._largest_record for record in records)
         self.appends += records
@@ -52,6 +66,8 @@
         if self.unreachable:
             return AppendOutcomeUnknown("away")
         offset = len(self.records[stream])
+        if expected_end not in (None, offset):
+            return NotAppended("the stream has another end")
         self.records[stream] += records
         if self.lose_answers > 0:
             self.lose_answers -= 1
@@ -72,6 +88,8 @@
         await asyncio.sleep(wait if start >= end else 0)
         if self.unreachable:
             raise StoreUnavailableError("away")
+        if start < self.first[stream]:
+            raise LogTruncatedError(self.first[stream])
         chosen: list[bytes] = []
         for record in self.records[stream][start:]:
             if chosen and sum(map(len, chosen)) + len(record) > max_bytes:
--- a/tests/test_job_items.py
+++ b/tests/test_job_items.py
@@ -59,10 +59,10 @@
     A log that accepts no append to the stream of texts.
     """
 
-    async def append(self, stream, records, answer_timeout=1.5):
+    async def append(self, stream, records, answer_timeout=1.5, expected_end=None):
         if stream == "texts":
             return AppendOutcomeUnknown("away")
-        return await super().append(stream, records, answer_timeout)
+        return await super().append(stream, records, answer_timeout, expected_end)
 
 
 def _large_job() -> Job:
--- a/tests/test_store_watch.py
+++ b/tests/test_store_watch.py
@@ -24,10 +24,10 @@
         super().__init__()
         self.silent = silent
 
-    async def append(self, stream, records, answer_timeout=1.5):
+    async def append(self, stream, records, answer_timeout=1.5, expected_end=None):
         if stream in self.silent:
             await asyncio.sleep(3600)
-        return await super().append(stream, records, answer_timeout)
+        return await super().append(stream, records, answer_timeout, expected_end)
 
     async def read(
         self, stream, start, wait=0.0, max_bytes=1 << 20, answer_timeout=1.0
