Report unknown jobs and usage of a truncated log, and read on after repeated drops

A node that starts after records were dropped, or that missed some while it was disconnected, answered that a job does not exist, or answered from a part of its records. A second 410 in a row ended the process. A retention that is too short is logged.

--- a/packages/saddledoor/src/saddledoor/_engine_crash_fold.py
+++ b/packages/saddledoor/src/saddledoor/_engine_crash_fold.py
@@ -106,6 +106,9 @@
     run of a request clears it. Nothing that callers do renews a quarantine.
     """
 
+    #: See `_RETENTION`.
+    retention = _RETENTION
+
     def __init__(self) -> None:
         self._crashes: OrderedDict[Incarnation, _Crash] = OrderedDict()
         self._proofs: OrderedDict[str, _Proof] = OrderedDict()
--- a/packages/saddledoor/src/saddledoor/_job_fold.py
+++ b/packages/saddledoor/src/saddledoor/_job_fold.py
@@ -166,6 +166,13 @@
             _apply_change(state, record)
         return record.job_id
 
+    def clear(self) -> None:
+        """
+        Drop all jobs: the log has dropped records that were not read, which may have
+        been of any of them. Then every known job has all its records.
+        """
+        self._jobs.clear()
+
     def forget(self, now: float, ended_retention: float, open_retention: float) -> None:
         """
         Drop the jobs and the rejected items whose retention has expired.
--- a/packages/saddledoor/src/saddledoor/_usage.py
+++ b/packages/saddledoor/src/saddledoor/_usage.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 from ._records import Record, UsageCounted, UsageDecided
@@ -41,6 +42,21 @@
     length: float
     due_after: float
 
+    @property
+    def late_windows(self) -> int:
+        """
+        Number of windows that begin before the report of a window is due, with itself.
+        """
+        return 1 + math.ceil(self.due_after / self.length)
+
+    @property
+    def report_period(self) -> float:
+        """
+        Time from the start of a window until its report is no longer sent again, in
+        seconds.
+        """
+        return self.length + 2 * self.due_after
+
     def of(self, unix_time: float) -> int:
         """
         Return the number of the window that contains a point in time.
@@ -106,11 +122,25 @@
 class UsageFold:
     """
     Counts and decisions folded from the log.
+
+    :param late_windows: None if the history is complete. Otherwise the log has dropped
+        the oldest records, and this is the number of windows after which the counts of
+        a window are no longer written.
     """
 
+    late_windows: int | None = None
+
     _counts: dict[int, dict[tuple[str, str], int]] = field(default_factory=dict)
     _closed_by: dict[int, set[str]] = field(default_factory=dict)
     _decided: dict[int, dict[str, int]] = field(default_factory=dict)
+    _first_known: int | None = None
+
+    @classmethod
+    def truncated(cls, windows: UsageWindows) -> UsageFold:
+        """
+        Return the fold of a reader that starts after the oldest records were dropped.
+        """
+        return cls(windows.late_windows)
 
     @property
     def last_decided(self) -> int | None:
@@ -135,6 +165,7 @@
         """
         match record:
             case UsageCounted(source=source, window=window, counts=counts):
+                self._record_first_count(window)
                 if record.whole:
                     self._closed_by.setdefault(window, set()).add(source)
                 known = self._counts.setdefault(window, {})
@@ -145,6 +176,14 @@
                 self._decided.setdefault(window, dict(counts))
         self._drop_old()
 
+    def knows(self, window: int) -> bool:
+        """
+        Return whether all records are known on which the report of a window is based.
+        """
+        if self.late_windows is None:
+            return True
+        return self._first_known is not None and window >= self._first_known
+
     def counted(self, window: int) -> dict[str, int]:
         """
         Return the counts of a window by workspace, summed over all VMs.
@@ -169,6 +208,15 @@
         """
         return self._decided.get(window)
 
+    def _record_first_count(self, window: int) -> None:
+        """
+        Note from which window on all records are known: those of the windows that began
+        after the oldest count in the log was written, and of the windows before that
+        tell which sources are awaited.
+        """
+        if self._first_known is None and self.late_windows is not None:
+            self._first_known = window + self.late_windows + _ACTIVE_SOURCE_WINDOWS
+
     def _drop_old(self) -> None:
         for table in (self._counts, self._decided, self._closed_by):
             while len(table) > 2 * _MAX_WINDOWS:
--- a/packages/saddledoord/src/saddledoord/duties/usage_reporter.py
+++ b/packages/saddledoord/src/saddledoord/duties/usage_reporter.py
@@ -47,6 +47,8 @@
 _CALL_MARGIN = 0.6
 #: Shortest pause after a failed call, in seconds; the longest is twice as long.
 _RETRY_PAUSE = 0.3
+#: Pause before the log is read again after it dropped records, in seconds.
+_TRUNCATED_PAUSE = 0.05
 #: Time without a successful call after which the lease is left to another node, in
 #: seconds; that node may reach the platform.
 _BACK_OFF_AFTER = 2.5
@@ -115,7 +117,8 @@
         fold, windows = self._fold, self._windows
         known = windows.windows_to_resend(now, fold.last_decided)
         decided = [window for window in known if fold.decided(window) is not None]
-        return decided + windows.windows_to_decide(now, fold.first_undecided)
+        due = decided + windows.windows_to_decide(now, fold.first_undecided)
+        return [window for window in due if fold.knows(window)]
 
     def _is_ready(self, window: int, now: float) -> bool:
         """
@@ -187,7 +190,10 @@
             try:
                 page = await self._log.read(USAGE_STREAM, self._next_offset)
             except LogTruncatedError as error:
+                _log.warning("usage_history_incomplete", first=error.first)
                 self._next_offset = error.first
+                self._fold = UsageFold.truncated(self._windows)
+                await asyncio.sleep(_TRUNCATED_PAUSE)
                 continue
             for record in page.records:
                 self._apply(record)
--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -17,6 +17,7 @@
 
 from saddledoor import (
     Denial,
+    EngineCrashFold,
     JobFold,
     KeyFreshnessBounds,
     ResultCode,
@@ -31,6 +32,7 @@
 from .cluster.follow import RegistryFollower
 from .cluster.lease_snapshots import LeaseSnapshotWriter
 from .cluster.leases import LeaseLog
+from .cluster.retention import log_short_retention
 from .cluster.store_watch import StoreWatch, WatchedLog, WatchedRegistry
 from .cluster.view import ClusterView
 from .cluster.work_shares import WorkShares
@@ -139,6 +141,7 @@
         ports: GatewayPorts,
         record_request: Callable[[str, ResultCode, float], None],
     ) -> None:
+        log_short_retention(settings.retention, _needed_retention(settings))
         self._stopping = False
         self._tasks: list[asyncio.Task] = []
         self._process_pauses = ProcessPauses()
@@ -419,6 +422,20 @@
         )
 
 
+def _needed_retention(settings: GatewaySettings) -> dict[str, float]:
+    """
+    Return the shortest sufficient retention of the log by what is read, in seconds.
+    """
+    needed = {
+        "leases": settings.lease_term,
+        "jobs": settings.result_retention,
+        "engine_crashes": EngineCrashFold.retention,
+    }
+    if settings.usage is not None:
+        needed["usage"] = settings.usage.report_period
+    return needed
+
+
 def _report_failure(
     task: asyncio.Task, failed: Callable[[BaseException], None]
 ) -> None:
--- a/packages/saddledoord/src/saddledoord/jobs/service.py
+++ b/packages/saddledoord/src/saddledoord/jobs/service.py
@@ -159,8 +159,13 @@
         self._on_record = lambda: None
         self._expired_at = boot_time()
         self._unreadable: set[tuple[str, str]] = set()
+        self._truncated_at = float("-inf")
         self._follower = LogFollower(
-            log, JOBS_STREAM, self._apply, batch_delay=self._batch_delay
+            log,
+            JOBS_STREAM,
+            self._apply,
+            batch_delay=self._batch_delay,
+            on_truncated=self._restart,
         )
 
     @property
@@ -394,6 +399,9 @@
             _log.info("job_unsure", job=job_id, caught_up=self.caught_up)
             return JobStateUnknown()
         state = self._fold.get(job_id)
+        if state is None and self._may_lack_jobs():
+            _log.info("job_maybe_dropped", job=job_id)
+            return JobStateUnknown()
         if state is None:
             _log.info("job_unknown", job=job_id)
             return JobNotFound()
@@ -441,6 +449,22 @@
             return OutcomeUnknown(ResultCode.OUTCOME_UNKNOWN, reason)
         return NotRun(ResultCode.LOG_AWAY, reason, _RETRY_AFTER)
 
+    def _may_lack_jobs(self) -> bool:
+        """
+        Whether other nodes may know jobs whose records were dropped before this node
+        read them, and that must still be readable.
+        """
+        return boot_time() - self._truncated_at < self._ended_retention
+
+    def _restart(self, first: int) -> None:
+        """
+        Forget the jobs: the log has dropped records that were not read.
+        """
+        _log.warning("job_history_incomplete", first=first)
+        self._truncated_at = boot_time()
+        self._fold.clear()
+        self._on_record()
+
     def _batch_delay(self) -> float:
         return 0.0 if self._runs_jobs() or self._changes.has_waiters else _BATCH_DELAY
 
