--- a/packages/saddledoord/src/saddledoord/cluster/leases.py
+++ b/packages/saddledoord/src/saddledoord/cluster/leases.py
@@ -78,10 +78,11 @@
     @property
     def is_complete(self) -> bool:
         """
-        Whether the state of all leases is known. If the log has dropped records that
-        were not read, no lease is held, or may be claimed, before a snapshot is read.
+        Whether the state of all leases is known: the log has been read, and if it had
+        dropped records that were not read, a snapshot was read since. Until then no
+        lease is held, and none may be claimed.
         """
-        return self._fold.is_complete
+        return self.caught_up and self._fold.is_complete
 
     @property
     def next_offset(self) -> int:
@@ -196,6 +197,8 @@
         """
         Try to claim a lease; return it if the claim succeeded.
         """
+        if not self.caught_up:
+            await self._follower.sync()
         if not self.is_complete:
             return None
         seen = self.get(name)
@@ -268,9 +271,9 @@
 
     def _apply(self, offset: int, data: bytes) -> None:
         record = decode_record(data)
-        was_complete = self.is_complete
+        was_complete = self._fold.is_complete
         self._fold = self._fold.apply(offset, record)
-        if self.is_complete and not was_complete:
+        if self._fold.is_complete and not was_complete:
             _log.info("lease_snapshot_read", offset=offset, leases=len(record.leases))
         for observer in self._observers:
             observer(record)
