--- a/tests/adapter/platform_bed.py
+++ b/tests/adapter/platform_bed.py
@@ -118,6 +118,7 @@
     folder: Path
     lease_ms: int = 1000
     duties: bool = False
+    keep_s: int = 300
     store_port: int = field(default_factory=free_port)
     duties_port: int = field(default_factory=free_port)
     engine_ports: dict[str, int] = field(default_factory=dict)
@@ -136,6 +137,7 @@
         lease_ms: int = 1000,
         duties: bool = False,
         config: dict | None = None,
+        keep_s: int = 300,
     ) -> Iterator:
         """
         Start everything and wait until the edges are ready.
@@ -143,8 +145,10 @@
         :param lease_ms: Lease term, in milliseconds.
         :param duties: Whether usage is reported.
         :param config: First configuration; None for the default one.
+        :param keep_s: Retention of the log in the settings, in seconds; the store keeps
+            all records unless it is told otherwise.
         """
-        bed = cls(folder, lease_ms=lease_ms, duties=duties)
+        bed = cls(folder, lease_ms=lease_ms, duties=duties, keep_s=keep_s)
         try:
             bed._run("store", "store", str(bed.store_port))
             until(lambda: bed._answers(bed.store_port))
@@ -257,7 +261,7 @@
         metrics = self.metrics_ports.setdefault(name, free_port())
         path = self.settings_path(name)
         ports = (front, ready, self.store_port)
-        text = SETTINGS.format(name, *ports, self.lease_ms)
+        text = SETTINGS.format(name, *ports, self.lease_ms, self.keep_s)
         if self.duties:
             text += DUTIES.format(self.duties_port)
         path.write_text(text)
--- a/tests/adapter/platform_documents.py
+++ b/tests/adapter/platform_documents.py
@@ -140,7 +140,7 @@
 record_bytes = 2048
 call_bytes = 4100
 ttl_min_ms = 1000
-max_queue_s = 300
+max_queue_s = {5}
 [timing_bounds]
 lease_ms = {4}
 grace_s = 8
--- a/tests/adapter/standin_store.py
+++ b/tests/adapter/standin_store.py
@@ -8,8 +8,10 @@
 
 import asyncio
 import base64
+import bisect
 import contextlib
 import struct
+import time
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -26,11 +28,20 @@
 class _Topic:
     first: int = 0
     records: list[bytes] = field(default_factory=list)
+    times: list[float] = field(default_factory=list)
 
     @property
     def end(self) -> int:
         return self.first + len(self.records)
 
+    def drop(self, before: float) -> None:
+        """
+        Drop the records that were appended before a monotonic time.
+        """
+        count = bisect.bisect_left(self.times, before)
+        del self.records[:count], self.times[:count]
+        self.first += count
+
 
 class _Store:
     """
@@ -49,6 +60,8 @@
     :ivar slow_by: Duration of each read, in seconds.
     :ivar slow_in: Topic to which ``slow_by`` applies; empty for all.
     :ivar slow_entries: Duration of each read of the engines' entries, in seconds.
+    :ivar keep_s: Time for which records of the topic ``control`` are kept, in seconds;
+        0 for all of them.
     :ivar reads: Number of records read, by topic.
     """
 
@@ -67,6 +80,7 @@
         self.slow_in = ""
         self.busy_after = 0
         self.slow_entries = 0.0
+        self.keep_s = 0.0
         self.reads: Counter[str] = Counter()
 
     def topic(self, name: str) -> _Topic:
@@ -81,6 +95,7 @@
                 value = record[1 + record[0] :]
                 self._keyed.setdefault(name, {})[key] = (topic.end, value)
             topic.records.append(record)
+            topic.times.append(time.monotonic())
         async with self._grown:
             self._grown.notify_all()
         return offset
@@ -127,6 +142,8 @@
         if self.slow_in in ("", name):
             await asyncio.sleep(self.slow_by)
         topic = self.topic(name)
+        if self.keep_s and name == "control":
+            topic.drop(time.monotonic() - self.keep_s)
         start = int(request.query["from"])
         wait = int(request.query.get("wait_ms", "0")) / 1000
         if start < topic.first:
@@ -190,6 +207,7 @@
             "slow_in",
             "busy_after",
             "slow_entries",
+            "keep_s",
         ):
             setattr(self, name, body.get(name, getattr(self, name)))
         for name, key, value in body.get("put", ()):
@@ -197,7 +215,7 @@
             await self.put(name, [record])
         for name in body.get("forget", ()):
             topic = self.topic(name)
-            topic.first, topic.records = topic.end, []
+            topic.drop(time.monotonic())
         async with self._grown:
             self._grown.notify_all()
         ends = {name: topic.end for name, topic in self._topics.items()}
--- a/tests/guard_rows/__init__.py
+++ b/tests/guard_rows/__init__.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from . import crashes, engines, jobs, keys, nodes, requests
+from . import crashes, engines, history, jobs, keys, nodes, requests
 from .guard import Guard
 
 
@@ -19,4 +19,5 @@
     *nodes.GUARDS,
     *crashes.GUARDS,
     *keys.GUARDS,
+    *history.GUARDS,
 )
--- a/tests/guard_rows/guard.py
+++ b/tests/guard_rows/guard.py
@@ -21,6 +21,8 @@
     "CRASH_WATCH",
     "EVENT_STREAM",
     "FOLLOW",
+    "LEASE_HISTORY",
+    "LOG_HISTORY",
     "Guard",
     "HTTP_SERVER",
     "ITEMS",
@@ -76,6 +78,8 @@
 PLACEMENT = "tests/test_item_placement.py"
 REGISTRY = "tests/adapter/test_registry.py"
 FOLLOW = "tests/test_follow.py"
+LEASE_HISTORY = "tests/test_lease_history.py"
+LOG_HISTORY = "tests/test_log_history.py"
 INCARNATIONS = "tests/test_engine_lives.py"
 CRASH_FOLD = "tests/test_engine_crash_fold.py"
 CRASH_WATCH = "tests/test_engine_crash_watch.py"
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -19,7 +19,18 @@
 from .keys import make_workspaces
 from .load import Load
 from .observed import ConfigChange, Observations, PlannedStop
-from .plan import DESKS, EDGES, HOLDER, OPERATOR, POOL, STORE, Fault, Kind, SoakPlan
+from .plan import (
+    DESKS,
+    EDGES,
+    HOLDER,
+    JOINER,
+    OPERATOR,
+    POOL,
+    STORE,
+    Fault,
+    Kind,
+    SoakPlan,
+)
 
 
 __all__ = ["Injector"]
@@ -99,7 +110,7 @@
             threading.Thread(
                 target=self._run_series, args=(plan.of(target),), name=target
             )
-            for target in (*EDGES, *POOL, *DESKS, STORE, OPERATOR, HOLDER)
+            for target in (*EDGES, *POOL, *DESKS, STORE, OPERATOR, HOLDER, JOINER)
         ]
         for thread in threads:
             thread.start()
@@ -125,6 +136,8 @@
             self._crash(fault)
         elif fault.kind is Kind.FREEZE_HOLDER:
             self._pause_holder(fault)
+        elif fault.kind is Kind.JOIN:
+            self._join(fault)
         elif fault.target in EDGES:
             with self.edge_locks[fault.target]:
                 self._inject_edge_fault(fault)
@@ -194,6 +207,23 @@
                 f"{edge} was not ready {READY_LIMIT:g} s after"
             )
 
+    def _join(self, fault: Fault) -> None:
+        """
+        Add a VM, which reads a log whose oldest records were dropped, and kill it.
+        """
+        edge = f"{JOINER}-{self.counts[Kind.JOIN]}"
+        self.bed.start_edge(edge)
+        try:
+            until(lambda: self.bed.ready(edge), READY_LIMIT)
+        except AssertionError:
+            self.observations.unrecovered.append(
+                f"{edge} was not ready {READY_LIMIT:g} s after"
+            )
+        self._announce_version()
+        time.sleep(fault.duration)
+        self.bed.signal(edge, signal.SIGKILL)
+        self.bed.wait_end(edge)
+
     def _pause_holder(self, fault: Fault) -> None:
         """
         Pause the edge that gave the last order for longer than its lease term.
@@ -204,7 +234,7 @@
         orders = [
             line
             for line in list(self.observations.engine_lines)
-            if line.what == "order"
+            if line.what == "order" and line.holder in EDGES
         ]
         edge = max(orders, key=lambda line: line.at).holder if orders else EDGES[0]
         with self.edge_locks[edge]:
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -38,6 +38,21 @@
 
 
 MUTANTS = (
+    Mutant(
+        "a truncated history counts as complete",
+        (
+            (
+                f"{LIBRARY}/_leases.py",
+                "is_complete=first == 0)",
+                "is_complete=True)",
+            ),
+            (
+                f"{LIBRARY}/_leases.py",
+                "if offset != record.folded_to:",
+                "if True:",
+            ),
+        ),
+    ),
     Mutant(
         "an unrepeatable request is sent again",
         (
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -16,6 +16,7 @@
     "DESKS",
     "EDGES",
     "HOLDER",
+    "JOINER",
     "OPERATOR",
     "POOL",
     "STORE",
@@ -35,6 +36,8 @@
 OPERATOR = "operator"
 #: The edge that gave the last order to an engine.
 HOLDER = "holder"
+#: VMs that are added to the deployment, each a new one.
+JOINER = "joiner"
 #: Default and longest duration of fault injection, in seconds.
 _DEFAULT_SECONDS, _MAX_SECONDS = 14.0, 120.0
 #: Time without faults at the start, in seconds, so that requests are served first.
@@ -74,6 +77,8 @@
     LOSE_UNDONE = "lose_undone"
     #: Unanswered appends are carried out later.
     LOSE_LATE = "lose_late"
+    #: A VM is added, and killed at the end of the fault.
+    JOIN = "join"
     CONFIGURE = "configure"
     NAME_VERSION = "name_version"
 
@@ -193,6 +198,7 @@
             _draw_series(draw, STORE, _STORE_KINDS, 2.5, settings),
             _draw_series(draw, OPERATOR, _OPERATOR_KINDS, 0.6, settings),
             _draw_series(draw, HOLDER, (Kind.FREEZE_HOLDER,), 2.5, settings),
+            _draw_series(draw, JOINER, (Kind.JOIN,), 2.5, settings),
         ]
         return cls(seed, _sort_faults(series))
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -30,6 +30,9 @@
 _CHECK_INTERVAL = 1.0
 #: Time limit for recovery after the last fault, in seconds, as in the platform's rules.
 _RECOVERY_LIMIT = 12.0
+#: Time for which the store keeps the records of leases, in seconds; shorter than a run,
+#: so that edges start with a truncated history.
+_LEASES_KEPT = 5
 
 
 class SoakBrokenError(Exception):
@@ -87,7 +90,9 @@
         engines=len(POOL),
         duties=True,
         config=config_with_routes(1),
+        keep_s=_LEASES_KEPT,
     ) as bed:
+        bed.fake_store(keep_s=_LEASES_KEPT)
         for engine in POOL:
             bed.fake_engine(engine, pace=EVENT_INTERVAL)
         load = Load(bed, observations)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -28,6 +28,7 @@
     DESKS,
     EDGES,
     HOLDER,
+    JOINER,
     OPERATOR,
     POOL,
     STORE,
@@ -57,7 +58,7 @@
     Faults of one process do not overlap; all faults lie within the run.
     """
     plan = SoakPlan.from_seed(seed, _SETTINGS)
-    for target in (*EDGES, *POOL, *DESKS, STORE, OPERATOR, HOLDER):
+    for target in (*EDGES, *POOL, *DESKS, STORE, OPERATOR, HOLDER, JOINER):
         process_faults = plan.of(target)
         for before, after in itertools.pairwise(process_faults):
             assert before.at + before.duration <= after.at
