--- a/tests/test_log_history.py
+++ b/tests/test_log_history.py
@@ -63,6 +63,8 @@
 _ITEMS = st.sampled_from(["item-0", "item-1", "item-2"])
 _WORKSPACES = st.sampled_from(["red", "blue"])
 _KEYS = "abc"
+#: Share of a stream's records that is dropped.
+_SHARES = st.sampled_from([0.0, 0.3, 0.6, 0.9, 1.0])
 #: Windows after which the counts of a window are no longer written.
 _LATE_WINDOWS = 2
 _STREAMS = ("leases", "jobs", "usage", "crashes")
@@ -170,19 +172,39 @@
             reader.apply(stream, offset, record)
         return offset
 
-    @rule(stream=st.sampled_from(_STREAMS), share=st.floats(0, 1))
-    def drop(self, stream: str, share: float) -> None:
-        kept = len(self.log[stream]) - self.first[stream]
-        self.first[stream] += round(share * kept)
-
-    @rule()
-    @precondition(lambda self: len(self.late) < 3)
-    def join(self) -> None:
-        reader = _Reader(self.folds, dict(self.first))
+    def teardown(self) -> None:
+        """
+        Compare a reader that starts at each record with the one that read all of them.
+        """
+        if not hasattr(self, "log"):
+            return
+        lengths = {stream: len(records) for stream, records in self.log.items()}
+        for cut in range(max(lengths.values()) + 1):
+            first = {stream: min(cut, length) for stream, length in lengths.items()}
+            self.late = [self.reader_from(first)]
+            self.leases_are_equal_or_unknown()
+            self.jobs_are_equal_or_unknown()
+            self.usage_is_equal_or_unknown()
+            self.crashes_are_part_of_the_known_ones()
+
+    def reader_from(self, first: dict[str, int]) -> _Reader:
+        reader = _Reader(self.folds, dict(first))
         for stream in _STREAMS:
-            for offset in range(self.first[stream], len(self.log[stream])):
+            for offset in range(first[stream], len(self.log[stream])):
                 reader.apply(stream, offset, self.log[stream][offset])
-        self.late.append(reader)
+        return reader
+
+    @rule(shares=st.fixed_dictionaries(dict.fromkeys(_STREAMS, _SHARES)))
+    def drop_and_join(self, shares: dict[str, float]) -> None:
+        """
+        Drop a share of the records of each stream; then a reader starts. It replaces
+        the oldest one of several.
+        """
+        for stream in _STREAMS:
+            kept = len(self.log[stream]) - self.first[stream]
+            self.first[stream] += round(shares[stream] * kept)
+        reader = self.reader_from(self.first)
+        self.late = [*self.late[-2:], reader]
 
     # -------------------------------------------------------------- leases
 
