--- a/tests/adapter/test_boundary.py
+++ b/tests/adapter/test_boundary.py
@@ -69,7 +69,7 @@
 
 
 def _settings() -> str:
-    return SETTINGS.format("edge-0", 1001, 1002, 1003, 1000)
+    return SETTINGS.format("edge-0", 1001, 1002, 1003, 1000, 300)
 
 
 def test_settings_are_read_and_unknown_fields_passed_over(tmp_path):
--- a/tests/adapter/test_placement_fields.py
+++ b/tests/adapter/test_placement_fields.py
@@ -126,7 +126,7 @@
     Without these fields nothing is restricted and no engines are ordered.
     """
     path = tmp_path / "boot.toml"
-    text = SETTINGS.format("edge-0", 1001, 1002, 1003, 1000)
+    text = SETTINGS.format("edge-0", 1001, 1002, 1003, 1000, 300)
     path.write_text(text)
     plain = load_boot_settings(path)
     assert (plain.region, dict(plain.regions)) == ("", {})
