--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -17,6 +17,7 @@
 
 from saddledoor import (
     Denial,
+    EngineCrashFold,
     JobFold,
     KeyFreshnessBounds,
     ResultCode,
@@ -29,7 +30,9 @@
 from .cluster.change_notifier import ChangeNotifier
 from .cluster.engine_timeouts import EngineTimeouts
 from .cluster.follow import RegistryFollower
+from .cluster.lease_snapshots import LeaseSnapshotWriter
 from .cluster.leases import LeaseLog
+from .cluster.retention import log_short_retention
 from .cluster.store_watch import StoreWatch, WatchedLog, WatchedRegistry
 from .cluster.view import ClusterView
 from .cluster.work_shares import WorkShares
@@ -138,6 +141,7 @@
         ports: GatewayPorts,
         record_request: Callable[[str, ResultCode, float], None],
     ) -> None:
+        log_short_retention(settings.retention, _needed_retention(settings))
         self._stopping = False
         self._tasks: list[asyncio.Task] = []
         self._process_pauses = ProcessPauses()
@@ -165,6 +169,9 @@
             view, lambda: self._operator.synced_at, settings.key_bounds
         )
         self._leases = LeaseLog(log, f"{settings.vm}@{settings.address}")
+        self._lease_snapshots = LeaseSnapshotWriter(
+            self._leases, settings.retention, settings.lease_term
+        )
         self._crash_watch = EngineCrashWatch(
             ports.engines, self.view.engine_tables, self._leases, log
         )
@@ -293,6 +300,7 @@
         self.admission.set_bounds(key_bounds)
         self._log_freshness.set_cancel_limit(cancel_limit)
         self.jobs.set_retention(result_retention, retention)
+        self._lease_snapshots.set_retention(retention)
 
     def start(self, failed: Callable[[BaseException], None]) -> None:
         """
@@ -307,6 +315,7 @@
             self.jobs.run(),
             self._writer.run(),
             self._leases.run(),
+            self._lease_snapshots.run(),
             self._crash_watch.run(),
             self._shares.run(),
             self._runner.run(),
@@ -413,6 +422,20 @@
         )
 
 
+def _needed_retention(settings: GatewaySettings) -> dict[str, float]:
+    """
+    Return the shortest sufficient retention of the log by what is read, in seconds.
+    """
+    needed = {
+        "leases": settings.lease_term,
+        "jobs": settings.result_retention,
+        "engine_crashes": EngineCrashFold.retention,
+    }
+    if settings.usage is not None:
+        needed["usage"] = settings.usage.report_period
+    return needed
+
+
 def _report_failure(
     task: asyncio.Task, failed: Callable[[BaseException], None]
 ) -> None:
