Decide and order the number of engines by demand

Cause: the number of engines of a service was fixed, whatever the work, and spot engines that were taken away were not replaced.

Change: where a service has limits for scaling and the settings name the duty, the VM with the lease `scale` orders engines from the use of slots by jobs. Texts move from an engine that announces its end. Without either, nothing runs.

--- a/packages/saddledoor/src/saddledoor/_engine_directory.py
+++ b/packages/saddledoor/src/saddledoor/_engine_directory.py
@@ -157,6 +157,16 @@
             and now < usable_until
         )
 
+    def leaving(self, service: str) -> list[EngineEntry]:
+        """
+        Return the engines of a service that are draining.
+        """
+        return [
+            entry
+            for entry in self._entries.values()
+            if entry.service == service and entry.draining
+        ]
+
     def usable(self, service: str, now: float) -> list[EngineEntry]:
         """
         Return the engines of a service that may get new work: those that are not
--- a/packages/saddledoord/src/saddledoord/duties/lease.py
+++ b/packages/saddledoord/src/saddledoord/duties/lease.py
@@ -57,6 +57,22 @@
             _log.warning("duty_fenced", duty=self._duty, fence=fence)
             self._held = None
 
+    async def confirm(self, fence: int) -> bool | None:
+        """
+        Read the log, and return whether this node still holds the lease.
+
+        :param fence: The fencing number of the lease.
+        :returns: None if the store does not answer.
+        """
+        if not await self._leases.sync():
+            return None
+        lease = self._leases.get(self._duty)
+        return (
+            lease is not None
+            and lease.fence == fence
+            and self._leases.is_mine(self._duty)
+        )
+
     async def run(self) -> None:
         """
         Claim the lease when it is free, and renew it while held, until cancelled.
--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -18,6 +18,7 @@
 from saddledoor import (
     Denial,
     EngineCrashFold,
+    EngineEntry,
     JobFold,
     KeyFreshnessBounds,
     ResultCode,
@@ -47,8 +48,11 @@
 from .jobs.service import JobService
 from .jobs.texts import TextStore
 from .orders.weights import WeightUpdater
-from .ports import DutyCalls, Engines, Registry, SharedLog
+from .ports import DutyCalls, Engines, KeyedEntry, Registry, SharedLog
 from .process_pauses import ProcessPauses
+from .scaling.controller import ReadState, ScalingController
+from .scaling.duty import ScalingDuty
+from .scaling.leaving import LeavingEngines
 from .serving.admission import Admission
 from .serving.engine_crash_watch import EngineCrashWatch
 from .serving.gate import SendGate
@@ -92,6 +96,8 @@
     :param key_bounds: Freshness bounds for the known keys.
     :param usage: Windows of the usage that is reported; None if no usage is reported.
     :param regions: Region of each data centre.
+    :param orders_engines: Whether engines may be ordered from the platform.
+    :param holds_engines: Whether the numbers of engines stay as they are.
     """
 
     vm: str
@@ -106,6 +112,8 @@
     key_bounds: KeyFreshnessBounds
     usage: UsageWindows | None = None
     regions: Mapping[str, str] = field(default_factory=dict)
+    orders_engines: bool = False
+    holds_engines: bool = False
 
 
 @dataclass(frozen=True)
@@ -133,6 +141,7 @@
 
     :param record_request: Called with the route, the result code and the duration in
         seconds of each request.
+    :param evacuated: Returns the data centres whose engines get no work.
     """
 
     def __init__(
@@ -140,6 +149,7 @@
         settings: GatewaySettings,
         ports: GatewayPorts,
         record_request: Callable[[str, ResultCode, float], None],
+        evacuated: Callable[[], frozenset[str]] = frozenset,
     ) -> None:
         log_short_retention(settings.retention, _needed_retention(settings))
         self._stopping = False
@@ -152,7 +162,7 @@
         self._operator = RegistryFollower(
             WatchedRegistry(ports.operator, self._store),
             "operator",
-            view.apply_operator,
+            self._apply_operator,
         )
         self._entries = RegistryFollower(
             WatchedRegistry(ports.entries, self._store),
@@ -209,7 +219,8 @@
         )
         paces = EnginePaces(self.view.engine_tables)
         unresponsive = UnresponsiveEngines(ports.engines, self.view.engine_tables)
-        placement = Placement(self.view, pool, paces, unresponsive)
+        self._leaving = LeavingEngines(view.engine_tables)
+        placement = Placement(self.view, pool, paces, unresponsive, self._leaving)
         self._log_freshness = LogFreshness(self._log_read_state, settings.cancel_limit)
         self._runner = JobRunner(
             self.jobs,
@@ -218,7 +229,14 @@
             self._gate,
             unresponsive,
             placement,
-            AttemptRunner(ports.engines, paces, placement, timeouts, self._crash_watch),
+            AttemptRunner(
+                ports.engines,
+                paces,
+                placement,
+                timeouts,
+                self._crash_watch,
+                placement.must_leave,
+            ),
             self._crash_watch,
             self._writer,
             texts,
@@ -234,6 +252,23 @@
             self._usage = UsageDuty(
                 log, ports.duties, lease, settings.usage, settings.vm, settings.address
             )
+        self._holds_engines = settings.holds_engines
+        self.scaling: ScalingDuty | None = None
+        if ports.duties is not None and settings.orders_engines:
+            self.scaling = ScalingDuty(
+                view,
+                lambda: DutyLease(self._leases, "scale", settings.lease_term),
+                lambda lease: ScalingController(
+                    view,
+                    ports.duties,
+                    lease,
+                    self._scaling_read_state,
+                    self.jobs.open_jobs,
+                    evacuated,
+                    lambda: self._holds_engines,
+                    settings.vm,
+                ),
+            )
         self._weights = WeightUpdater(
             self.view,
             ports.engines,
@@ -293,10 +328,12 @@
         result_retention: float,
         retention: float,
         key_bounds: KeyFreshnessBounds,
+        holds_engines: bool = False,
     ) -> None:
         """
         Change bounds while the node runs; see `GatewaySettings`.
         """
+        self._holds_engines = holds_engines
         self.admission.set_bounds(key_bounds)
         self._log_freshness.set_cancel_limit(cancel_limit)
         self.jobs.set_retention(result_retention, retention)
@@ -329,6 +366,12 @@
             task = asyncio.create_task(loop)
             task.add_done_callback(lambda task: _report_failure(task, failed))
             self._tasks.append(task)
+        if self.scaling is not None:
+            self.scaling.start(
+                lambda task: task.add_done_callback(
+                    lambda task: _report_failure(task, failed)
+                )
+            )
 
     async def stop(self, store_timeout: float) -> None:
         """
@@ -346,7 +389,9 @@
         self._runner.hand_over()
         flushed = await self._writer.wait_until_flushed(_FLUSH_TIMEOUT)
         await self._shares.release()
-        await asyncio.gather(self._lease.release(), self._release_usage())
+        await asyncio.gather(
+            self._lease.release(), self._release_usage(), self._release_scaling()
+        )
         _log.info(
             "handed_over", flushed=flushed, seconds=round(boot_time() - started_at, 3)
         )
@@ -357,6 +402,8 @@
         """
         if self._usage is not None:
             await self._usage.close()
+        if self.scaling is not None:
+            await self.scaling.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -365,6 +412,19 @@
         if self._usage is not None:
             await self._usage.release()
 
+    async def _release_scaling(self) -> None:
+        if self.scaling is not None:
+            await self.scaling.release()
+
+    def _scaling_read_state(self) -> ReadState:
+        is_reading = (
+            self.jobs.caught_up
+            and self.jobs.is_store_reachable
+            and self._entries.is_loaded
+        )
+        read_at = min(self.jobs.synced_at, self._entries.synced_at)
+        return ReadState(read_at, is_reading, self._process_pauses.ended_at)
+
     def _count_usage(self, workspace: str, started_at: float) -> None:
         if self._usage is not None:
             self._usage.count(workspace, started_at)
@@ -402,8 +462,15 @@
     def _wake(self) -> None:
         self._runner.wake()
 
+    def _apply_operator(self, entry: KeyedEntry) -> None:
+        self.view.apply_operator(entry)
+        if self.scaling is not None:
+            self.scaling.follow_config()
+
     def _apply_engine(self, entry) -> None:
         self.view.apply_engine(entry)
+        if isinstance(entry.value, EngineEntry):
+            self._leaving.observe(entry.value)
         self._wake()
 
     def _may_retain_running(self, model: str) -> bool:
--- a/packages/saddledoord/src/saddledoord/jobs/attempt.py
+++ b/packages/saddledoord/src/saddledoord/jobs/attempt.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from saddledoor import EngineEntry, GatewayRoute, GeneratedEvent
 
@@ -106,9 +107,15 @@
             self._resumed_at = now
 
 
+def _stays(run: ItemRun, engine: EngineEntry) -> bool:
+    return False
+
+
 class AttemptRunner:
     """
     Runs job items at engines, one call for each attempt.
+
+    :param must_leave: Tells whether an item should move, since its engine will end.
     """
 
     def __init__(
@@ -118,7 +125,9 @@
         placement: Placement,
         timeouts: EngineTimeouts,
         crash_watch: EngineCrashWatch,
+        must_leave: Callable[[ItemRun, EngineEntry], bool] = _stays,
     ) -> None:
+        self._must_leave = must_leave
         self._crash_watch = crash_watch
         self._timeouts = timeouts
         self._engines = engines
@@ -192,6 +201,10 @@
                     # An event that arrived during a pause has no known time.
                     at_engine.record_event()
                 self._add_event(run, route, engine, event)
+                if self._must_leave(run, engine):
+                    raise GenerationFailedError(
+                        GenerationFailedError.SLOW, "the engine ends before the text"
+                    )
                 received = run.text.last - resumed_after
                 if (
                     received % _PACE_CHECK_EVENTS == 0
--- a/packages/saddledoord/src/saddledoord/jobs/item_run.py
+++ b/packages/saddledoord/src/saddledoord/jobs/item_run.py
@@ -118,6 +118,13 @@
             sent.host, sent.method, sent.target, sent.body, sent.request_id
         )
 
+    @property
+    def name(self) -> str:
+        """
+        Identifies the item among all items of this node.
+        """
+        return f"{self.state.job.job_id}/{self.item.item_id}"
+
     @property
     def checkpointed_text(self) -> CheckpointedText:
         """
--- a/packages/saddledoord/src/saddledoord/jobs/placement.py
+++ b/packages/saddledoord/src/saddledoord/jobs/placement.py
@@ -21,9 +21,11 @@
     choose_placement,
     is_worth_moving,
 )
+from saddledoor.scaling import LeavingText
 
 from .._clock import boot_time
 from ..cluster.view import ClusterView
+from ..scaling.leaving import LeavingEngines
 from ..serving.pace import EnginePaces
 from ..serving.pool import EnginePool, Reservation
 from ..serving.unresponsive_engines import UnresponsiveEngines
@@ -50,8 +52,10 @@
         pool: EnginePool,
         paces: EnginePaces,
         unresponsive: UnresponsiveEngines,
+        leaving: LeavingEngines | None = None,
     ) -> None:
         self._unresponsive = unresponsive
+        self._leaving = leaving or LeavingEngines(view.engine_tables)
         self._view = view
         self._pool = pool
         self._paces = paces
@@ -172,6 +176,32 @@
         worth = is_worth_moving(remaining_events, gap, gap_there, run.pace_moves)
         return other if worth else None
 
+    def must_leave(self, run: ItemRun, engine: EngineEntry) -> bool:
+        """
+        Return whether an item should move now, since its engine ends before its text.
+        """
+        return self._leaving.must_move(
+            engine.incarnation,
+            run.name,
+            lambda: self._texts_at(engine),
+            lambda: self._places_elsewhere(run, engine),
+        )
+
+    def _texts_at(self, engine: EngineEntry) -> list[LeavingText]:
+        gap = self._paces.gap(engine.incarnation, boot_time()) or _DEFAULT_GAP
+        return [
+            LeavingText(run.name, self._events_left(run) * gap)
+            for run in self._running[engine.incarnation]
+        ]
+
+    def _places_elsewhere(self, run: ItemRun, engine: EngineEntry) -> int:
+        """
+        Return the number of engines with a free slot, or 0 if none can resume the item.
+        """
+        if self.find_alternative(run, engine) is None:
+            return 0
+        return len(self._pool.with_free_slots(engine.service, run.state.job.model))
+
     def _is_responsive(self, engine: Incarnation, now: float) -> bool:
         """
         Whether an engine still makes events, as far as this node knows.
--- a/packages/saddledoord/src/saddledoord/observability/gateway_metrics.py
+++ b/packages/saddledoord/src/saddledoord/observability/gateway_metrics.py
@@ -14,6 +14,9 @@
 from prometheus_client import REGISTRY, generate_latest
 
 from saddledoor import Denial, ResultCode
+from saddledoor.scaling import EngineGroup
+
+from ..scaling.duty import ScalingDuty
 
 
 __all__ = ["GatewayMetrics"]
@@ -27,6 +30,7 @@
     :param skipped: Returns the numbers of skipped store records, by kind of record.
     :param pause_count: Returns the number of process pauses.
     :param denials: Returns the number of sends that were denied, by reason.
+    :param scaling: Returns the ordering of engines; None if none are ordered.
     """
 
     def __init__(
@@ -35,6 +39,7 @@
         skipped: Callable[[], dict[str, int]],
         pause_count: Callable[[], int],
         denials: Callable[[], Mapping[Denial, int]],
+        scaling: Callable[[], ScalingDuty | None] = lambda: None,
     ) -> None:
         meter = MeterProvider(metric_readers=[PrometheusMetricReader()]).get_meter(
             "saddledoord"
@@ -68,6 +73,17 @@
             ],
             description="Engines that a request was not sent to, by number of reason",
         )
+        meter.create_observable_gauge(
+            "saddledoor_engines",
+            [lambda _: _engine_counts(scaling())],
+            description="Engines wanted, seen, booting and leaving",
+        )
+        meter.create_observable_counter(
+            "saddledoor_engine_seconds",
+            [lambda _: _engine_seconds(scaling())],
+            unit="s",
+            description="Time for which engines were seen by this VM",
+        )
         self._seconds = meter.create_histogram(
             "saddledoor_gateway_seconds",
             unit="s",
@@ -86,3 +102,24 @@
         Return the metrics in the Prometheus text format.
         """
         return generate_latest(REGISTRY)
+
+
+def _engine_counts(scaling: ScalingDuty | None) -> list[Observation]:
+    counts = scaling.counts() if scaling is not None else {}
+    return [
+        Observation(n, {"service": service, "state": state, **_labels(group)})
+        for (service, state, group), n in counts.items()
+    ]
+
+
+def _engine_seconds(scaling: ScalingDuty | None) -> list[Observation]:
+    seconds = scaling.engine_seconds() if scaling is not None else {}
+    return [
+        Observation(value, {"service": service, **_labels(group)})
+        for (service, group), value in seconds.items()
+    ]
+
+
+def _labels(group: EngineGroup) -> dict[str, str]:
+    kind = "spot" if group.is_spot else "on-demand"
+    return {"data_centre": group.data_centre, "kind": kind}
--- a/packages/saddledoord/src/saddledoord/ports/__init__.py
+++ b/packages/saddledoord/src/saddledoord/ports/__init__.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from .duties import DutyCalls, DutyOutcome, UsageReport
+from .duties import DutyCalls, DutyOutcome, EngineOrder, UsageReport
 from .engines import (
     EngineAnswer,
     Engines,
@@ -47,6 +47,7 @@
     "DutyCalls",
     "DutyOutcome",
     "EngineAnswer",
+    "EngineOrder",
     "EngineState",
     "Evacuation",
     "Engines",
--- a/packages/saddledoord/src/saddledoord/ports/duties.py
+++ b/packages/saddledoord/src/saddledoord/ports/duties.py
@@ -11,7 +11,7 @@
 from typing import Protocol
 
 
-__all__ = ["DutyCalls", "DutyOutcome", "UsageReport"]
+__all__ = ["DutyCalls", "DutyOutcome", "EngineOrder", "UsageReport"]
 
 
 @dataclass(frozen=True)
@@ -31,12 +31,32 @@
     fence: int
 
 
+@dataclass(frozen=True)
+class EngineOrder:
+    """
+    The number of engines that a service is to have in a data centre.
+
+    :param desired: Absolute number of engines of this kind.
+    :param is_spot: Whether it counts spot engines or the others.
+    :param holder: Name of the VM that holds the lease of the duty.
+    :param fence: Fencing number of its lease.
+    """
+
+    service: str
+    data_centre: str
+    desired: int
+    is_spot: bool
+    holder: str
+    fence: int
+
+
 class DutyOutcome:
     """
     The outcome of a call, as far as the platform reported it.
     """
 
     DONE = "done"
+    #: A higher fencing number was seen; for an order also: no engine is available.
     FENCED = "fenced"
     #: The platform reported that it did not carry the call out.
     REFUSED = "refused"
@@ -57,3 +77,11 @@
             report is not sent if the process was paused since.
         :returns: One of `DutyOutcome`.
         """
+
+    async def order_engines(self, order: EngineOrder, decided_at: float) -> str:
+        """
+        Order engines; the platform ignores an exact repetition.
+
+        :param decided_at: See `report_usage`.
+        :returns: One of `DutyOutcome`.
+        """
--- a/tests/adapter/platform_bed.py
+++ b/tests/adapter/platform_bed.py
@@ -119,6 +119,7 @@
     lease_ms: int = 1000
     duties: bool = False
     keep_s: int = 300
+    duty_names: str = '"usage", "scale"'
     store_port: int = field(default_factory=free_port)
     duties_port: int = field(default_factory=free_port)
     engine_ports: dict[str, int] = field(default_factory=dict)
@@ -138,17 +139,25 @@
         duties: bool = False,
         config: dict | None = None,
         keep_s: int = 300,
+        duty_names: str = '"usage", "scale"',
     ) -> Iterator:
         """
         Start everything and wait until the edges are ready.
 
         :param lease_ms: Lease term, in milliseconds.
         :param duties: Whether usage is reported.
+        :param duty_names: Duties that the settings name, as in the file.
         :param config: First configuration; None for the default one.
         :param keep_s: Retention of the log in the settings, in seconds; the store keeps
             all records unless it is told otherwise.
         """
-        bed = cls(folder, lease_ms=lease_ms, duties=duties, keep_s=keep_s)
+        bed = cls(
+            folder,
+            lease_ms=lease_ms,
+            duties=duties,
+            keep_s=keep_s,
+            duty_names=duty_names,
+        )
         try:
             bed._run("store", "store", str(bed.store_port))
             until(lambda: bed._answers(bed.store_port))
@@ -198,9 +207,12 @@
         port: int,
         model: str = "",
         state: str = "ready",
+        **fields: object,
     ) -> None:
         """
         Write a registry entry on an engine's behalf, with its start time if it runs.
+
+        :param fields: Further fields of the entry.
         """
         started = engine_id in self.engine_ports
         born = self.fake_engine(engine_id)["born"] if started else BORN
@@ -218,6 +230,7 @@
         if model:
             held = {"name": model, "version": 1, "adapters": []}
             entry |= {"stage": "both", "models": [held]}
+        entry |= fields
         self.put("keyed.servers", engine_id, json.dumps(entry))
 
     def remove_entry(self, engine_id: str) -> None:
@@ -263,7 +276,8 @@
         ports = (front, ready, self.store_port)
         text = SETTINGS.format(name, *ports, self.lease_ms, self.keep_s)
         if self.duties:
-            text += DUTIES.format(self.duties_port)
+            duties = DUTIES.format(self.duties_port)
+            text += duties.replace('"usage", "scale"', self.duty_names)
         path.write_text(text)
         out = self.folder / f"{name}.out"
         with out.open("ab") as stream:
--- a/tests/adapter/standin_duties.py
+++ b/tests/adapter/standin_duties.py
@@ -26,6 +26,9 @@
         ``mute`` is silent to reports with counts.
     :ivar lose: Number of calls that are carried out but not answered.
     :ivar late: Number of calls that are not answered and carried out later.
+    :ivar refused: Data centres, with ``/spot`` for spot engines, that have no engine.
+    :ivar scale_mode: As ``mode``, for orders of engines.
+    :ivar orders: All orders of engines that arrived, with the answer's status.
     :ivar fenced: Whether fencing numbers below the highest seen one are refused.
     :ivar calls: All calls that arrived.
     :ivar reports: Reports that were carried out, in order.
@@ -36,9 +39,13 @@
         self.lose = 0
         self.late = 0
         self.fenced = True
+        self.refused: list[str] = []
+        self.scale_mode = "ok"
+        self.orders: list[dict] = []
         self.calls: list[dict] = []
         self.reports: list[dict] = []
         self._top_fence = -1
+        self._top_scale_fences: dict[tuple[str, str], int] = {}
         self._tasks: set[asyncio.Task] = set()
 
     async def usage(self, request: web.Request) -> web.StreamResponse:
@@ -67,6 +74,32 @@
             return _no_answer(request)
         return web.Response(status=status)
 
+    async def scale(self, request: web.Request) -> web.StreamResponse:
+        order = {
+            **await request.json(),
+            "holder": request.headers["Saddledoor-Duty-Holder"],
+            "fence": int(request.headers["Saddledoor-Fence-Token"]),
+            "at": time.time(),
+            "status": 0,
+        }
+        self.orders.append(order)
+        if self.scale_mode == "silent":
+            await asyncio.sleep(3600)
+        if self.scale_mode == "reset":
+            return _no_answer(request)
+        order["status"] = self._scale_status(order)
+        return web.Response(status=order["status"])
+
+    def _scale_status(self, order: dict) -> int:
+        if self.scale_mode == "busy":
+            return 429
+        place = (order["service"], order["zone"])
+        if order["fence"] < self._top_scale_fences.get(place, -1):
+            return 409
+        self._top_scale_fences[place] = order["fence"]
+        name = order["zone"] + ("/spot" if order.get("spot") else "")
+        return 409 if name in self.refused else 200
+
     def _carry_out(self, call: dict) -> int:
         if self.fenced and call["fence"] < self._top_fence:
             return 409
@@ -80,11 +113,13 @@
 
     async def fake(self, request: web.Request) -> web.Response:
         """
-        Set faults, and return the calls and reports.
+        Set faults, and return the calls, reports and orders.
         """
         for name, value in (await request.json()).items():
             setattr(self, name, value)
-        return web.json_response({"calls": self.calls, "reports": self.reports})
+        return web.json_response(
+            {"calls": self.calls, "reports": self.reports, "orders": self.orders}
+        )
 
 
 def _no_answer(request: web.Request) -> web.Response:
@@ -99,5 +134,6 @@
     duties = _Duties()
     app = web.Application()
     app.router.add_post("/usage", duties.usage)
+    app.router.add_post("/scale", duties.scale)
     app.router.add_post("/fake", duties.fake)
     return app
--- a/tests/guard_rows/guard.py
+++ b/tests/guard_rows/guard.py
@@ -42,6 +42,8 @@
     "WORK_SHARES",
     "PROCESS_PAUSES",
     "PLANNED_STOPS",
+    "SCALING",
+    "SCALING_CONTROLLER",
     "SEND_AFTER_PAUSE",
     "SEND_DEADLINE",
     "UNREADABLE",
@@ -90,6 +92,8 @@
 WORKSPACES = "tests/test_workspaces.py"
 CLOCK = "tests/test_clock.py"
 HTTP_SERVER = "tests/test_http_server.py"
+SCALING = "tests/test_scaling_policy.py"
+SCALING_CONTROLLER = "tests/test_scaling_controller.py"
 PLANNED_STOPS = "tests/adapter/test_edge_stops.py"
 
 
