--- a/packages/saddledoor/src/saddledoor/scaling/_policy.py
+++ b/packages/saddledoor/src/saddledoor/scaling/_policy.py
@@ -37,6 +37,10 @@
 _MIN_SAVING = 0.05
 
 
+#: Times, monotonic, in seconds, and values.
+_Peaks = tuple[tuple[float, int], ...]
+
+
 @dataclass(frozen=True)
 class ScalingInputs:
     """
@@ -74,13 +78,15 @@
     :param steady_since: Since when engines could have been given back and no more were
         wanted, monotonic, in seconds.
     :param peaks: Times and needs of the last 20 s, each above all later ones.
+    :param busy_peaks: The same for the engines whose slots the open items fill.
     """
 
     wanted: Mapping[EngineGroup, int]
     need: int
     shrinking: frozenset[EngineGroup] = field(default_factory=frozenset)
     steady_since: float | None = None
-    peaks: tuple[tuple[float, int], ...] = ()
+    peaks: _Peaks = ()
+    busy_peaks: _Peaks = ()
 
     @classmethod
     def from_census(cls, census: Census) -> ScalingState:
@@ -99,7 +105,13 @@
     if inputs.is_fixed:
         return replace(state, steady_since=None)
     need = _needed(state, inputs)
-    state = replace(state, need=need, peaks=_peaks(state, need, inputs.now))
+    busy = math.ceil(inputs.demand.in_use / inputs.census.slots_per_engine)
+    state = replace(
+        state,
+        need=need,
+        peaks=_with_peak(state.peaks, need, inputs.now),
+        busy_peaks=_with_peak(state.busy_peaks, busy, inputs.now),
+    )
     bounds = GroupBounds(
         state.wanted, _ceilings(state.wanted, inputs), inputs.evacuated
     )
@@ -160,22 +172,22 @@
     used = inputs.demand.used
     if used is None:
         return state.need
-    slots = inputs.census.slots_per_engine
-    need = max(
-        math.ceil(used / (_TARGET_USE * slots)), math.ceil(inputs.demand.in_use / slots)
-    )
+    need = math.ceil(used / (_TARGET_USE * inputs.census.slots_per_engine))
     if inputs.keeps_present or not (inputs.demand.is_settled and _may_shrink(inputs)):
         return max(need, state.need)
     return need
 
 
-def _peaks(state: ScalingState, need: int, now: float) -> tuple[tuple[float, int], ...]:
+def _with_peak(peaks: _Peaks, value: int, now: float) -> _Peaks:
+    """
+    Return the peaks of the last 20 s; the first is the largest.
+    """
     higher = [
         (at, peak)
-        for at, peak in state.peaks
-        if peak > need and now - at < _LESS_WANTED_TIME
+        for at, peak in peaks
+        if peak > value and now - at < _LESS_WANTED_TIME
     ]
-    return (*higher, (now, need))
+    return (*higher, (now, value))
 
 
 def _ceilings(
@@ -217,20 +229,18 @@
     is_steady = inputs.now - since >= _LESS_WANTED_TIME
     if saving <= 0.0 or not is_steady or not is_round_over:
         return state
-    return _next_round(state, need, ideal, limits)
+    return _next_round(state, ideal, limits)
 
 
 def _next_round(
-    state: ScalingState,
-    need: int,
-    ideal: Mapping[EngineGroup, int],
-    limits: ScalingLimits,
+    state: ScalingState, ideal: Mapping[EngineGroup, int], limits: ScalingLimits
 ) -> ScalingState:
     """
     Return the state with the orders of the next round.
 
-    :param need: The largest need of the last 20 s.
+    :param ideal: The cheapest distribution for the largest need of the last 20 s.
     """
+    need, busy = state.peaks[0][1], state.busy_peaks[0][1]
     wanted = dict(state.wanted)
     goal = spread_quality(ideal, need, frozenset())
     reduced: set[EngineGroup] = set()
@@ -243,9 +253,10 @@
         fewer = {**wanted, group: wanted[group] - 1}
         in_place = sum(n for g, n in fewer.items() if g[0] == group.data_centre)
         quality = spread_quality(fewer, need, frozenset())
-        if in_place >= limits.minimum and all(
+        is_enough = sum(fewer.values()) >= busy and all(
             ours >= theirs for ours, theirs in zip(quality, goal, strict=True)
-        ):
+        )
+        if in_place >= limits.minimum and is_enough:
             wanted = fewer
             reduced.add(group)
     if reduced:
--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -98,6 +98,8 @@
     :param regions: Region of each data centre.
     :param orders_engines: Whether engines may be ordered from the platform.
     :param holds_engines: Whether the numbers of engines stay as they are.
+    :param engine_drain_time: Time for which an engine that leaves serves on, in
+        seconds; None if unknown.
     """
 
     vm: str
@@ -114,6 +116,7 @@
     regions: Mapping[str, str] = field(default_factory=dict)
     orders_engines: bool = False
     holds_engines: bool = False
+    engine_drain_time: float | None = None
 
 
 @dataclass(frozen=True)
@@ -253,6 +256,7 @@
                 log, ports.duties, lease, settings.usage, settings.vm, settings.address
             )
         self._holds_engines = settings.holds_engines
+        self._engine_drain_time = settings.engine_drain_time
         self.scaling: ScalingDuty | None = None
         if ports.duties is not None and settings.orders_engines:
             self.scaling = ScalingDuty(
@@ -470,9 +474,19 @@
     def _apply_engine(self, entry) -> None:
         self.view.apply_engine(entry)
         if isinstance(entry.value, EngineEntry):
-            self._leaving.observe(entry.value)
+            self._leaving.observe(entry.value, self._drain_time(entry.value))
         self._wake()
 
+    def _drain_time(self, engine: EngineEntry) -> float | None:
+        """
+        Return for how long an engine that may have been given back serves on, in
+        seconds; None where engines are not ordered.
+        """
+        config = self.view.config
+        service = config.services.get(engine.service) if config is not None else None
+        is_scaled = service is not None and service.scaling is not None
+        return self._engine_drain_time if is_scaled else None
+
     def _may_retain_running(self, model: str) -> bool:
         """
         Whether no route of a model's jobs requires texts of a single version.
--- a/tests/test_scaling_controller.py
+++ b/tests/test_scaling_controller.py
@@ -13,13 +13,20 @@
 import pytest
 
 from builders import make_engine_entry, make_gateway_config, make_route
-from saddledoor import GatewayService, HeldLease, RouteKind, ServiceShare
-from saddledoor.scaling import EngineGroup, ScalingLimits
+from saddledoor import (
+    EngineTables,
+    GatewayService,
+    HeldLease,
+    RouteKind,
+    ServiceShare,
+)
+from saddledoor.scaling import EngineGroup, LeavingText, ScalingLimits
 from saddledoord.cluster.view import ClusterView
 from saddledoord.ports import DutyOutcome, EngineOrder, KeyedEntry
 from saddledoord.scaling import controller as controller_module
 from saddledoord.scaling import orders as orders_module
 from saddledoord.scaling.controller import ReadState, ScalingController
+from saddledoord.scaling.leaving import LeavingEngines
 from saddledoord.scaling.orders import OrderSender
 
 
@@ -388,3 +395,31 @@
         assert len(bed.platform.orders) == 1
 
     asyncio.run(run())
+
+
+def test_the_longest_texts_move_first_and_as_many_as_find_a_place():
+    """
+    Guards against texts that leave an engine without another one to go to.
+    """
+    clock = _Clock()
+    leaving = LeavingEngines(EngineTables(), clock)
+    entry = make_engine_entry("e-1", is_spot=True)
+    texts = [LeavingText("a", 3.0), LeavingText("b", 9.0), LeavingText("c", 0.5)]
+
+    def moving(places: int) -> set[str]:
+        return {
+            name
+            for name in "abc"
+            if leaving.must_move(entry.incarnation, name, lambda: texts, lambda: places)
+        }
+
+    leaving.observe(entry)
+    assert moving(3) == set()
+    leaving.observe(replace(entry, draining=True, leaves_in=2.5))
+    assert moving(3) == {"a", "b"}
+    assert moving(1) == {"b"}
+    assert moving(0) == set()
+    # A repeated entry gives the time left when it was first written.
+    clock.now += 1.5
+    leaving.observe(replace(entry, draining=True, leaves_in=2.5))
+    assert moving(3) == {"a", "b", "c"}
