--- a/packages/saddledoor/src/saddledoor/scaling/_policy.py
+++ b/packages/saddledoor/src/saddledoor/scaling/_policy.py
@@ -170,7 +170,8 @@
     at the start cover.
     """
     used = inputs.demand.used
-    if used is None:
+    if used is None or not inputs.census.slots:
+        # Without slots, none are used, whatever the work.
         return state.need
     need = math.ceil(used / (_TARGET_USE * inputs.census.slots_per_engine))
     if inputs.keeps_present or not (inputs.demand.is_settled and _may_shrink(inputs)):
--- a/packages/saddledoorctl/src/saddledoorctl/_platform.py
+++ b/packages/saddledoorctl/src/saddledoorctl/_platform.py
@@ -22,6 +22,7 @@
     "PlatformUnavailableError",
     "fetch_each",
     "fetch_json",
+    "fetch_text",
 ]
 
 #: Longest wait for one answer, in seconds.
@@ -149,6 +150,22 @@
         raise PlatformUnavailableError(f"{url}: {error!r}") from None
 
 
+async def fetch_text(session: aiohttp.ClientSession, url: str) -> str:
+    """
+    Fetch a URL and return the body as text.
+
+    :raises PlatformUnavailableError: If there is no answer or the status is not 200.
+    """
+    limit = aiohttp.ClientTimeout(total=_TIMEOUT)
+    try:
+        async with session.get(url, timeout=limit) as response:
+            if response.status != 200:
+                raise PlatformUnavailableError(f"{url}: status {response.status}")
+            return await response.text()
+    except (TimeoutError, aiohttp.ClientError, ValueError) as error:
+        raise PlatformUnavailableError(f"{url}: {error!r}") from None
+
+
 async def fetch_each(
     session: aiohttp.ClientSession, urls: Iterable[str]
 ) -> dict[str, dict | None]:
--- a/packages/saddledoorctl/src/saddledoorctl/_status.py
+++ b/packages/saddledoorctl/src/saddledoorctl/_status.py
@@ -14,7 +14,13 @@
 import aiohttp
 import click
 
-from ._platform import PlatformUnavailableError, fetch_each, fetch_json
+from ._engine_counts import merge_engine_counts, render_engine_counts
+from ._platform import (
+    PlatformUnavailableError,
+    fetch_each,
+    fetch_json,
+    fetch_text,
+)
 
 
 __all__ = ["status"]
@@ -25,23 +31,38 @@
 @click.command()
 @click.option("--vm", "address", help="HTTP address of one VM, such as 127.0.0.1:7001.")
 @click.option("--vm-list", help="URL of the platform's list of VMs; asks all of them.")
+@click.option(
+    "--metrics",
+    multiple=True,
+    help="Address of a gateway's metrics, such as 10.0.0.1:9464; shows its engines.",
+)
 @click.option("--watch", is_flag=True, help="Print again every two seconds.")
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 def status(
-    address: str | None, vm_list: str | None, watch: bool, as_json: bool
+    address: str | None,
+    vm_list: str | None,
+    metrics: tuple[str, ...],
+    watch: bool,
+    as_json: bool,
 ) -> None:
     """
     Show VMs, the configuration in force, back ends and lease holders.
+
+    With --metrics, show the engines that gateways want, see, and wait for.
     """
-    if (address is None) == (vm_list is None):
-        raise click.UsageError("name either --vm or --vm-list")
+    if [address is None, vm_list is None, not metrics].count(False) != 1:
+        raise click.UsageError("name one of --vm, --vm-list and --metrics")
     while True:
         try:
-            views = asyncio.run(_fetch_views(address, vm_list))
+            if metrics:
+                text = asyncio.run(_show_engines(metrics, as_json))
+            else:
+                views = asyncio.run(_fetch_views(address, vm_list))
+                text = json.dumps(views) if as_json else _render(views)
         except PlatformUnavailableError as error:
             click.echo(str(error), err=True)
             sys.exit(EXIT_UNAVAILABLE)
-        click.echo(json.dumps(views) if as_json else _render(views))
+        click.echo(text)
         if not watch:
             return
         time.sleep(2.0)
@@ -61,6 +82,22 @@
     return {urls[url]: view for url, view in answers.items()}
 
 
+async def _show_engines(addresses: tuple[str, ...], as_json: bool) -> str:
+    async with aiohttp.ClientSession() as session:
+        urls = [f"http://{address}/metrics" for address in addresses]
+        pages = await asyncio.gather(*(fetch_text(session, url) for url in urls))
+    counts = merge_engine_counts(pages)
+    if as_json:
+        names = ("service", "data_centre", "kind")
+        return json.dumps(
+            [
+                dict(zip(names, place, strict=True)) | states
+                for place, states in sorted(counts.items())
+            ]
+        )
+    return render_engine_counts(counts)
+
+
 def _render(views: dict[str, dict | None]) -> str:
     lines = [f"{'VM':<20} {'DATA CENTRE':<16} {'STAGE':<10} {'CONFIG':>7}  LOG"]
     for name, view in sorted(views.items()):
--- a/tests/adapter/test_edge_scaling.py
+++ b/tests/adapter/test_edge_scaling.py
@@ -11,9 +11,11 @@
 import time
 
 import pytest
+from click.testing import CliRunner
 
 from platform_bed import PlatformBed, until
 from platform_documents import MODEL, make_config, make_job, texts, whole_texts
+from saddledoorctl._status import status
 
 
 _SCALING = {
@@ -162,6 +164,11 @@
         metrics = bed._metrics("edge-0")
         assert 'state="wanted"' in metrics
         assert "saddledoor_engine_seconds" in metrics
+        address = f"127.0.0.1:{bed.metrics_ports['edge-0']}"
+        shown = CliRunner().invoke(status, ["--metrics", address])
+        assert shown.exit_code == 0
+        rows = [line.split() for line in shown.output.splitlines()[1:]]
+        assert ["pool", "dc-b", "on-demand", "1", "-", "1", "-"] in rows
         bed.configure(make_config(4))
         until(lambda: any(e["event"] == "scaling_stopped" for e in bed.log("edge-0")))
         count = len(_orders(bed))
--- a/tests/test_scaling_controller.py
+++ b/tests/test_scaling_controller.py
@@ -180,6 +180,26 @@
     Guards against an order from what was read before an outage of the store.
     """
 
+    async def run() -> None:
+        await bed.run(10.0)
+        bed.is_reading = False
+        bed.put("dc-d", 3, is_spot=True, draining=True, leaves_in=2.5)
+        await bed.run(10.0)
+        assert bed.platform.orders == []
+        bed.is_reading = True
+        await bed.run(3.0)
+        assert bed.platform.orders == []
+        await bed.run(3.0)
+        assert bed.platform.orders
+
+    asyncio.run(run())
+
+
+def test_entries_that_lapse_during_an_outage_are_not_replaced(bed):
+    """
+    Guards against replacing engines that serve although their entries are gone.
+    """
+
     async def run() -> None:
         await bed.run(10.0)
         bed.is_reading = False
