--- a/packages/saddledoord/src/saddledoord/scaling/controller.py
+++ b/packages/saddledoord/src/saddledoord/scaling/controller.py
@@ -15,6 +15,7 @@
 from saddledoor import GatewayService, JobState
 from saddledoor.scaling import (
     EngineGroup,
+    OrderRefusals,
     ScalingInputs,
     ScalingState,
     decide_scaling,
@@ -63,16 +64,23 @@
     def __init__(
         self, service: str, calls: DutyCalls, lease: DutyLease, holder: str
     ) -> None:
-        self._new_orders = lambda: OrderSender(service, calls, lease, holder)
+        # What the platform has refused stays known under the next fencing number.
+        self.refusals = OrderRefusals()
+        self._new_orders = lambda: OrderSender(
+            service, calls, lease, holder, self.refusals
+        )
         self.history = ServiceHistory(service)
         self.orders = self._new_orders()
         self.state: ScalingState | None = None
+        self._fence: int | None = None
 
-    def drop_decisions(self) -> None:
+    def keep_decisions_of(self, fence: int) -> None:
         """
-        Forget what was ordered, since another node may order meanwhile.
+        Forget what was ordered under another fencing number, since another node may
+        have ordered meanwhile.
         """
-        if self.state is not None:
+        if fence != self._fence:
+            self._fence = fence
             self.state = None
             self.orders = self._new_orders()
 
@@ -130,10 +138,11 @@
         Engines that are wanted or booting are known only to the node with the lease.
         """
         found: dict[tuple[str, str, EngineGroup], int] = {}
+        is_holder = self._lease.current(0.0) is not None
         for name, scaling in self._services.items():
             census = scaling.history.census
             kinds = {"seen": census.seen, "leaving": census.leaving}
-            if scaling.state is not None:
+            if scaling.state is not None and is_holder:
                 wanted = scaling.state.wanted
                 kinds["wanted"] = wanted
                 kinds["booting"] = {
@@ -177,20 +186,21 @@
         now = boot_time()
         if scaling is None:
             return
-        if self._lease.current(_DECISION_MARGIN) is None:
-            scaling.drop_decisions()
+        held = self._lease.current(_DECISION_MARGIN)
+        if held is None:
             return
+        scaling.keep_decisions_of(held.fence)
         if not self._freshness.is_certain(now):
             return
         history = scaling.history
         for group in history.census.reclaimed:
-            scaling.orders.refusals.record_reclaimed(group, now)
+            scaling.refusals.record_reclaimed(group, now)
         inputs = ScalingInputs(
             now,
             service.scaling,
             history.census,
             history.demand,
-            scaling.orders.refusals.closed(now),
+            scaling.refusals.closed(now),
             self._evacuated(),
             gets_plain_requests(self._view.config, service.name),
             self._is_fixed(),
--- a/packages/saddledoord/src/saddledoord/scaling/orders.py
+++ b/packages/saddledoord/src/saddledoord/scaling/orders.py
@@ -60,10 +60,17 @@
     Sends the orders of one service while the lease is held.
 
     :param holder: Name of this node.
+    :param refusals: Refusals of this service, also those before this node held the
+        lease.
     """
 
     def __init__(
-        self, service: str, calls: DutyCalls, lease: DutyLease, holder: str
+        self,
+        service: str,
+        calls: DutyCalls,
+        lease: DutyLease,
+        holder: str,
+        refusals: OrderRefusals,
     ) -> None:
         self._service = service
         self._calls = calls
@@ -72,7 +79,7 @@
         self._pending: dict[EngineGroup, _Pending] = {}
         self._failing_since: float | None = None
         self._unchecked_refusal: tuple[EngineGroup, int] | None = None
-        self.refusals = OrderRefusals()
+        self._refusals = refusals
 
     async def send(
         self,
@@ -89,7 +96,7 @@
         """
         for group in self._pending.keys() - {group for group, _ in due}:
             del self._pending[group]
-            self.refusals.record_fulfilled(group)
+            self._refusals.record_fulfilled(group)
         for group, desired in due:
             pending = self._pending.get(group)
             if pending is None or pending.desired != desired:
@@ -174,7 +181,7 @@
 
     def _refuse(self, group: EngineGroup, reason: str) -> None:
         self._pending.pop(group, None)
-        pause = self.refusals.record_refused(group, boot_time())
+        pause = self._refusals.record_refused(group, boot_time())
         _log.info(
             "engines_refused",
             service=self._service,
--- a/tests/guard_rows/scaling.py
+++ b/tests/guard_rows/scaling.py
@@ -61,6 +61,13 @@
         "if False:",
         (SCALING_CONTROLLER, "old_decision"),
     ),
+    Guard(
+        "decisions of another fencing number are forgotten, others kept",
+        f"{DAEMON}/scaling/controller.py",
+        "        if fence != self._fence:\n            self._fence = fence\n",
+        "        if True:\n",
+        (SCALING_CONTROLLER, "keeps_the_count"),
+    ),
     Guard(
         "nothing is decided before reads have been fresh for some seconds",
         f"{DAEMON}/scaling/controller.py",
