--- a/tests/adapter/test_edge_scaling.py
+++ b/tests/adapter/test_edge_scaling.py
@@ -132,10 +132,29 @@
     assert ("dc-c", 1) in _ordered(bed)
 
 
-def test_nothing_is_ordered_while_the_platform_or_the_store_is_away(bed):
+def test_nothing_is_ordered_while_the_store_is_away(bed):
     """
-    Guards against orders from an outdated picture, and against a holder that keeps the
-    lease although it cannot reach the platform.
+    Guards against orders from an outdated picture, and against replacing engines whose
+    entries lapsed during the outage.
+    """
+    until(lambda: _orders(bed), 20.0)
+    bed.fake_store(mode="busy")
+    # The lease lapses and the last call ends.
+    time.sleep(2.0)
+    count = len(_orders(bed))
+    bed.remove_entry("engine-0")
+    time.sleep(5.0)
+    assert len(_orders(bed)) == count
+    bed.fake_store(mode="ok")
+    bed.put_entry("engine-0", "pool", bed.engine_ports["engine-0"], MODEL)
+    until(lambda: len(_orders(bed)) > count, 20.0)
+    assert not [order for order in _orders(bed) if order["zone"] == "dc-a"]
+    _check_orders(bed)
+
+
+def test_the_lease_is_left_while_the_platform_refuses_calls(bed):
+    """
+    Guards against a holder that keeps the lease although it cannot reach the platform.
     """
     until(lambda: _orders(bed), 15.0)
     bed.fake_duties(scale_mode="busy")
