--- a/packages/saddledoor/src/saddledoor/__init__.py
+++ b/packages/saddledoor/src/saddledoor/__init__.py
@@ -161,9 +161,13 @@
 )
 from ._workspaces import Admitted, KeyFreshnessBounds, Workspace, WorkspaceTable, admit
 from .eligibility import (
+    ColdLimit,
+    ColdState,
     Denial,
     EngineFacts,
     SendNeeds,
+    SendWindow,
+    TrackedSend,
     check_send,
     intersect_regions,
 )
@@ -173,6 +177,10 @@
 
 __all__ = [
     "Denial",
+    "ColdLimit",
+    "ColdState",
+    "SendWindow",
+    "TrackedSend",
     "EngineFacts",
     "ScalingLimits",
     "SendNeeds",
--- a/packages/saddledoor/src/saddledoor/eligibility/_send_check.py
+++ b/packages/saddledoor/src/saddledoor/eligibility/_send_check.py
@@ -28,6 +28,8 @@
     COLD = 4
     #: The engine has been sent as many requests in the last second as it bears.
     RATE = 5
+    #: This VM has not read for too long which data centres are evacuated.
+    OUTDATED = 6
 
 
 @dataclass(frozen=True)
@@ -53,6 +55,7 @@
     :param may_send_to_cold: Whether this VM may send to cold engines of the service.
     :param sends_left: Requests that this VM may still send it within the current
         second; none for no limit.
+    :param is_up_to_date: Whether this VM would know if its data centre were evacuated.
     """
 
     region: str | None = None
@@ -61,6 +64,7 @@
     is_cold: bool = False
     may_send_to_cold: bool = True
     sends_left: int | None = None
+    is_up_to_date: bool = True
 
 
 def check_send(needs: SendNeeds, engine: EngineFacts) -> Denial | None:
@@ -79,6 +83,8 @@
         return Denial.COLD
     if engine.sends_left is not None and engine.sends_left <= 0:
         return Denial.RATE
+    if not engine.is_up_to_date:
+        return Denial.OUTDATED
     return None
 
 
--- a/packages/saddledoord/src/saddledoord/backends/send_deadline.py
+++ b/packages/saddledoord/src/saddledoord/backends/send_deadline.py
@@ -38,11 +38,13 @@
 
     :param decided_at: Time of the decision to send it, on the clock of `boot_time`, in
         seconds.
+    :param on_written: Called when its first byte was written.
     :param is_started: Whether its first byte was written.
     :param is_dropped: Whether it was dropped before that.
     """
 
     decided_at: float
+    on_written: Callable[[], None]
     is_started: bool = False
     is_dropped: bool = False
 
@@ -50,19 +52,26 @@
 _pending: ContextVar[_PendingRequest | None] = ContextVar("pending", default=None)
 
 
+def _ignore() -> None:
+    pass
+
+
 @asynccontextmanager
 async def send(
-    request: AbstractAsyncContextManager[aiohttp.ClientResponse], decided_at: float
+    request: AbstractAsyncContextManager[aiohttp.ClientResponse],
+    decided_at: float,
+    on_written: Callable[[], None] = _ignore,
 ) -> AsyncIterator[aiohttp.ClientResponse]:
     """
     Send a request of a session that uses `SendDeadlineConnector`.
 
     :param decided_at: Time of the decision to send it, on the clock of `boot_time`, in
         seconds. Applies to this request only.
+    :param on_written: Called when its first byte was written.
     :raises aiohttp.ConnectionTimeoutError: Also if it was decided on too long ago;
         nothing was sent.
     """
-    pending = _PendingRequest(decided_at)
+    pending = _PendingRequest(decided_at, on_written)
     async with AsyncExitStack() as stack:
         token = _pending.set(pending)
         try:
@@ -113,6 +122,7 @@
             raise TimeoutError("decided on too long ago")
         written = write(*arguments)
         pending.is_started = True
+        pending.on_written()
         return written
 
 
--- a/packages/saddledoord/src/saddledoord/cluster/follow.py
+++ b/packages/saddledoord/src/saddledoord/cluster/follow.py
@@ -326,6 +326,8 @@
     :param on_reload: Called with the existing keys after all keys have been read.
     :param on_reachable: Called with False when the store becomes unavailable, and with
         True when it answers again.
+    :param max_age: Returns the time without a complete read, in seconds, after which
+        the next read does not wait at the store; infinite for never.
     """
 
     def __init__(
@@ -335,7 +337,10 @@
         apply: Callable[[KeyedEntry], None],
         on_reload: Callable[[set[str]], None] = lambda keys: None,
         on_reachable: Callable[[bool], None] = _ignore,
+        max_age: Callable[[], float] = lambda: float("inf"),
     ) -> None:
+        self._max_age = max_age
+        self._last_read_at = float("-inf")
         self._registry = registry
         self._name = name
         self._apply = apply
@@ -355,6 +360,21 @@
         """
         return self._synced_at
 
+    @property
+    def is_store_reachable(self) -> bool:
+        """
+        Whether the store answered the last read.
+        """
+        return self._reachability.is_store_reachable
+
+    @property
+    def last_read_at(self) -> float:
+        """
+        Start of the newest read that has ended, answered or not, monotonic, in
+        seconds.
+        """
+        return self._last_read_at
+
     @property
     def is_loaded(self) -> bool:
         """
@@ -378,11 +398,13 @@
             try:
                 page = await self._page()
             except StoreUnavailableError as error:
+                self._last_read_at = started_at
                 self._reachability.record_failure(str(error))
                 # Entries may expire unseen during an outage: read all of them after it.
                 self._next = None
                 await asyncio.sleep(_RETRY_PAUSE)
                 continue
+            self._last_read_at = started_at
             self._reachability.record_answer()
             self._apply_page(page)
             if page.is_end:
@@ -394,7 +416,9 @@
         if self._next is None:
             return await self._registry.newest()
         try:
-            return await self._registry.changes(self._next, _READ_WAIT)
+            is_old = boot_time() - self._synced_at > self._max_age()
+            wait = 0.0 if is_old else _READ_WAIT
+            return await self._registry.changes(self._next, wait)
         except LogTruncatedError as error:
             _log.warning("records_gone", reading=self._name, first=error.first)
             return await self._registry.newest()
--- a/packages/saddledoord/src/saddledoord/cluster/view.py
+++ b/packages/saddledoord/src/saddledoord/cluster/view.py
@@ -8,10 +8,12 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 
 import structlog
 
 from saddledoor import (
+    ColdState,
     EngineDirectory,
     EngineEntry,
     EngineTables,
@@ -25,6 +27,7 @@
 
 from .._clock import boot_time
 from ..ports import KeyedEntry, NamedVersion, UnusableValue
+from .evacuations import Evacuations
 
 
 __all__ = ["ClusterView"]
@@ -45,14 +48,19 @@
     State that is derived from the operator's registry and the engines' entries.
 
     :ivar directory: The engines that have an entry.
+    :ivar evacuations: The operator's evacuations of data centres.
     :ivar engine_tables: State of engines that is dropped when an incarnation ends.
+    :ivar cold_states: What is known of the coldness of each incarnation.
     :ivar changed: Event that is set at each change of the configuration, the named
         versions or the engines.
     """
 
     def __init__(self) -> None:
         self.directory = EngineDirectory()
+        self.evacuations = Evacuations()
         self.engine_tables = EngineTables()
+        self.cold_states = self.engine_tables.table(ColdState)
+        self._are_engines_loaded = False
         self._gone: dict[Incarnation, float] = {}
         self.changed = asyncio.Event()
         self._config: GatewayConfig | None = None
@@ -93,6 +101,12 @@
         """
         return self._table.jobs_need_key(host)
 
+    def evacuated_data_centres(self) -> frozenset[str]:
+        """
+        Return the data centres whose engines get no new requests.
+        """
+        return self.evacuations.data_centres()
+
     def share_of(self, job: JobOpened) -> str:
         """
         Return the work share of a job.
@@ -106,6 +120,16 @@
                 return service.name
         return job.series
 
+    def shares_of(
+        self, service: GatewayService, open_jobs: Iterable[JobOpened]
+    ) -> set[str]:
+        """
+        Return the work shares of a service's jobs; none for a service without models.
+        """
+        if not service.models or self._runs_on_one_node(service):
+            return {service.name} if service.models else set()
+        return {job.series for job in open_jobs if job.model in service.models}
+
     def permanent_shares(self) -> set[str]:
         """
         Return the work shares that need a holder even without open jobs: one for each
@@ -126,8 +150,10 @@
 
     def apply_operator(self, entry: KeyedEntry) -> None:
         """
-        Apply a configuration or a named version, unless a newer one is known.
+        Apply a configuration or a named version, unless a newer one is known, or an
+        evacuation or its removal.
         """
+        self.evacuations.apply(entry)
         match entry.value:
             case GatewayConfig() as config:
                 self._adopt(config)
@@ -138,6 +164,15 @@
                     _log.info("version_named", model=model, version=version)
         self.changed.set()
 
+    def retain_operator_keys(self, keys: set[str]) -> None:
+        """
+        End the evacuations whose key is gone.
+
+        :param keys: The keys of the operator's registry.
+        """
+        self.evacuations.retain(keys)
+        self.changed.set()
+
     def apply_engine(self, entry: KeyedEntry) -> None:
         """
         Apply an engine's entry, its removal, or a value that is not a usable entry.
@@ -159,6 +194,7 @@
         """
         for engine_id in self.directory.known_ids() - keys:
             self._remove_engine(engine_id, None)
+        self._are_engines_loaded = True
         self.changed.set()
 
     def has_restarted(self, incarnation: Incarnation) -> bool:
@@ -196,6 +232,10 @@
             return
         if known is None or known.incarnation != entry.incarnation:
             self._start_incarnation(known, entry)
+            if self._are_engines_loaded:
+                self.cold_states[entry.incarnation].arrived_at = boot_time()
+        reported_until = boot_time() + entry.cold_left if entry.cold_left else 0.0
+        self.cold_states[entry.incarnation].reported_until = reported_until
         self._log_engine(known, entry)
 
     def _start_incarnation(self, known: EngineEntry | None, entry: EngineEntry) -> None:
--- a/packages/saddledoord/src/saddledoord/cluster/work_shares.py
+++ b/packages/saddledoord/src/saddledoord/cluster/work_shares.py
@@ -74,6 +74,8 @@
         self._held: set[str] = set()
         self._acquiring: dict[str, asyncio.Task] = {}
         self._renewed_at = float("-inf")
+        #: Start of the newest append that is known to have claimed or renewed a share.
+        self._confirmed_at: dict[str, float] = {}
         self._claims_due: dict[tuple[str, int], float] = {}
         self._stopped = False
 
@@ -83,6 +85,17 @@
         """
         return share in self._held
 
+    def holds_alone(self, share: str) -> bool:
+        """
+        Return whether this node holds a share and no other node can have claimed its
+        lease yet.
+
+        Other nodes count the term from when they have read the newest renewal, which is
+        later than the start of its append.
+        """
+        confirmed_at = self._confirmed_at.get(share, float("-inf"))
+        return share in self._held and boot_time() - confirmed_at < _TERM
+
     async def run(self) -> None:
         """
         Claim and renew shares until cancelled.
@@ -113,6 +126,8 @@
         held = {share for share in self._held if self._leases.is_mine(_PREFIX + share)}
         if held != self._held:
             _log.info("shares_lost", shares=sorted(self._held - held))
+            for share in self._held - held:
+                self._confirmed_at.pop(share, None)
             self._held = held
             await self._on_change()
         await self._renew()
@@ -121,7 +136,9 @@
                 self._acquire(share)
             elif self._may_claim(share):
                 self._claims_due.clear()
-                await self._leases.claim(_PREFIX + share)
+                claimed_at = boot_time()
+                if await self._leases.claim(_PREFIX + share) is not None:
+                    self._confirmed_at[share] = claimed_at
 
     async def _renew(self) -> None:
         now = boot_time()
@@ -132,7 +149,9 @@
         ]
         if names:
             self._renewed_at = now
-            await self._leases.renew(names)
+            if await self._leases.renew(names):
+                for name in names:
+                    self._confirmed_at[name.removeprefix(_PREFIX)] = now
 
     def _may_claim(self, share: str) -> bool:
         name = _PREFIX + share
--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -18,6 +18,7 @@
 from saddledoor import (
     Denial,
     EngineCrashFold,
+    GatewayService,
     JobFold,
     KeyFreshnessBounds,
     ResultCode,
@@ -29,6 +30,7 @@
 from ._clock import boot_time
 from .cluster.change_notifier import ChangeNotifier
 from .cluster.engine_timeouts import EngineTimeouts
+from .cluster.evacuations import EvacuationKnowledge, RegistryReadState
 from .cluster.follow import RegistryFollower
 from .cluster.lease_snapshots import LeaseSnapshotWriter
 from .cluster.leases import LeaseLog
@@ -50,8 +52,9 @@
 from .ports import DutyCalls, Engines, Registry, SharedLog
 from .process_pauses import ProcessPauses
 from .serving.admission import Admission
+from .serving.cold_engines import ColdEngines, ColdPermission
 from .serving.engine_crash_watch import EngineCrashWatch
-from .serving.gate import SendGate
+from .serving.gate import SendGate, SendSettings
 from .serving.pace import EnginePaces
 from .serving.pass_through import PassThrough
 from .serving.pool import EnginePool
@@ -91,7 +94,7 @@
     :param retention: Age up to which the log keeps records, in seconds.
     :param key_bounds: Freshness bounds for the known keys.
     :param usage: Windows of the usage that is reported; None if no usage is reported.
-    :param regions: Region of each data centre.
+    :param sends: Settings of the gate of all sends.
     """
 
     vm: str
@@ -105,7 +108,7 @@
     retention: float
     key_bounds: KeyFreshnessBounds
     usage: UsageWindows | None = None
-    regions: Mapping[str, str] = field(default_factory=dict)
+    sends: SendSettings = field(default_factory=SendSettings)
 
 
 @dataclass(frozen=True)
@@ -149,10 +152,14 @@
         view = self.view
         self._store = StoreWatch(ports.reconnect)
         log = WatchedLog(ports.log, self._store)
+        evacuation_limit = settings.sends.evacuation_limit
+        knowledge = EvacuationKnowledge(self._operator_read_state, evacuation_limit)
         self._operator = RegistryFollower(
             WatchedRegistry(ports.operator, self._store),
             "operator",
             view.apply_operator,
+            view.retain_operator_keys,
+            max_age=lambda: knowledge.max_age or float("inf"),
         )
         self._entries = RegistryFollower(
             WatchedRegistry(ports.entries, self._store),
@@ -161,7 +168,9 @@
             view.retain_engines,
             view.store_reached,
         )
-        self._gate = SendGate(view, settings.regions)
+        cold_bounds = settings.sends.cold_bounds
+        cold_engines = ColdEngines(view, self._cold_permission, cold_bounds)
+        self._gate = SendGate(view, settings.sends, knowledge, cold_engines)
         choose = least_outstanding_rendezvous(settings.vm)
         pool = EnginePool(view, choose, self._gate)
         timeouts = EngineTimeouts(self.view)
@@ -293,11 +302,13 @@
         result_retention: float,
         retention: float,
         key_bounds: KeyFreshnessBounds,
+        sends: SendSettings,
     ) -> None:
         """
         Change bounds while the node runs; see `GatewaySettings`.
         """
         self.admission.set_bounds(key_bounds)
+        self._gate.set_settings(sends)
         self._log_freshness.set_cancel_limit(cancel_limit)
         self.jobs.set_retention(result_retention, retention)
         self._lease_snapshots.set_retention(retention)
@@ -372,6 +383,14 @@
     def _is_store_silent(self) -> bool:
         return boot_time() - self._store.answered_at > _MAX_STORE_SILENCE
 
+    def _operator_read_state(self) -> RegistryReadState:
+        return RegistryReadState(
+            self._operator.synced_at,
+            self._operator.is_store_reachable,
+            self._operator.last_read_at,
+            self._process_pauses.ended_at,
+        )
+
     def _log_read_state(self) -> LogReadState:
         return LogReadState(
             self.jobs.synced_at,
@@ -385,6 +404,15 @@
             self.view.share_of(s.job) for s in open_jobs
         }
 
+    def _cold_permission(self, service: GatewayService) -> ColdPermission:
+        """
+        Return whether this node may send to cold engines of a service: if it holds one
+        of the service's work shares.
+        """
+        jobs = [state.job for state in self.jobs.open_jobs()]
+        shares = self.view.shares_of(service, jobs)
+        return ColdPermission(any(map(self._shares.holds_alone, shares)), len(shares))
+
     async def _sync_jobs(self) -> None:
         """
         Read the records of the previous holder.
--- a/packages/saddledoord/src/saddledoord/jobs/attempt.py
+++ b/packages/saddledoord/src/saddledoord/jobs/attempt.py
@@ -17,7 +17,7 @@
 from ..serving.pace import EnginePaces
 from .item_run import ItemRun
 from .item_times import ItemPhase
-from .placement import Placement
+from .placement import COLD_FACTOR, Placement
 
 
 __all__ = ["AttemptRunner"]
@@ -185,7 +185,9 @@
                 if last is None:
                     self._placement.record_started(engine, run.state.job.model)
                 run.times.enter(ItemPhase.EVENTS, now)
-                gap = None if last is None or timer.is_catching_up else now - last
+                is_cold = self._placement.is_cold(engine)
+                is_gap_unknown = last is None or timer.is_catching_up or is_cold
+                gap = None if is_gap_unknown else now - last
                 self._paces.observe(engine.incarnation, gap, now)
                 last = now
                 if not timer.is_catching_up:
@@ -196,6 +198,7 @@
                 if (
                     received % _PACE_CHECK_EVENTS == 0
                     and now - started_at >= _MIN_STAY_TIME
+                    and not is_cold
                 ):
                     self._check_pace(run, engine)
         finally:
@@ -224,11 +227,12 @@
                 await asyncio.wait({pending})
 
     def _check_silence(self, run: ItemRun, engine: EngineEntry, silence: float) -> None:
-        if silence > _STREAM_TIMEOUT:
+        factor = COLD_FACTOR if self._placement.is_cold(engine) else 1.0
+        if silence > _STREAM_TIMEOUT * factor:
             raise GenerationFailedError(GenerationFailedError.BROKEN, "silent")
         now = boot_time()
         silence = min(silence, self._paces.silent_for(engine.incarnation, now))
-        if silence <= self._stall_limit(run, engine, now):
+        if silence <= self._stall_limit(run, engine, now) * factor:
             return
         if self._placement.find_alternative(run, engine):
             run.stalls += 1
--- a/packages/saddledoord/src/saddledoord/jobs/placement.py
+++ b/packages/saddledoord/src/saddledoord/jobs/placement.py
@@ -30,11 +30,13 @@
 from .item_run import ItemRun
 
 
-__all__ = ["Placement"]
+__all__ = ["COLD_FACTOR", "Placement"]
 
 #: Silence on all streams of an engine after which it gets no item, in seconds. Engines
 #: often fail together, so it must not get the items of one that has just gone silent.
 _MAX_QUIET = 0.15
+#: Factor of the time-outs for silence of a cold engine.
+COLD_FACTOR = 2.0
 #: Gap between events that is assumed while no pace is known, in seconds.
 _DEFAULT_GAP = 0.04
 
@@ -86,7 +88,13 @@
             reservation.release()
             running.discard(run)
 
-        return Reservation(release_reservation)
+        return Reservation(release_reservation, self._pool.hold(engine))
+
+    def is_cold(self, engine: EngineEntry) -> bool:
+        """
+        Return whether an engine is known or presumed to be cold, and hence slow.
+        """
+        return not self._pool.without_cold([engine], boot_time())
 
     def record_started(self, engine: EngineEntry, model: str) -> None:
         """
@@ -130,15 +138,17 @@
         :param exclude: Engines that are not considered.
         """
         model, now = run.state.job.model, boot_time()
-        engines = {
-            engine.incarnation: engine
+        eligible = [
+            engine
             for engine in self._pool.with_free_slots(
                 route.service(random.random()), model, run.needs
             )
             if engine.incarnation not in exclude
             and self._is_new_enough(engine, run)
-            and self._is_responsive(engine.incarnation, now)
-        }
+            and self._is_responsive(engine, now)
+        ]
+        eligible = self._pool.without_cold(eligible, now) or eligible
+        engines = {engine.incarnation: engine for engine in eligible}
         candidates = {
             self._candidate(engine, now): engine for engine in engines.values()
         }
@@ -163,7 +173,7 @@
         now = boot_time()
         gap = self._paces.gap(engine.incarnation, now)
         other = self.find_alternative(run, engine)
-        if gap is None or other is None:
+        if gap is None or other is None or self.is_cold(other):
             return None
         gap_there = self._paces.gap(other.incarnation, now)
         if gap_there is None:
@@ -172,14 +182,17 @@
         worth = is_worth_moving(remaining_events, gap, gap_there, run.pace_moves)
         return other if worth else None
 
-    def _is_responsive(self, engine: Incarnation, now: float) -> bool:
+    def _is_responsive(self, engine: EngineEntry, now: float) -> bool:
         """
         Whether an engine still makes events, as far as this node knows.
         """
-        if engine in self._unresponsive:
+        incarnation = engine.incarnation
+        if incarnation in self._unresponsive:
             return False
-        streams = any(run.has_events for run in self._running[engine])
-        return not streams or self._paces.silent_for(engine, now) <= _MAX_QUIET
+        if not any(run.has_events for run in self._running[incarnation]):
+            return True
+        max_quiet = _MAX_QUIET * (COLD_FACTOR if self.is_cold(engine) else 1.0)
+        return self._paces.silent_for(incarnation, now) <= max_quiet
 
     def _candidate(self, engine: EngineEntry, now: float) -> PlacementCandidate:
         return PlacementCandidate(
--- a/packages/saddledoord/src/saddledoord/jobs/runner.py
+++ b/packages/saddledoord/src/saddledoord/jobs/runner.py
@@ -353,7 +353,8 @@
                 if not self._crash_watch.may_start(engine.incarnation, run.key):
                     complete = False
                 if complete:
-                    permit = self._gate.permit(engine, run.needs, decided_at)
+                    permit = self._gate.permit(engine, run.needs, decided_at, True)
+                    reservation.record_sent()
                     complete = not isinstance(permit, Denial)
                 if complete:
                     await self._attempts.run(run, route, permit)
--- a/packages/saddledoord/src/saddledoord/ports/engines.py
+++ b/packages/saddledoord/src/saddledoord/ports/engines.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from saddledoor import EngineEntry, GeneratedEvent, NotRun, OutcomeUnknown
@@ -176,6 +176,10 @@
     UNKNOWN = "unknown"
 
 
+def _ignore() -> None:
+    pass
+
+
 @dataclass(frozen=True)
 class SendPermit:
     """
@@ -187,11 +191,13 @@
     :param decided_at: Time before the checks that allowed to send it, monotonic, in
         seconds; it is not sent if the process was paused since.
     :param check: Number of the gate's check since the start of the process.
+    :param on_written: To be called when the request's first byte was written.
     """
 
     engine: EngineEntry
     decided_at: float
     check: int
+    on_written: Callable[[], None] = field(default=_ignore, compare=False)
 
 
 class Engines(Protocol):
--- a/packages/saddledoord/src/saddledoord/serving/pass_through.py
+++ b/packages/saddledoord/src/saddledoord/serving/pass_through.py
@@ -206,6 +206,7 @@
             first_start or FirstStart(),
         )
         await self._crash_watch.refresh()
+        await self._gate.wait_until_up_to_date()
         pending: set[asyncio.Task[Outcome]] = set()
         try:
             while current.remaining > _MIN_TIME_LEFT:
--- a/packages/saddledoord/src/saddledoord/serving/pool.py
+++ b/packages/saddledoord/src/saddledoord/serving/pool.py
@@ -46,15 +46,28 @@
     A slot of an engine that is reserved for one request.
 
     :param on_release: Called at the first release.
+    :param on_sent: Called when the request is sent or will not be.
     """
 
-    def __init__(self, on_release: Callable[[], None]) -> None:
+    def __init__(
+        self, on_release: Callable[[], None], on_sent: Callable[[], None] | None = None
+    ) -> None:
         self._on_release: Callable[[], None] | None = on_release
+        self._on_sent = on_sent
+
+    def record_sent(self) -> None:
+        """
+        Record that the request is sent or will not be; further calls have no effect.
+        """
+        on_sent, self._on_sent = self._on_sent, None
+        if on_sent is not None:
+            on_sent()
 
     def release(self) -> None:
         """
         Release the slot; further calls have no effect.
         """
+        self.record_sent()
         on_release, self._on_release = self._on_release, None
         if on_release is not None:
             on_release()
@@ -159,6 +172,7 @@
         allowed = self._allowed(service, needs, now)
         untried = [engine for engine in allowed if engine.incarnation not in tried]
         eligible = [engine for engine in untried if self._is_eligible(engine, "", now)]
+        eligible = self.without_cold(eligible, now) or eligible
         fast = [e for e in eligible if self._load_of(e).overtaken_until <= now]
         return self._choose_among({e.engine_id: e for e in fast or eligible or untried})
 
@@ -214,6 +228,20 @@
             and self._is_eligible(engine, kind, now)
         ]
 
+    def without_cold(
+        self, engines: Iterable[EngineEntry], now: float
+    ) -> list[EngineEntry]:
+        """
+        Return the engines that are not cold; cold ones are chosen after the others.
+        """
+        return [engine for engine in engines if not self._gate.is_cold(engine, now)]
+
+    def hold(self, engine: EngineEntry) -> Callable[[], None]:
+        """
+        Hold a place at an engine for a request that is sent later; see `SendGate.hold`.
+        """
+        return self._gate.hold(engine)
+
     def in_flight(self, engine: EngineEntry) -> int:
         """
         Return the number of requests that this node has in flight at an engine.
@@ -252,9 +280,12 @@
 
     def record_overtaken(self, engine: EngineEntry) -> None:
         """
-        Record that another engine got a request later and answered it first.
+        Record that another engine got a request later and answered it first; a cold
+        engine is expected to be slow.
         """
-        self._load_of(engine).overtaken_until = boot_time() + _OVERTAKEN_PENALTY
+        now = boot_time()
+        if not self._gate.is_cold(engine, now):
+            self._load_of(engine).overtaken_until = now + _OVERTAKEN_PENALTY
 
     def record_failure(self, engine: EngineEntry) -> None:
         """
@@ -278,11 +309,10 @@
         """
         Return the engines of a service that the gate allows.
         """
-        return [
-            engine
-            for engine in self._view.directory.usable(service, now)
-            if self._gate.is_allowed(engine, needs, now)
-        ]
+        usable = self._view.directory.usable(service, now)
+        if self._gate.is_unrestricted(service, needs):
+            return usable
+        return [e for e in usable if self._gate.is_allowed(e, needs, now)]
 
     def _load_of(self, engine: EngineEntry) -> _EngineLoad:
         return self._loads[engine.incarnation]
--- a/tests/adapter/platform_bed.py
+++ b/tests/adapter/platform_bed.py
@@ -119,6 +119,7 @@
     lease_ms: int = 1000
     duties: bool = False
     keep_s: int = 300
+    bounds: str = ""
     store_port: int = field(default_factory=free_port)
     duties_port: int = field(default_factory=free_port)
     engine_ports: dict[str, int] = field(default_factory=dict)
@@ -138,17 +139,21 @@
         duties: bool = False,
         config: dict | None = None,
         keep_s: int = 300,
+        bounds: str = "",
     ) -> Iterator:
         """
         Start everything and wait until the edges are ready.
 
         :param lease_ms: Lease term, in milliseconds.
         :param duties: Whether usage is reported.
+        :param bounds: Further lines of the edges' time bounds.
         :param config: First configuration; None for the default one.
         :param keep_s: Retention of the log in the settings, in seconds; the store keeps
             all records unless it is told otherwise.
         """
-        bed = cls(folder, lease_ms=lease_ms, duties=duties, keep_s=keep_s)
+        bed = cls(
+            folder, lease_ms=lease_ms, duties=duties, keep_s=keep_s, bounds=bounds
+        )
         try:
             bed._run("store", "store", str(bed.store_port))
             until(lambda: bed._answers(bed.store_port))
@@ -171,18 +176,24 @@
                 process.end()
 
     def start_engine(
-        self, engine_id: str, service: str, model: str = "", port: int = 0
+        self,
+        engine_id: str,
+        service: str,
+        model: str = "",
+        port: int = 0,
+        zone: str = "dc-a",
     ) -> None:
         """
         Start an engine, which writes its registry entry.
+
+        :param zone: Data centre.
         """
         port = port or free_port()
         self.engine_ports[engine_id] = port
         store = f"127.0.0.1:{self.store_port}"
         journal = str(self.journal(engine_id))
-        self._run(
-            engine_id, "engine", str(port), engine_id, service, store, model, journal
-        )
+        arguments = (str(port), engine_id, service, store, model, journal, zone)
+        self._run(engine_id, "engine", *arguments)
         until(lambda: self._answers(port))
 
     def journal(self, engine_id: str) -> Path:
@@ -262,6 +273,7 @@
         path = self.settings_path(name)
         ports = (front, ready, self.store_port)
         text = SETTINGS.format(name, *ports, self.lease_ms, self.keep_s)
+        text += self.bounds
         if self.duties:
             text += DUTIES.format(self.duties_port)
         path.write_text(text)
--- a/tests/adapter/standin_engine.py
+++ b/tests/adapter/standin_engine.py
@@ -89,6 +89,8 @@
     service: str
     store: str
     journal: Path | None = None
+    zone: str = "dc-a"
+    cold_ms: int = 0
     slots: int = 4
     events: int = 5
     pace: float = 0.01
@@ -283,11 +285,11 @@
         entry = {
             "service": self.service,
             "address": self.address,
-            "zone": "dc-a",
+            "zone": self.zone,
             "version": "v1",
             "slots": self.slots,
             "state": "ready",
-            "cold_left_ms": 0,
+            "cold_left_ms": self.cold_ms,
             "seq_no": 1,
             "born": self.born,
         }
@@ -371,6 +373,7 @@
     store: str,
     model: str = "",
     journal: str = "",
+    zone: str = "dc-a",
 ) -> web.Application:
     """
     Return an engine's application; without a model it is a plain service.
@@ -378,9 +381,10 @@
     :param store: Address of the store that its entry is written to; empty for none.
     :param journal: File in which requests, events and orders are recorded; empty for
         none.
+    :param zone: Data centre.
     """
     path = Path(journal) if journal else None
-    engine = _Engine(engine_id, model, address, service, store, path)
+    engine = _Engine(engine_id, model, address, service, store, path, zone)
 
     async def started(_: web.Application) -> None:
         await engine.write_entry()
--- a/tests/test_attempt.py
+++ b/tests/test_attempt.py
@@ -60,9 +60,12 @@
 class _Placement:
     """
     A placement that always offers another, faster engine.
+
+    :param cold: Whether the engines are cold.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, cold: bool) -> None:
+        self._cold = cold
         self.versions: list[int] = []
 
     def record_started(self, engine, model):
@@ -77,18 +80,25 @@
     def find_alternative(self, run, engine):
         return make_engine_entry("fast")
 
+    def is_cold(self, engine):
+        return self._cold
+
     def find_faster(self, run, engine):
         return make_engine_entry("fast")
 
 
 def _run_attempt(
-    engines: _Engines, pause: float = 0.0, paces: EnginePaces | None = None
+    engines: _Engines,
+    pause: float = 0.0,
+    paces: EnginePaces | None = None,
+    cold: bool = False,
 ) -> ItemRun:
     """
     Run an attempt.
 
     :param pause: Duration of a pause of the event loop, soon after the start; seconds.
     :param paces: Measured paces; None for new ones.
+    :param cold: Whether the engines are cold.
     """
     view = ClusterView()
     paces = paces or EnginePaces(view.engine_tables)
@@ -97,7 +107,7 @@
     run = ItemRun.create(make_job_state(job), job.items[0])
     timeouts = EngineTimeouts(view)
     attempts = AttemptRunner(
-        engines, paces, _Placement(), timeouts, make_crash_watch(view)
+        engines, paces, _Placement(cold), timeouts, make_crash_watch(view)
     )
     route = make_route("/train/")
 
@@ -158,3 +168,24 @@
     with pytest.raises(GenerationFailedError) as caught:
         _run_attempt(_Engines(events=1, gap=2.0))
     assert caught.value.outcome == GenerationFailedError.STALLED
+
+
+def test_a_cold_engine_may_be_silent_for_twice_as_long():
+    """
+    Its items would move from one cold engine to the next.
+    """
+    with pytest.raises(GenerationFailedError) as caught:
+        _run_attempt(_Engines(events=1, gap=0.75))
+    assert caught.value.outcome == GenerationFailedError.STALLED
+    run = _run_attempt(_Engines(events=1, gap=0.75), cold=True)
+    assert (run.text.last, run.stalls) == (1, 0)
+
+
+def test_the_pace_of_a_cold_engine_is_no_fault():
+    """
+    Its texts stay, and its pace does not count once it is warm.
+    """
+    paces = EnginePaces(ClusterView().engine_tables)
+    run = _run_attempt(_Engines(events=40, gap=0.02), paces=paces, cold=True)
+    assert run.text.last == 40
+    assert paces.gap(Incarnation("slow"), boot_time()) is None
--- a/tests/test_send_check.py
+++ b/tests/test_send_check.py
@@ -29,6 +29,7 @@
         ({"is_cold": True}, None),
         ({"sends_left": 0}, Denial.RATE),
         ({"sends_left": 1}, None),
+        ({"is_up_to_date": False}, Denial.OUTDATED),
     ],
 )
 def test_each_restriction_denies_the_send_by_itself(change, denial):
--- a/tests/test_send_gate.py
+++ b/tests/test_send_gate.py
@@ -47,7 +47,7 @@
 from saddledoord.jobs.runner import JobRunner
 from saddledoord.jobs.scoring import Scorer
 from saddledoord.ports import EngineAnswer, Engines, KeyedEntry, SendPermit
-from saddledoord.serving.gate import SendGate
+from saddledoord.serving.gate import SendGate, SendSettings
 from saddledoord.serving.pace import EnginePaces
 from saddledoord.serving.pool import EnginePool
 
@@ -55,6 +55,7 @@
 _ROOT = Path(__file__).parent.parent
 _ENGINE = make_engine_entry("desk-0", started_at=1_000)
 _NORTH = SendNeeds(frozenset({"north"}))
+_REGIONS = SendSettings({"dc-a": "north", "dc-b": "south"})
 #: Calls that make a permit or a changed copy of one.
 _MAKES = re.compile(r"\bSendPermit\(|\breplace\(\s*[\w.]*permit\b")
 
@@ -76,7 +77,10 @@
 @pytest.fixture
 def check():
     check = _Check()
-    with patch("saddledoord.serving.gate.check_send", check):
+    with (
+        patch("saddledoord.serving.gate.check_send", check),
+        patch.object(SendGate, "is_unrestricted", lambda *_: False),
+    ):
         yield check
 
 
@@ -147,7 +151,7 @@
     """
     south = make_engine_entry("desk-1", data_centre="dc-b")
     view = _view(_ENGINE, south)
-    gate = SendGate(view, {"dc-a": "north", "dc-b": "south"})
+    gate = SendGate(view, _REGIONS)
     pool = EnginePool(view, least_outstanding(lambda: 0.0), gate)
     pool.record_failure(_ENGINE)
     assert pool.choose("desk", needs=_NORTH) == _ENGINE
@@ -178,7 +182,7 @@
     first engine is expected to be allowed.
     """
     view = _view(_ENGINE, make_engine_entry("desk-1", data_centre="dc-b"))
-    gate = SendGate(view, {"dc-a": "north", "dc-b": "south"})
+    gate = SendGate(view, _REGIONS)
     refusal = gate.refusal("desk", SendNeeds(frozenset({"east"})))
     assert (refusal.code.http_status, refusal.retry_after) == (503, 5.0)
     assert "region" in refusal.detail
