--- a/tests/guard_rows/__init__.py
+++ b/tests/guard_rows/__init__.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from . import crashes, engines, history, jobs, keys, nodes, requests
+from . import crashes, engines, history, jobs, keys, nodes, requests, sends
 from .guard import Guard
 
 
@@ -20,4 +20,5 @@
     *crashes.GUARDS,
     *keys.GUARDS,
     *history.GUARDS,
+    *sends.GUARDS,
 )
--- a/tests/guard_rows/guard.py
+++ b/tests/guard_rows/guard.py
@@ -13,6 +13,7 @@
     "RETRIES",
     "ENGINE_RETRIES",
     "CLOCK",
+    "COLD_ENGINES",
     "DAEMON",
     "CRASHING",
     "DECISIONS",
@@ -20,6 +21,8 @@
     "CRASH_FOLD",
     "CRASH_WATCH",
     "EVENT_STREAM",
+    "EDGE_EVACUATIONS",
+    "EVACUATIONS",
     "FOLLOW",
     "LEASE_HISTORY",
     "LOG_HISTORY",
@@ -44,6 +47,7 @@
     "PLANNED_STOPS",
     "SEND_AFTER_PAUSE",
     "SEND_DEADLINE",
+    "SEND_GATE",
     "UNREADABLE",
     "USAGE",
     "STORE_WATCH",
@@ -88,6 +92,10 @@
 USAGE = "tests/adapter/test_edge_usage.py"
 DUTY = "tests/test_usage_duty.py"
 WORKSPACES = "tests/test_workspaces.py"
+SEND_GATE = "tests/test_send_gate.py"
+EVACUATIONS = "tests/test_evacuations.py"
+EDGE_EVACUATIONS = "tests/adapter/test_edge_evacuations.py"
+COLD_ENGINES = "tests/test_cold_engines.py"
 CLOCK = "tests/test_clock.py"
 HTTP_SERVER = "tests/test_http_server.py"
 PLANNED_STOPS = "tests/adapter/test_edge_stops.py"
--- a/tests/guard_rows/jobs.py
+++ b/tests/guard_rows/jobs.py
@@ -238,7 +238,7 @@
     Guard(
         "a silent engine is not eligible until it answers",
         f"{DAEMON}/jobs/placement.py",
-        "if engine in self._unresponsive:",
+        "if incarnation in self._unresponsive:",
         "if False:",
         ("tests/test_placement.py", "gone_silent"),
     ),
