--- a/tests/test_send_gate.py
+++ b/tests/test_send_gate.py
@@ -400,11 +400,12 @@
     Every method of the engines that takes a request takes a permit and no engine, so
     that nothing can be sent to an engine other than the checked one.
     """
-    carrying = 0
-    for _, method in inspect.getmembers(client, inspect.isfunction):
+    carrying = set()
+    for name, method in inspect.getmembers(client, inspect.isfunction):
         types = [p.annotation for p in inspect.signature(method).parameters.values()]
         if {"ForwardedRequest", "Generation"} & set(types):
-            carrying += 1
+            carrying.add(name)
             assert "SendPermit" in types
             assert "EngineEntry" not in types
-    assert carrying == 2
+    public = {name for name in carrying if not name.startswith("_")}
+    assert public == {"call", "generate"}
