--- a/packages/saddledoord/src/saddledoord/cluster/evacuations.py
+++ b/packages/saddledoord/src/saddledoord/cluster/evacuations.py
@@ -25,6 +25,8 @@
 #: Least age up to which the knowledge counts as recent, in seconds; a read of the
 #: registry waits for up to 1 s.
 _MIN_MAX_AGE = 1.5
+#: Limit for an evacuation to take effect where the settings give none, in seconds.
+_DEFAULT_LIMIT = 5.0
 #: Interval between log lines of a VM that has lost the store, in seconds.
 _LOG_INTERVAL = 5.0
 
@@ -45,6 +47,13 @@
         """
         return self._data_centres
 
+    @property
+    def are_used(self) -> bool:
+        """
+        Whether this VM knows of an evacuation, active or ended.
+        """
+        return bool(self._by_key or self._ended_at)
+
     def ended_at(self, data_centre: str) -> float | None:
         """
         Return when this VM learnt that the last evacuation of a data centre had ended,
@@ -114,13 +123,19 @@
 
     :param read_state: Returns how far the operator's registry has been read.
     :param limit: Time after which an evacuation must have taken effect, in seconds;
-        None if there are no evacuations.
+        None if the settings give none.
+    :param are_used: Returns whether there was any evacuation so far. Without a limit
+        and an evacuation, knowledge of any age counts as recent.
     """
 
     def __init__(
-        self, read_state: Callable[[], RegistryReadState], limit: float | None
+        self,
+        read_state: Callable[[], RegistryReadState],
+        limit: float | None,
+        are_used: Callable[[], bool],
     ) -> None:
         self._read_state = read_state
+        self._are_used = are_used
         self._logged_at = float("-inf")
         self.set_limit(limit)
 
@@ -129,23 +144,26 @@
         """
         Age up to which the knowledge counts as recent, in seconds; None for any age.
         """
-        return self._max_age
+        if self._limit is None and not self._are_used():
+            return None
+        return max(_MIN_MAX_AGE, (self._limit or _DEFAULT_LIMIT) - _SEND_TIME)
 
     def set_limit(self, limit: float | None) -> None:
         """
         Change the limit, in seconds.
         """
-        self._max_age = None if limit is None else max(_MIN_MAX_AGE, limit - _SEND_TIME)
+        self._limit = limit
 
     def is_recent(self, now: float) -> bool:
         """
         Whether requests may be sent by what this VM knows.
         """
-        if self._max_age is None:
+        max_age = self.max_age
+        if max_age is None:
             return True
         state = self._read_state()
         age = now - state.synced_at
-        if age <= self._max_age:
+        if age <= max_age:
             return True
         if state.is_store_reachable or state.last_read_at < state.resumed_at:
             return False
--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -152,8 +152,11 @@
         view = self.view
         self._store = StoreWatch(ports.reconnect)
         log = WatchedLog(ports.log, self._store)
-        evacuation_limit = settings.sends.evacuation_limit
-        knowledge = EvacuationKnowledge(self._operator_read_state, evacuation_limit)
+        knowledge = EvacuationKnowledge(
+            self._operator_read_state,
+            settings.sends.evacuation_limit,
+            lambda: view.evacuations.are_used,
+        )
         self._operator = RegistryFollower(
             WatchedRegistry(ports.operator, self._store),
             "operator",
--- a/packages/saddledoord/src/saddledoord/serving/gate.py
+++ b/packages/saddledoord/src/saddledoord/serving/gate.py
@@ -62,7 +62,7 @@
     :param cold_bounds: Factor and constant of the limit of requests that a cold engine
         gets in a second; see `saddledoor.ColdLimit`.
     :param evacuation_limit: Time after which an evacuation must have taken effect, in
-        seconds; None if there are no evacuations.
+        seconds; None if the settings give none.
     """
 
     regions: Mapping[str, str] = field(default_factory=dict)
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -170,16 +170,33 @@
     At 100 s, an evacuation must be known if it may have to take effect before a request
     that is sent now arrives, unless the store is lost.
     """
-    knowledge = EvacuationKnowledge(lambda: state, limit)
+    knowledge = EvacuationKnowledge(lambda: state, limit, lambda: False)
     assert knowledge.is_recent(100.0) == is_recent
 
 
+def test_the_first_evacuation_sets_a_limit_where_the_settings_give_none():
+    """
+    The VM would otherwise neither check nor log the age of its knowledge.
+    """
+    view = ClusterView()
+    state = RegistryReadState(96.0, True, 96.0, 0.0)
+    knowledge = EvacuationKnowledge(
+        lambda: state, None, lambda: view.evacuations.are_used
+    )
+    assert knowledge.max_age is None
+    view.apply_operator(KeyedEntry("key", 1, Evacuation("dc-a")))
+    assert knowledge.max_age == 3.5
+    assert not knowledge.is_recent(100.0)
+    view.apply_operator(KeyedEntry("key", 2, None))
+    assert knowledge.max_age == 3.5
+
+
 def test_a_changed_limit_takes_effect():
     """
     The settings may change while the process runs.
     """
     state = RegistryReadState(96.0, True, 96.0, 0.0)
-    knowledge = EvacuationKnowledge(lambda: state, None)
+    knowledge = EvacuationKnowledge(lambda: state, None, lambda: False)
     gate = SendGate(ClusterView(), knowledge=knowledge)
     assert knowledge.is_recent(100.0)
     gate.set_settings(SendSettings(evacuation_limit=5.0))
