--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -19,6 +19,7 @@
     Denial,
     EngineCrashFold,
     EngineEntry,
+    GatewayService,
     JobFold,
     KeyFreshnessBounds,
     ResultCode,
@@ -30,6 +31,7 @@
 from ._clock import boot_time
 from .cluster.change_notifier import ChangeNotifier
 from .cluster.engine_timeouts import EngineTimeouts
+from .cluster.evacuations import EvacuationKnowledge, RegistryReadState
 from .cluster.follow import RegistryFollower
 from .cluster.lease_snapshots import LeaseSnapshotWriter
 from .cluster.leases import LeaseLog
@@ -54,8 +56,9 @@
 from .scaling.duty import ScalingDuty
 from .scaling.leaving import LeavingEngines
 from .serving.admission import Admission
+from .serving.cold_engines import ColdEngines, ColdPermission
 from .serving.engine_crash_watch import EngineCrashWatch
-from .serving.gate import SendGate
+from .serving.gate import SendGate, SendSettings
 from .serving.pace import EnginePaces
 from .serving.pass_through import PassThrough
 from .serving.pool import EnginePool
@@ -95,11 +98,11 @@
     :param retention: Age up to which the log keeps records, in seconds.
     :param key_bounds: Freshness bounds for the known keys.
     :param usage: Windows of the usage that is reported; None if no usage is reported.
-    :param regions: Region of each data centre.
     :param orders_engines: Whether engines may be ordered from the platform.
     :param holds_engines: Whether the numbers of engines stay as they are.
     :param engine_drain_time: Time for which an engine that leaves serves on, in
         seconds; None if unknown.
+    :param sends: Settings of the gate of all sends.
     """
 
     vm: str
@@ -113,10 +116,10 @@
     retention: float
     key_bounds: KeyFreshnessBounds
     usage: UsageWindows | None = None
-    regions: Mapping[str, str] = field(default_factory=dict)
     orders_engines: bool = False
     holds_engines: bool = False
     engine_drain_time: float | None = None
+    sends: SendSettings = field(default_factory=SendSettings)
 
 
 @dataclass(frozen=True)
@@ -144,7 +147,6 @@
 
     :param record_request: Called with the route, the result code and the duration in
         seconds of each request.
-    :param evacuated: Returns the data centres whose engines get no work.
     """
 
     def __init__(
@@ -152,7 +154,6 @@
         settings: GatewaySettings,
         ports: GatewayPorts,
         record_request: Callable[[str, ResultCode, float], None],
-        evacuated: Callable[[], frozenset[str]] = frozenset,
     ) -> None:
         log_short_retention(settings.retention, _needed_retention(settings))
         self._stopping = False
@@ -162,10 +163,17 @@
         view = self.view
         self._store = StoreWatch(ports.reconnect)
         log = WatchedLog(ports.log, self._store)
+        knowledge = EvacuationKnowledge(
+            self._operator_read_state,
+            settings.sends.evacuation_limit,
+            lambda: view.evacuations.are_used,
+        )
         self._operator = RegistryFollower(
             WatchedRegistry(ports.operator, self._store),
             "operator",
             self._apply_operator,
+            view.retain_operator_keys,
+            max_age=lambda: knowledge.max_age or float("inf"),
         )
         self._entries = RegistryFollower(
             WatchedRegistry(ports.entries, self._store),
@@ -174,7 +182,9 @@
             view.retain_engines,
             view.store_reached,
         )
-        self._gate = SendGate(view, settings.regions)
+        cold_bounds = settings.sends.cold_bounds
+        cold_engines = ColdEngines(view, self._cold_permission, cold_bounds)
+        self._gate = SendGate(view, settings.sends, knowledge, cold_engines)
         choose = least_outstanding_rendezvous(settings.vm)
         pool = EnginePool(view, choose, self._gate)
         timeouts = EngineTimeouts(self.view)
@@ -268,7 +278,7 @@
                     lease,
                     self._scaling_read_state,
                     self.jobs.open_jobs,
-                    evacuated,
+                    view.evacuated_data_centres,
                     lambda: self._holds_engines,
                     settings.vm,
                 ),
@@ -332,6 +342,7 @@
         result_retention: float,
         retention: float,
         key_bounds: KeyFreshnessBounds,
+        sends: SendSettings,
         holds_engines: bool = False,
     ) -> None:
         """
@@ -339,6 +350,7 @@
         """
         self._holds_engines = holds_engines
         self.admission.set_bounds(key_bounds)
+        self._gate.set_settings(sends)
         self._log_freshness.set_cancel_limit(cancel_limit)
         self.jobs.set_retention(result_retention, retention)
         self._lease_snapshots.set_retention(retention)
@@ -436,6 +448,14 @@
     def _is_store_silent(self) -> bool:
         return boot_time() - self._store.answered_at > _MAX_STORE_SILENCE
 
+    def _operator_read_state(self) -> RegistryReadState:
+        return RegistryReadState(
+            self._operator.synced_at,
+            self._operator.is_store_reachable,
+            self._operator.last_read_at,
+            self._process_pauses.ended_at,
+        )
+
     def _log_read_state(self) -> LogReadState:
         return LogReadState(
             self.jobs.synced_at,
@@ -449,6 +469,15 @@
             self.view.share_of(s.job) for s in open_jobs
         }
 
+    def _cold_permission(self, service: GatewayService) -> ColdPermission:
+        """
+        Return whether this node may send to cold engines of a service: if it holds one
+        of the service's work shares.
+        """
+        jobs = [state.job for state in self.jobs.open_jobs()]
+        shares = self.view.shares_of(service, jobs)
+        return ColdPermission(any(map(self._shares.holds_alone, shares)), len(shares))
+
     async def _sync_jobs(self) -> None:
         """
         Read the records of the previous holder.
--- a/tests/adapter/platform_bed.py
+++ b/tests/adapter/platform_bed.py
@@ -120,6 +120,7 @@
     duties: bool = False
     keep_s: int = 300
     duty_names: str = '"usage", "scale"'
+    bounds: str = ""
     store_port: int = field(default_factory=free_port)
     duties_port: int = field(default_factory=free_port)
     engine_ports: dict[str, int] = field(default_factory=dict)
@@ -140,6 +141,7 @@
         config: dict | None = None,
         keep_s: int = 300,
         duty_names: str = '"usage", "scale"',
+        bounds: str = "",
     ) -> Iterator:
         """
         Start everything and wait until the edges are ready.
@@ -147,6 +149,7 @@
         :param lease_ms: Lease term, in milliseconds.
         :param duties: Whether usage is reported.
         :param duty_names: Duties that the settings name, as in the file.
+        :param bounds: Further lines of the edges' time bounds.
         :param config: First configuration; None for the default one.
         :param keep_s: Retention of the log in the settings, in seconds; the store keeps
             all records unless it is told otherwise.
@@ -157,6 +160,7 @@
             duties=duties,
             keep_s=keep_s,
             duty_names=duty_names,
+            bounds=bounds,
         )
         try:
             bed._run("store", "store", str(bed.store_port))
@@ -180,18 +184,24 @@
                 process.end()
 
     def start_engine(
-        self, engine_id: str, service: str, model: str = "", port: int = 0
+        self,
+        engine_id: str,
+        service: str,
+        model: str = "",
+        port: int = 0,
+        zone: str = "dc-a",
     ) -> None:
         """
         Start an engine, which writes its registry entry.
+
+        :param zone: Data centre.
         """
         port = port or free_port()
         self.engine_ports[engine_id] = port
         store = f"127.0.0.1:{self.store_port}"
         journal = str(self.journal(engine_id))
-        self._run(
-            engine_id, "engine", str(port), engine_id, service, store, model, journal
-        )
+        arguments = (str(port), engine_id, service, store, model, journal, zone)
+        self._run(engine_id, "engine", *arguments)
         until(lambda: self._answers(port))
 
     def journal(self, engine_id: str) -> Path:
@@ -275,6 +285,7 @@
         path = self.settings_path(name)
         ports = (front, ready, self.store_port)
         text = SETTINGS.format(name, *ports, self.lease_ms, self.keep_s)
+        text += self.bounds
         if self.duties:
             duties = DUTIES.format(self.duties_port)
             text += duties.replace('"usage", "scale"', self.duty_names)
--- a/tests/guard_rows/__init__.py
+++ b/tests/guard_rows/__init__.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from . import crashes, engines, history, jobs, keys, nodes, requests, scaling
+from . import crashes, engines, history, jobs, keys, nodes, requests, scaling, sends
 from .guard import Guard
 
 
@@ -21,4 +21,5 @@
     *keys.GUARDS,
     *history.GUARDS,
     *scaling.GUARDS,
+    *sends.GUARDS,
 )
--- a/tests/guard_rows/guard.py
+++ b/tests/guard_rows/guard.py
@@ -13,6 +13,7 @@
     "RETRIES",
     "ENGINE_RETRIES",
     "CLOCK",
+    "COLD_ENGINES",
     "DAEMON",
     "CRASHING",
     "DECISIONS",
@@ -20,6 +21,7 @@
     "CRASH_FOLD",
     "CRASH_WATCH",
     "EVENT_STREAM",
+    "EVACUATIONS",
     "FOLLOW",
     "LEASE_HISTORY",
     "LOG_HISTORY",
@@ -46,6 +48,7 @@
     "SCALING_CONTROLLER",
     "SEND_AFTER_PAUSE",
     "SEND_DEADLINE",
+    "SEND_GATE",
     "UNREADABLE",
     "USAGE",
     "STORE_WATCH",
@@ -90,6 +93,9 @@
 USAGE = "tests/adapter/test_edge_usage.py"
 DUTY = "tests/test_usage_duty.py"
 WORKSPACES = "tests/test_workspaces.py"
+SEND_GATE = "tests/test_send_gate.py"
+EVACUATIONS = "tests/test_evacuations.py"
+COLD_ENGINES = "tests/test_cold_engines.py"
 CLOCK = "tests/test_clock.py"
 HTTP_SERVER = "tests/test_http_server.py"
 SCALING = "tests/test_scaling_policy.py"
--- a/tests/guard_rows/jobs.py
+++ b/tests/guard_rows/jobs.py
@@ -238,14 +238,14 @@
     Guard(
         "a silent engine is not eligible until it answers",
         f"{DAEMON}/jobs/placement.py",
-        "if engine in self._unresponsive:",
+        "if incarnation in self._unresponsive:",
         "if False:",
         ("tests/test_placement.py", "gone_silent"),
     ),
     Guard(
         "items do not move to an engine that has just gone silent",
         f"{DAEMON}/jobs/placement.py",
-        "return not streams or self._paces.silent_for(engine, now) <= _MAX_QUIET",
+        "return self._paces.silent_for(incarnation, now) <= max_quiet",
         "return True",
         ("tests/test_placement.py", "streams_have_stopped"),
     ),
