--- a/packages/saddledoord/src/saddledoord/observability/gateway_metrics.py
+++ b/packages/saddledoord/src/saddledoord/observability/gateway_metrics.py
@@ -84,6 +84,10 @@
             unit="s",
             description="Time for which engines were seen by this VM",
         )
+        self._connections = meter.create_counter(
+            "saddledoor_engine_connections",
+            description="New connections to engines, by service and cause",
+        )
         self._seconds = meter.create_histogram(
             "saddledoor_gateway_seconds",
             unit="s",
@@ -97,6 +101,12 @@
         self._requests.add(1, {"route": route, "code": str(int(code))})
         self._seconds.record(seconds, {"route": route})
 
+    def count_connection(self, service: str, cause: str) -> None:
+        """
+        Count a new connection to an engine of a service.
+        """
+        self._connections.add(1, {"service": service, "cause": cause})
+
     def render(self) -> bytes:
         """
         Return the metrics in the Prometheus text format.
--- a/tests/adapter/test_engine_sessions.py
+++ b/tests/adapter/test_engine_sessions.py
@@ -32,8 +32,12 @@
 
 
 def _session_for(sessions: EngineSessions, engine: EngineEntry) -> _Session:
-    with sessions.use(engine) as session:
-        return session
+    with sessions.use(engine) as use:
+        return use.session
+
+
+def _sessions(open_session, single_use: _Session) -> EngineSessions:
+    return EngineSessions(open_session, single_use, lambda _, __: None)
 
 
 def test_connections_are_kept_for_one_life_of_one_engine():
@@ -42,7 +46,7 @@
     """
 
     async def play():
-        sessions = EngineSessions(_Session, _Session())
+        sessions = _sessions(_Session, _Session())
         first = _session_for(sessions, make_engine_entry("e-1", started_at=1))
         same = _session_for(sessions, make_engine_entry("e-1", started_at=1))
         assert same is first
@@ -65,7 +69,7 @@
     """
 
     async def play():
-        sessions = EngineSessions(_Session, _Session())
+        sessions = _sessions(_Session, _Session())
         entries = [
             make_engine_entry(f"e-{number}", address=f"127.0.0.1:{number}")
             for number in (1, 2, 3)
@@ -112,7 +116,7 @@
             return opened[-1]
 
         single_use = _Session()
-        sessions = EngineSessions(open_session, single_use)
+        sessions = _sessions(open_session, single_use)
         sends: list[tuple[_Session, ExitStack]] = []
         for action, number, port in history:
             if action == "end":
@@ -121,7 +125,7 @@
                 continue
             entry = make_engine_entry(f"e-{port}", address=f"127.0.0.1:{port}")
             stack = ExitStack()
-            session = stack.enter_context(sessions.use(entry, f"r-{number}"))
+            session = stack.enter_context(sessions.use(entry, f"r-{number}")).session
             sends.append((session, stack))
             if session is not single_use:
                 session.ids.append(f"r-{number}")
@@ -150,12 +154,12 @@
 
     async def play():
         single_use = _Session()
-        sessions = EngineSessions(_Session, single_use)
+        sessions = _sessions(_Session, single_use)
         entry = make_engine_entry("e-1")
         used = []
         for request_id in ("r-1", "r-2", "r-1", "r-3", "r-3"):
-            with sessions.use(entry, request_id) as session:
-                used.append(session is single_use)
+            with sessions.use(entry, request_id) as use:
+                used.append(use.session is single_use)
         assert used == [False, False, True, False, True]
         await sessions.close()
 
