--- a/tests/adapter/test_engine_connections.py
+++ b/tests/adapter/test_engine_connections.py
@@ -9,10 +9,13 @@
 import asyncio
 from collections import Counter
 
+import pytest
+from aiohttp import web
 from aiohttp.test_utils import TestServer
 from send_permits import make_permit
 
 import engine_sessions
+import engines
 from engines import EngineClient
 from saddledoor import EngineEntry
 from saddledoord._clock import boot_time
@@ -111,3 +114,50 @@
         assert not await bed.client.state(bed.engine)
 
     assert _play(story) == {}
+
+
+@pytest.mark.parametrize(
+    ("header", "pause", "opened"),
+    [
+        ("timeout=60", 0.5, 1),
+        ("max=9, Timeout=60", 0.5, 1),
+        ("timeout=1", 0.05, 2),
+        ("timeout=x", 0.5, 2),
+        (None, 0.5, 2),
+        (None, 0.05, 1),
+    ],
+)
+def test_idle_connections_are_kept_as_long_as_the_engine_does(
+    monkeypatch, header, pause, opened
+):
+    """
+    A shorter time costs new connections; a longer one loses requests, which would cross
+    the engine's close.
+    """
+    monkeypatch.setattr(engines, "_KEEP_ALIVE_TIMEOUT", 0.2)
+    counts: Counter = Counter()
+
+    async def answer(request: web.Request) -> web.Response:
+        headers = {
+            "Saddledoor-Attempt-Id": request.headers["Saddledoor-Attempt-Id"],
+            "Saddledoor-Server-Seal": "seal",
+        }
+        return web.Response(
+            headers=headers | ({"Keep-Alive": header} if header else {})
+        )
+
+    async def play() -> None:
+        app = web.Application()
+        app.router.add_post("/look", answer)
+        async with TestServer(app, host="127.0.0.1") as server:
+            client = EngineClient.open(lambda _, cause: counts.update([cause]))
+            bed = _Bed(client, f"127.0.0.1:{server.port}", counts)
+            try:
+                await bed.call("r-1")
+                await asyncio.sleep(pause)
+                await bed.call("r-2")
+            finally:
+                await client.close()
+
+    asyncio.run(play())
+    assert counts.total() == opened
--- a/tests/guard_rows/requests.py
+++ b/tests/guard_rows/requests.py
@@ -220,6 +220,27 @@
         "order = sorted(ties)",
         ("tests/test_policies.py", "few_engines"),
     ),
+    Guard(
+        "a hedge goes to another data centre",
+        f"{LIBRARY}/_routing.py",
+        "return ties[min(order, key=lambda name: ties[name].is_centre_tried)]",
+        "return ties[order[0]]",
+        (POOL, "another_data_centre"),
+    ),
+    Guard(
+        "the pool knows the data centres that were tried",
+        f"{DAEMON}/serving/pool.py",
+        "{e.data_centre for e in allowed if e.incarnation in tried},",
+        "set(),",
+        (POOL, "another_data_centre"),
+    ),
+    Guard(
+        "the engine's idle timeout is applied",
+        "platform/engines.py",
+        "session.connector.set_engine_timeout(int(told[1]))",
+        "pass",
+        ("tests/adapter/test_engine_connections.py", "as_long_as"),
+    ),
     Guard(
         "an engine that was overtaken comes after the others",
         f"{DAEMON}/serving/pool.py",
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -32,6 +32,7 @@
     least_outstanding_rendezvous,
     next_orders,
     rendezvous,
+    rendezvous_order,
 )
 
 
@@ -98,6 +99,40 @@
     assert busiest < 1.5
 
 
+def test_a_hedge_goes_to_another_data_centre_and_stays_in_the_subset():
+    """
+    A node would otherwise open a connection to a further engine for it, or hedge where
+    the first engine is slow because of its data centre.
+    """
+    centres = {f"e-{n}": f"dc-{n % 3}" for n in range(12)}
+    for node in range(40):
+        choose = least_outstanding_rendezvous(f"vm-{node}")
+        idle = [Candidate(name, slots=6, own=0) for name in centres]
+        first = choose(idle).name
+        hedges = set()
+        for _ in range(3):
+            rest = [
+                replace(c, is_centre_tried=centres[c.name] == centres[first])
+                for c in idle
+                if c.name != first
+            ]
+            hedges.add(choose(rest).name)
+        (second,) = hedges
+        assert centres[second] != centres[first]
+        order = rendezvous_order(f"vm-{node}", centres)
+        others = [e for e in order if centres[e] != centres[first]]
+        assert second == others[0]
+
+
+def test_a_hedge_stays_where_all_engines_are():
+    """
+    A service of one data centre has no other one to send it to.
+    """
+    choose = least_outstanding_rendezvous("vm-1")
+    rest = [Candidate(f"e-{n}", 6, 0, is_centre_tried=True) for n in range(3)]
+    assert choose(rest).name == rendezvous_order("vm-1", ["e-0", "e-1", "e-2"])[0]
+
+
 def test_a_node_with_much_in_flight_uses_all_engines_alike():
     """
     The node's order only breaks ties.
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from builders import make_engine_entry
-from saddledoor import EngineEntry, least_outstanding
+from saddledoor import EngineEntry, least_outstanding, least_outstanding_rendezvous
 from saddledoord._clock import boot_time
 from saddledoord.cluster.view import ClusterView
 from saddledoord.ports import KeyedEntry
@@ -100,3 +100,23 @@
     monkeypatch.setattr("saddledoord.serving.pool.boot_time", lambda: now + 5.0)
     pool.record_success(other)
     assert pool.choose("desk") == slow
+
+
+def test_a_hedge_goes_to_an_engine_of_another_data_centre():
+    """
+    The next engine of the node's order may be in the data centre that is slow.
+    """
+    view = ClusterView()
+    for number in range(9):
+        name = f"e-{number}"
+        engine = make_engine_entry(name, data_centre=f"dc-{number % 3}")
+        view.apply_engine(KeyedEntry(name, number, engine))
+    for node in range(20):
+        policy = least_outstanding_rendezvous(f"vm-{node}")
+        pool = EnginePool(view, policy, SendGate(view))
+        first = pool.choose("desk")
+        second = pool.choose("desk", exclude=[first.incarnation])
+        assert second.data_centre != first.data_centre
+        with pool.reserve(first):
+            # Also while it runs at the first engine.
+            assert pool.choose("desk", exclude=[first.incarnation]) == second
