--- a/tests/adapter/test_engine_connections.py
+++ b/tests/adapter/test_engine_connections.py
@@ -9,13 +9,13 @@
 import asyncio
 from collections import Counter
 
+import engine_transport
 import pytest
 from aiohttp import web
 from aiohttp.test_utils import TestServer
 from send_permits import make_permit
 
 import engine_sessions
-import engines
 from engines import EngineClient
 from saddledoor import EngineEntry
 from saddledoord._clock import boot_time
@@ -134,7 +134,7 @@
     A shorter time costs new connections; a longer one loses requests, which would cross
     the engine's close.
     """
-    monkeypatch.setattr(engines, "_KEEP_ALIVE_TIMEOUT", 0.2)
+    monkeypatch.setattr(engine_transport, "_KEEP_ALIVE_TIMEOUT", 0.2)
     counts: Counter = Counter()
 
     async def answer(request: web.Request) -> web.Response:
--- a/tests/guard_rows/requests.py
+++ b/tests/guard_rows/requests.py
@@ -236,7 +236,7 @@
     ),
     Guard(
         "the engine's idle timeout is applied",
-        "platform/engines.py",
+        "platform/engine_transport.py",
         "session.connector.set_engine_timeout(int(told[1]))",
         "pass",
         ("tests/adapter/test_engine_connections.py", "as_long_as"),
