Restrict requests, work shares and texts of jobs to the allowed regions

A route and a workspace may name regions. Plain requests, scoring calls and items are checked against both by the newest configuration at each send. Restricted jobs are work shares of their own, which only VMs in the regions hold, and their texts are in a stream for each set of regions.

--- a/packages/saddledoor/src/saddledoor/__init__.py
+++ b/packages/saddledoor/src/saddledoor/__init__.py
@@ -135,6 +135,7 @@
     RouteKind,
     RouteTable,
     ServiceShare,
+    unservable_pairs,
 )
 from ._routing import (
     Candidate,
@@ -170,6 +171,8 @@
     TrackedSend,
     check_send,
     intersect_regions,
+    restricted_share,
+    share_regions,
 )
 from .leases import Lease, LeaseClaim, LeaseRelease, LeaseRenewal
 from .scaling import ScalingLimits
@@ -186,6 +189,9 @@
     "SendNeeds",
     "check_send",
     "intersect_regions",
+    "restricted_share",
+    "share_regions",
+    "unservable_pairs",
     "request_key",
     "time_left",
     "RequestsCleared",
--- a/packages/saddledoor/src/saddledoor/_job_records.py
+++ b/packages/saddledoor/src/saddledoor/_job_records.py
@@ -44,9 +44,13 @@
             requirements = [record.model, record.step, record.oldest_version]
             fields = [*route, *requirements, record.groups_wanted, record.size]
             location = _encode_location(record.items)
-            optional_workspace = [] if record.workspace is None else [record.workspace]
+            owner = [record.workspace]
+            if record.workspace is None and record.items.regions is None:
+                owner = []
+            # The regions, which end the location, come after the workspace: records of
+            # older releases end with the workspace.
             return msgpack.packb(
-                ["o", record.job_id, *fields, *location, *optional_workspace]
+                ["o", record.job_id, *fields, *location[:2], *owner, *location[2:]]
             )
         case ItemResultRecorded(result=result):
             fields = [result.item_id, result.done, list(result.versions), result.score]
@@ -81,7 +85,8 @@
 
 
 def _encode_location(text: StoredText) -> list:
-    return [list(text.offsets), text.size]
+    regions = [] if text.regions is None else [list(text.regions)]
+    return [list(text.offsets), text.size, *regions]
 
 
 def _require_str(value: object) -> str:
@@ -119,8 +124,16 @@
     return tuple(_require_int(number) for number in _require_list(value))
 
 
-def _decode_stored_text(offsets: object, size: object) -> StoredText:
-    return StoredText(_require_ints(offsets), _require_int(size))
+def _decode_stored_text(
+    offsets: object, size: object, regions: object = None
+) -> StoredText:
+    """
+    Return a location; a record of a release without regions has none.
+    """
+    names = None
+    if regions is not None:
+        names = tuple(_require_str(name) for name in _require_list(regions))
+    return StoredText(_require_ints(offsets), _require_int(size), names)
 
 
 def _decode_opened(job_id, host, path, model, *fields) -> JobOpened:
@@ -131,8 +144,9 @@
         size,
         offsets,
         bytes_stored,
-        *optional_workspace,
+        *optional,
     ) = fields
+    workspace, *regions = optional or [None]
     return JobOpened(
         _require_str(job_id),
         _require_str(host),
@@ -142,12 +156,12 @@
         _require_int(oldest_version),
         _require_int(groups_wanted),
         _require_int(size),
-        _decode_stored_text(offsets, bytes_stored),
-        _decode_workspace(*optional_workspace),
+        _decode_stored_text(offsets, bytes_stored, *regions),
+        _decode_workspace(workspace),
     )
 
 
-def _decode_workspace(workspace: object = None) -> str | None:
+def _decode_workspace(workspace: object) -> str | None:
     """
     Return a job's workspace, or None in a record of a release without the field.
     """
--- a/packages/saddledoor/src/saddledoor/_jobs.py
+++ b/packages/saddledoor/src/saddledoor/_jobs.py
@@ -91,10 +91,13 @@
 
     :param offsets: Offsets of its records in the stream, in order.
     :param size: Total size of these records, in bytes.
+    :param regions: Regions whose stream holds the records, sorted; none if the stream
+        of all regions does.
     """
 
     offsets: tuple[int, ...] = ()
     size: int = 0
+    regions: tuple[str, ...] | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/saddledoor/src/saddledoor/_route_table.py
+++ b/packages/saddledoor/src/saddledoor/_route_table.py
@@ -11,6 +11,7 @@
 from enum import Enum
 
 from ._workspaces import WorkspaceTable
+from .eligibility import intersect_regions
 from .scaling import ScalingLimits
 
 
@@ -22,6 +23,7 @@
     "RouteKind",
     "RouteTable",
     "ServiceShare",
+    "unservable_pairs",
 ]
 
 
@@ -149,6 +151,41 @@
     limits: GatewayLimits
     workspaces: WorkspaceTable | None = None
 
+    def regions_for(
+        self, allowed: frozenset[str] | None, workspace: str | None
+    ) -> frozenset[str] | None:
+        """
+        Return the regions that a route and a workspace allow; none if any region may
+        serve the request.
+
+        A workspace that the configuration does not have restricts nothing.
+
+        :param allowed: Regions that the route allows; none if it allows any.
+        :param workspace: Name of the workspace; empty or none without one.
+        """
+        if not workspace or self.workspaces is None:
+            return allowed
+        found = self.workspaces.named(workspace)
+        return intersect_regions(allowed, found.allowed_regions if found else None)
+
+
+def unservable_pairs(config: GatewayConfig) -> dict[str, tuple[str, ...]]:
+    """
+    Return the workspaces whose requests no region may serve, by the route's name.
+
+    An empty name stands for callers without a workspace.
+    """
+    workspaces = config.workspaces.names() if config.workspaces else []
+    pairs = {
+        route.name: tuple(
+            name
+            for name in ["", *workspaces]
+            if config.regions_for(route.allowed_regions, name) == frozenset()
+        )
+        for route in config.routes
+    }
+    return {route: names for route, names in pairs.items() if names}
+
 
 @dataclass(frozen=True)
 class RouteTable:
--- a/packages/saddledoor/src/saddledoor/_workspaces.py
+++ b/packages/saddledoor/src/saddledoor/_workspaces.py
@@ -61,10 +61,11 @@
 @dataclass(frozen=True)
 class WorkspaceTable:
     """
-    Workspaces by the digests of their keys.
+    Workspaces by the digests of their keys, and by name.
     """
 
     _by_digest: Mapping[bytes, Workspace] = field(default_factory=dict)
+    _by_name: Mapping[str, Workspace] = field(default_factory=dict)
 
     @classmethod
     def from_workspaces(cls, workspaces: Iterable[Workspace]) -> WorkspaceTable:
@@ -74,19 +75,31 @@
         :raises ValueError: If two workspaces have a name or a key in common; the
             message names the workspaces.
         """
-        names: set[str] = set()
+        by_name: dict[str, Workspace] = {}
         by_digest: dict[bytes, Workspace] = {}
         for workspace in workspaces:
-            if workspace.name in names:
+            if workspace.name in by_name:
                 raise ValueError(f"two workspaces are named {workspace.name!r}")
-            names.add(workspace.name)
+            by_name[workspace.name] = workspace
             for digest in workspace.key_digests:
                 other = by_digest.setdefault(digest, workspace)
                 if other is not workspace:
                     raise ValueError(
                         f"a key of {workspace.name!r} is one of {other.name!r}"
                     )
-        return cls(by_digest)
+        return cls(by_digest, by_name)
+
+    def names(self) -> list[str]:
+        """
+        Return the names of the workspaces.
+        """
+        return list(self._by_name)
+
+    def named(self, name: str) -> Workspace | None:
+        """
+        Return a workspace by name, also if it has no valid key; none if there is none.
+        """
+        return self._by_name.get(name)
 
     def find(self, key: str) -> Workspace | None:
         """
--- a/packages/saddledoor/src/saddledoor/eligibility/__init__.py
+++ b/packages/saddledoor/src/saddledoor/eligibility/__init__.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from ._cold_engines import ColdLimit, ColdState, SendWindow, TrackedSend
+from ._residency import restricted_share, share_regions
 from ._send_check import Denial, EngineFacts, SendNeeds, check_send, intersect_regions
 
 
@@ -20,4 +21,6 @@
     "TrackedSend",
     "check_send",
     "intersect_regions",
+    "restricted_share",
+    "share_regions",
 ]
--- a/packages/saddledoord/src/saddledoord/cluster/view.py
+++ b/packages/saddledoord/src/saddledoord/cluster/view.py
@@ -23,11 +23,14 @@
     Incarnation,
     JobOpened,
     RouteTable,
+    restricted_share,
+    unservable_pairs,
 )
 
 from .._clock import boot_time
 from ..ports import KeyedEntry, NamedVersion, UnusableValue
 from .evacuations import Evacuations
+from .residency import Residency
 
 
 __all__ = ["ClusterView"]
@@ -51,6 +54,7 @@
     :ivar evacuations: The operator's evacuations of data centres.
     :ivar engine_tables: State of engines that is dropped when an incarnation ends.
     :ivar cold_states: What is known of the coldness of each incarnation.
+    :ivar residency: Regions that may serve a request or run a job.
     :ivar changed: Event that is set at each change of the configuration, the named
         versions or the engines.
     """
@@ -60,6 +64,7 @@
         self.evacuations = Evacuations()
         self.engine_tables = EngineTables()
         self.cold_states = self.engine_tables.table(ColdState)
+        self.residency = Residency(lambda: self._config, self.route)
         self._are_engines_loaded = False
         self._gone: dict[Incarnation, float] = {}
         self.changed = asyncio.Event()
@@ -111,14 +116,19 @@
         """
         Return the work share of a job.
 
+        Jobs that only some regions may run are a share of their own for each set of
+        regions.
+
         One node runs all jobs of a service unless the service has too many engines.
         That node knows the load of each engine and can order the waiting items of all
         jobs. Otherwise each series of jobs is a work share.
         """
+        base = job.series
         for service in self.model_services():
             if job.model in service.models and self._runs_on_one_node(service):
-                return service.name
-        return job.series
+                base = service.name
+                break
+        return restricted_share(base, self.residency.job_regions(job))
 
     def shares_of(
         self, service: GatewayService, open_jobs: Iterable[JobOpened]
@@ -126,9 +136,10 @@
         """
         Return the work shares of a service's jobs; none for a service without models.
         """
-        if not service.models or self._runs_on_one_node(service):
-            return {service.name} if service.models else set()
-        return {job.series for job in open_jobs if job.model in service.models}
+        if not service.models:
+            return set()
+        shares = {self.share_of(j) for j in open_jobs if j.model in service.models}
+        return shares | self.permanent_shares() & {service.name}
 
     def permanent_shares(self) -> set[str]:
         """
@@ -220,6 +231,13 @@
         _log.info(
             "configuration_in_force", version=config.version, routes=len(config.routes)
         )
+        for route, workspaces in unservable_pairs(config).items():
+            _log.warning(
+                "no_region_in_common",
+                version=config.version,
+                route=route,
+                workspaces=workspaces,
+            )
 
     def _put_engine(self, entry: EngineEntry) -> None:
         known = self.directory.get(entry.engine_id)
--- a/packages/saddledoord/src/saddledoord/cluster/work_shares.py
+++ b/packages/saddledoord/src/saddledoord/cluster/work_shares.py
@@ -36,6 +36,10 @@
 _HELD_DELAY = 0.05
 
 
+def _always_true(_: str) -> bool:
+    return True
+
+
 class WorkShares:
     """
     Claims shares that no node holds, and renews those of this node.
@@ -49,6 +53,8 @@
     :param on_acquired: Awaited before a share that was claimed counts as held.
     :param on_change: Awaited after the shares that this node holds have changed.
     :param cores: Processor time of this node, in cores.
+    :param may_hold: Tells whether this node may hold a share; one that it no longer may
+        hold is released.
     """
 
     @property
@@ -65,11 +71,13 @@
         on_acquired: Callable[[], Awaitable[None]],
         on_change: Callable[[], Awaitable[None]],
         cores: float,
+        may_hold: Callable[[str], bool] = _always_true,
     ) -> None:
         self._leases = leases
         self._wanted = wanted
         self._on_acquired = on_acquired
         self._on_change = on_change
+        self._may_hold = may_hold
         self._delay = _CORE_DELAY / cores
         self._held: set[str] = set()
         self._acquiring: dict[str, asyncio.Task] = {}
@@ -130,8 +138,11 @@
                 self._confirmed_at.pop(share, None)
             self._held = held
             await self._on_change()
+        await self._release_forbidden()
         await self._renew()
         for share in self._wanted():
+            if not self._may_hold(share):
+                continue
             if self._leases.is_mine(_PREFIX + share):
                 self._acquire(share)
             elif self._may_claim(share):
@@ -140,6 +151,28 @@
                 if await self._leases.claim(_PREFIX + share) is not None:
                     self._confirmed_at[share] = claimed_at
 
+    async def _release_forbidden(self) -> None:
+        """
+        Release the shares that this node no longer may hold.
+
+        Its items stop first, so that the next holder resumes after their last event.
+        """
+        shares = [
+            name.removeprefix(_PREFIX)
+            for name in self._leases.held_lease_names()
+            if name.startswith(_PREFIX)
+        ]
+        forbidden = {share for share in shares if not self._may_hold(share)}
+        if not forbidden:
+            return
+        _log.info("shares_forbidden", shares=sorted(forbidden))
+        for share in forbidden:
+            self._confirmed_at.pop(share, None)
+        if self._held & forbidden:
+            self._held -= forbidden
+            await self._on_change()
+        await self._leases.release([_PREFIX + share for share in forbidden])
+
     async def _renew(self) -> None:
         now = boot_time()
         if now - self._renewed_at < _TERM / _RENEWALS_PER_TERM:
@@ -193,6 +226,8 @@
         await self._on_acquired()
         if self._stopped or not self._leases.is_mine(_PREFIX + share):
             return
+        if not self._may_hold(share):
+            return
         self._held.add(share)
         _log.info("share_taken", share=share)
         await self._on_change()
--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -161,6 +161,7 @@
         self._process_pauses = ProcessPauses()
         self.view = ClusterView()
         view = self.view
+        view.residency.own_region = settings.sends.own_region
         self._store = StoreWatch(ports.reconnect)
         log = WatchedLog(ports.log, self._store)
         knowledge = EvacuationKnowledge(
@@ -211,7 +212,12 @@
             self._process_pauses.read_delay,
         )
         job_fold = JobFold()
-        texts = TextStore(log, settings.largest_record, settings.largest_append)
+        texts = TextStore(
+            log,
+            settings.largest_record,
+            settings.largest_append,
+            lambda: view.residency.own_region,
+        )
         self.jobs = JobService(
             log,
             job_fold,
@@ -221,6 +227,7 @@
             settings.retention,
             self._is_store_silent,
             lambda: self._shares.any_held,
+            view.residency.job_regions,
         )
         self._writer = RecordWriter(log, texts)
         self._shares = WorkShares(
@@ -229,6 +236,7 @@
             self._sync_jobs,
             self._on_shares_changed,
             settings.cores,
+            view.residency.may_hold,
         )
         paces = EnginePaces(self.view.engine_tables)
         unresponsive = UnresponsiveEngines(ports.engines, self.view.engine_tables)
@@ -350,6 +358,7 @@
         """
         self._holds_engines = holds_engines
         self.admission.set_bounds(key_bounds)
+        self.view.residency.own_region = sends.own_region
         self._gate.set_settings(sends)
         self._log_freshness.set_cancel_limit(cancel_limit)
         self.jobs.set_retention(result_retention, retention)
@@ -499,6 +508,8 @@
         self.view.apply_operator(entry)
         if self.scaling is not None:
             self.scaling.follow_config()
+        # The regions of jobs, and with them their shares, may have changed.
+        self._wake()
 
     def _apply_engine(self, entry) -> None:
         self.view.apply_engine(entry)
--- a/packages/saddledoord/src/saddledoord/jobs/item_run.py
+++ b/packages/saddledoord/src/saddledoord/jobs/item_run.py
@@ -57,7 +57,7 @@
     :param quarantine_logged: Whether its quarantine has been logged.
     :param ineligible: Engines that are not eligible for the item at present.
     :param engines: Ids of the engines that it was sent to, in order.
-    :param needs: What the gate has to check.
+    :param needs: What the gate has to check, by the newest configuration.
     :param times: Seconds spent in each phase.
     """
 
@@ -82,12 +82,17 @@
     times: ItemTimes = field(default_factory=lambda: ItemTimes(boot_time()))
 
     @classmethod
-    def create(cls, state: JobState, item: JobItem) -> ItemRun:
+    def create(
+        cls, state: JobState, item: JobItem, needs: SendNeeds | None = None
+    ) -> ItemRun:
         """
         Create the state of an item, with the number of failed runs in the log.
+
+        :param needs: None for an item that every engine may get.
         """
         failures = state.failures(item.item_id)
-        return cls(state, item, EventText(_new_chain()), failures=failures)
+        text = EventText(_new_chain())
+        return cls(state, item, text, failures=failures, needs=needs or SendNeeds())
 
     async def load(self, texts: TextStore) -> None:
         """
@@ -203,7 +208,12 @@
             part.versions,
         )
         self.persisting = True
-        writer.put_with_text(encode_events(part.events), record, self._record_persisted)
+        writer.put_with_text(
+            encode_events(part.events),
+            record,
+            self._record_persisted,
+            self.needs.regions,
+        )
         self.persisted = self.text.last
         self.persisted_chain = part.chain
 
--- a/packages/saddledoord/src/saddledoord/jobs/record_writer.py
+++ b/packages/saddledoord/src/saddledoord/jobs/record_writer.py
@@ -38,11 +38,13 @@
     :param text: Its text, which is written first; empty for a record without one.
     :param make_record: Makes the record from the position of its text.
     :param on_written: Called when the log has acknowledged the record.
+    :param regions: Regions to which the text is restricted; none without a restriction.
     """
 
     text: bytes
     make_record: Callable[[StoredText], JobRecord]
     on_written: Callable[[], None]
+    regions: frozenset[str] | None
 
 
 def _do_nothing() -> None:
@@ -76,14 +78,17 @@
         text: bytes,
         make_record: Callable[[StoredText], JobRecord],
         on_written: Callable[[], None] = _do_nothing,
+        regions: frozenset[str] | None = None,
     ) -> None:
         """
         Queue a text and the record that refers to it.
 
         :param make_record: Makes the record from the position of its text.
         :param on_written: Called when the log has acknowledged the record.
+        :param regions: Regions to which the text is restricted; none without a
+            restriction.
         """
-        self._queue.append(_QueuedRecord(text, make_record, on_written))
+        self._queue.append(_QueuedRecord(text, make_record, on_written, regions))
         self._idle.clear()
         self._has_records.set()
 
@@ -106,7 +111,7 @@
             await self._has_records.wait()
             await asyncio.sleep(_BATCH_DELAY)
             batch = self._next_batch()
-            positions = await self._texts.write([queued.text for queued in batch])
+            positions = await self._write_texts(batch)
             records = [
                 encode_job_record(queued.make_record(position))
                 for queued, position in zip(batch, positions, strict=True)
@@ -117,6 +122,20 @@
             if not self._queue:
                 self._idle.set()
 
+    async def _write_texts(self, batch: list[_QueuedRecord]) -> list[StoredText]:
+        """
+        Write the texts of records, those of each set of regions together.
+        """
+        positions = [StoredText()] * len(batch)
+        for regions in dict.fromkeys(queued.regions for queued in batch):
+            chosen = [i for i, q in enumerate(batch) if q.regions == regions]
+            written = await self._texts.write(
+                [batch[index].text for index in chosen], regions=regions
+            )
+            for index, position in zip(chosen, written, strict=True):
+                positions[index] = position
+        return positions
+
     def _next_batch(self) -> list[_QueuedRecord]:
         count, size = 0, 0
         while count < min(len(self._queue), _MAX_RECORDS) and size < _MAX_TEXT:
--- a/packages/saddledoord/src/saddledoord/jobs/runner.py
+++ b/packages/saddledoord/src/saddledoord/jobs/runner.py
@@ -15,6 +15,7 @@
 from saddledoor import (
     Denial,
     EngineEntry,
+    GatewayConfig,
     GatewayRoute,
     Incarnation,
     ItemFailed,
@@ -110,6 +111,8 @@
         self._items = ItemLoader(jobs, self.wake)
         self._wake = asyncio.Event()
         self._stopped = False
+        #: The configuration by which the needs of the items were found.
+        self._needs_config: GatewayConfig | None = None
 
     def wake(self) -> None:
         """
@@ -185,6 +188,10 @@
         if not self._jobs.caught_up:
             # A job may seem open although the log holds its end.
             return
+        if self._view.config is not self._needs_config:
+            self._needs_config = self._view.config
+            for run in self._runs.values():
+                run.needs = self._needs(run.state, run.item)
         wanted: dict[ItemKey, tuple[JobState, JobItem]] = {}
         for state in self._own_jobs():
             self._items.request_items(state)
@@ -195,7 +202,8 @@
                 self._drop(key, "not_wanted")
         new = [key for key in wanted if key not in self._runs]
         for key in new:
-            self._runs[key] = ItemRun.create(*wanted[key])
+            state, item = wanted[key]
+            self._runs[key] = ItemRun.create(state, item, self._needs(state, item))
         for job_id in {job_id for job_id, _ in new}:
             runs = [run for key, run in self._runs.items() if key[0] == job_id]
             kept = sum(run.checkpointed_text.count for run in runs)
@@ -210,11 +218,21 @@
         """
         if self._stopped:
             return []
-        states = self._jobs.open_jobs()
+        # The second check holds for a share whose name only looks like another one's.
         return [
-            state for state in states if self._holds(self._view.share_of(state.job))
+            state
+            for state in self._jobs.open_jobs()
+            if self._holds(self._view.share_of(state.job))
+            and self._view.residency.may_run(state.job)
         ]
 
+    def _needs(self, state: JobState, item: JobItem) -> SendNeeds:
+        """
+        Return what the gate has to check for an item, by the newest configuration.
+        """
+        path = item.path.partition("?")[0]
+        return SendNeeds(self._view.residency.item_regions(state.job, path))
+
     def _drop(self, key: ItemKey, reason: str) -> None:
         run = self._runs.pop(key)
         if run.task is not None:
@@ -353,6 +371,8 @@
                 if not self._crash_watch.may_start(engine.incarnation, run.key):
                     complete = False
                 if complete:
+                    # The configuration may have changed during the read.
+                    run.needs = self._needs(run.state, run.item)
                     permit = self._gate.permit(engine, run.needs, decided_at, True)
                     reservation.record_sent()
                     complete = not isinstance(permit, Denial)
@@ -438,6 +458,7 @@
                         ItemFailed(job_id, item.item_id, _new_failure(), scoring=True)
                     ),
                     lambda: self._may_score(run),
+                    run.state.job.workspace,
                 )
             except ScoringFailedError:
                 _log.info("item_not_scored", job=job_id, item=item.item_id)
@@ -452,6 +473,7 @@
                 job_id, ItemResult(item.item_id, True, text, versions, signature)
             ),
             lambda: self._log_group(run),
+            run.needs.regions,
         )
 
     def _log_group(self, run: ItemRun) -> None:
--- a/packages/saddledoord/src/saddledoord/jobs/scoring.py
+++ b/packages/saddledoord/src/saddledoord/jobs/scoring.py
@@ -58,6 +58,7 @@
         failures: int,
         on_failure: Callable[[], None],
         may_call: Callable[[], bool],
+        workspace: str | None = None,
     ) -> str:
         """
         Return the signature of the first successful answer.
@@ -65,6 +66,7 @@
         :param failures: Number of failed calls so far, by any node.
         :param on_failure: Called after each further failure.
         :param may_call: Tells whether the call may be sent now.
+        :param workspace: Workspace of the job, whose regions apply; none without one.
         :raises ScoringFailedError: After as many failures as the route allows.
         """
         pause = _PAUSE
@@ -96,6 +98,7 @@
                 count_failure,
                 call.request_id,
                 may_call,
+                workspace=workspace,
             )
             match outcome:
                 case EngineAnswer(status=status, signature=signature) if (
--- a/packages/saddledoord/src/saddledoord/jobs/service.py
+++ b/packages/saddledoord/src/saddledoord/jobs/service.py
@@ -40,6 +40,7 @@
     SharedLog,
     StoreUnavailableError,
 )
+from ..serving.outcomes import refuse_without_region
 from .record_writer import JOBS_STREAM
 from .texts import TextStore
 
@@ -127,6 +128,10 @@
     retry_after: float = _RETRY_AFTER
 
 
+def _any_region(_: Job) -> None:
+    return None
+
+
 class JobService:
     """
     Answers callers from the jobs that this node has read from the log; reads the log
@@ -136,6 +141,7 @@
     :param retention: Age up to which the log retains records, in seconds.
     :param store_is_silent: Tells whether the store has not answered lately.
     :param runs_jobs: Tells whether this node holds any work share.
+    :param regions_of: Returns the regions that may run a job; none if any may.
     """
 
     def __init__(
@@ -148,7 +154,9 @@
         retention: float,
         store_is_silent: Callable[[], bool],
         runs_jobs: Callable[[], bool],
+        regions_of: Callable[[Job], frozenset[str] | None] = _any_region,
     ) -> None:
+        self._regions_of = regions_of
         self._log = log
         self._store_is_silent = store_is_silent
         self._runs_jobs = runs_jobs
@@ -252,7 +260,12 @@
             return NotRun(ResultCode.BAD_REQUEST, "the job's id is taken", 0.0)
         if self._store_is_silent():
             return NotRun(ResultCode.LOG_AWAY, "the store is silent", _RETRY_AFTER)
-        outcome = await self._append_opened(job, boot_time() + _APPEND_RETRY_LIMIT)
+        regions = self._regions_of(job)
+        if regions == frozenset():
+            _log.info("no_region_allowed", job=job.job_id, workspace=job.workspace)
+            return refuse_without_region()
+        deadline = boot_time() + _APPEND_RETRY_LIMIT
+        outcome = await self._append_opened(job, regions, deadline)
         code = ResultCode.DONE if isinstance(outcome, Accepted) else outcome.code
         _log.info(
             "job_submitted",
@@ -411,14 +424,14 @@
         return state
 
     async def _append_opened(
-        self, job: Job, deadline: float
+        self, job: Job, regions: frozenset[str] | None, deadline: float
     ) -> Accepted | NotRun | OutcomeUnknown:
         """
         Write a job's items, then the record that opens the job.
         """
         try:
             items = encode_job_items(job.items)
-            (stored,) = await self._texts.write([items], deadline)
+            (stored,) = await self._texts.write([items], deadline, regions)
         except StoreUnavailableError as error:
             # Without the second record the items never run.
             return NotRun(ResultCode.LOG_AWAY, str(error), _RETRY_AFTER)
--- a/packages/saddledoord/src/saddledoord/serving/gate.py
+++ b/packages/saddledoord/src/saddledoord/serving/gate.py
@@ -63,11 +63,13 @@
         gets in a second; see `saddledoor.ColdLimit`.
     :param evacuation_limit: Time after which an evacuation must have taken effect, in
         seconds; None if the settings give none.
+    :param own_region: Region of this VM; empty if it is unknown.
     """
 
     regions: Mapping[str, str] = field(default_factory=dict)
     evacuation_limit: float | None = None
     cold_bounds: tuple[float, float] = (1.0, 0.0)
+    own_region: str = ""
 
 
 #: Settings without any restriction.
--- a/packages/saddledoord/src/saddledoord/serving/outcomes.py
+++ b/packages/saddledoord/src/saddledoord/serving/outcomes.py
@@ -12,6 +12,7 @@
     GatewayRoute,
     NotRun,
     OutcomeUnknown,
+    ResultCode,
     RouteKind,
 )
 
@@ -19,10 +20,29 @@
 from .engine_crash_watch import EngineRun
 
 
-__all__ = ["Outcome", "attempt_end", "describe", "is_final", "record_run"]
+__all__ = [
+    "Outcome",
+    "attempt_end",
+    "describe",
+    "is_final",
+    "record_run",
+    "refuse_without_region",
+]
 
 Outcome = EngineAnswer | NotRun | OutcomeUnknown
 
+#: Retry delay told to a caller whose request no region may serve, in seconds; only a
+#: change of the configuration can help.
+_NO_REGION_RETRY_AFTER = 5.0
+
+
+def refuse_without_region() -> NotRun:
+    """
+    Return the refusal of a request whose route and workspace have no region in common.
+    """
+    reason = "no region is allowed by both the route and the workspace"
+    return NotRun(ResultCode.NO_BACKEND, reason, _NO_REGION_RETRY_AFTER)
+
 
 def is_final(route: GatewayRoute, outcome: Outcome) -> bool:
     """
--- a/packages/saddledoord/src/saddledoord/serving/pass_through.py
+++ b/packages/saddledoord/src/saddledoord/serving/pass_through.py
@@ -10,6 +10,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
 
 import structlog
 
@@ -25,6 +26,7 @@
     PoisonStatus,
     ResultCode,
     RouteKind,
+    SendNeeds,
     request_key,
     time_left,
 )
@@ -37,7 +39,14 @@
 from .engine_choice import EngineChoice
 from .engine_crash_watch import EngineCrashWatch
 from .gate import SendGate
-from .outcomes import Outcome, attempt_end, describe, is_final, record_run
+from .outcomes import (
+    Outcome,
+    attempt_end,
+    describe,
+    is_final,
+    record_run,
+    refuse_without_region,
+)
 from .pool import EnginePool
 from .request_state import FirstStart, RequestState
 
@@ -158,7 +167,11 @@
         first_start = FirstStart()
         try:
             outcome = await self.run(
-                route, request, started_at + time_limit, first_start=first_start
+                route,
+                request,
+                started_at + time_limit,
+                first_start=first_start,
+                workspace=admitted.workspace,
             )
         finally:
             # Also if the caller disconnected: engines may have started the request.
@@ -177,6 +190,7 @@
         name: str = "",
         may_begin: Callable[[], bool] = _always_true,
         first_start: FirstStart | None = None,
+        workspace: str | None = None,
     ) -> Outcome:
         """
         Run a request of a route until it is answered or its deadline has passed.
@@ -190,6 +204,8 @@
             false.
         :param first_start: Records when the first engine started the request; None if
             this is not needed.
+        :param workspace: Workspace whose regions apply; the engines get the one of the
+            request.
         """
         key = _request_key(request, name)
         service = route.service(random.random())
@@ -204,7 +220,16 @@
             attempts,
             may_begin,
             first_start or FirstStart(),
+            partial(self._needs, route, request, workspace),
         )
+        if current.needs.regions == frozenset():
+            _log.info(
+                "no_region_allowed",
+                request=request.request_id,
+                route=route.name,
+                workspace=workspace,
+            )
+            return refuse_without_region()
         await self._crash_watch.refresh()
         await self._gate.wait_until_up_to_date()
         pending: set[asyncio.Task[Outcome]] = set()
@@ -234,6 +259,18 @@
             current.last = OutcomeUnknown(code, "no answer in time")
         return self._give_up(current)
 
+    def _needs(
+        self, route: GatewayRoute, request: ForwardedRequest, workspace: str | None
+    ) -> SendNeeds:
+        """
+        Return what the gate has to check for a request, by the newest configuration.
+        """
+        path = request.target.partition("?")[0]
+        residency = self._view.residency
+        return SendNeeds(
+            residency.request_regions(route, request.host, path, workspace)
+        )
+
     def _start(
         self, current: RequestState, is_pending: bool
     ) -> set[asyncio.Task[Outcome]]:
--- a/packages/saddledoord/src/saddledoord/serving/request_state.py
+++ b/packages/saddledoord/src/saddledoord/serving/request_state.py
@@ -65,7 +65,7 @@
     :param attempts: The attempts so far.
     :param may_begin: Called before each attempt; none starts while it returns false.
     :param first_start: Records when the first engine started the request.
-    :param needs: What the gate has to check.
+    :param find_needs: Returns what the gate has to check, by the newest configuration.
     :param engines: Engine of each attempt's task, in the order of the attempts.
     :param last: Last outcome that is not `NotRun`; None before any.
     """
@@ -79,10 +79,17 @@
     attempts: EngineAttempts
     may_begin: Callable[[], bool]
     first_start: FirstStart
-    needs: SendNeeds = field(default_factory=SendNeeds)
+    find_needs: Callable[[], SendNeeds] = SendNeeds
     engines: dict[asyncio.Task, EngineEntry] = field(default_factory=dict)
     last: Outcome | None = None
 
+    @property
+    def needs(self) -> SendNeeds:
+        """
+        What the gate has to check; it changes with the configuration.
+        """
+        return self.find_needs()
+
     @property
     def remaining(self) -> float:
         """
--- a/tests/test_item_run.py
+++ b/tests/test_item_run.py
@@ -27,7 +27,7 @@
         self.texts: list[bytes] = []
         self._written = []
 
-    def put_with_text(self, text, make_record, written):
+    def put_with_text(self, text, make_record, written, regions):
         self.texts.append(text)
         self.records.append(make_record(StoredText((len(self.texts),), len(text))))
         self._written.append(written)
--- a/tests/test_job_runner.py
+++ b/tests/test_job_runner.py
@@ -101,7 +101,7 @@
     async def run() -> None:
         scored = asyncio.Event()
 
-        async def score(call, failures, on_failure, may_call) -> str:
+        async def score(call, failures, on_failure, may_call, workspace) -> str:
             answers.append(may_call())
             state.ended = True
             answers.append(may_call())
