--- a/packages/saddledoord/src/saddledoord/cluster/work_shares.py
+++ b/packages/saddledoord/src/saddledoord/cluster/work_shares.py
@@ -25,6 +25,9 @@
 #: Term of a lease, in seconds.
 _TERM = 1.0
 _RENEWALS_PER_TERM = 3
+#: Interval between attempts to release a share that this node no longer may hold, in
+#: seconds.
+_RELEASE_INTERVAL = 0.3
 #: How often the leases are checked without a change, in seconds.
 _CHECK_INTERVAL = 0.1
 #: Longest random delay of a claim, in seconds, so that nodes do not claim all at once.
@@ -82,6 +85,9 @@
         self._held: set[str] = set()
         self._acquiring: dict[str, asyncio.Task] = {}
         self._renewed_at = float("-inf")
+        #: Shares that this node no longer may hold, but whose leases it has.
+        self._forbidden: set[str] = set()
+        self._forbidden_released_at = float("-inf")
         #: Start of the newest append that is known to have claimed or renewed a share.
         self._confirmed_at: dict[str, float] = {}
         self._claims_due: dict[tuple[str, int], float] = {}
@@ -163,9 +169,14 @@
             if name.startswith(_PREFIX)
         ]
         forbidden = {share for share in shares if not self._may_hold(share)}
-        if not forbidden:
+        if forbidden - self._forbidden:
+            _log.info("shares_forbidden", shares=sorted(forbidden))
+            self._forbidden_released_at = float("-inf")
+        self._forbidden = forbidden
+        now = boot_time()
+        if not forbidden or now - self._forbidden_released_at < _RELEASE_INTERVAL:
             return
-        _log.info("shares_forbidden", shares=sorted(forbidden))
+        self._forbidden_released_at = now
         for share in forbidden:
             self._confirmed_at.pop(share, None)
         if self._held & forbidden:
@@ -180,6 +191,9 @@
         names = [
             name for name in self._leases.held_lease_names() if name.startswith(_PREFIX)
         ]
+        names = [
+            name for name in names if name.removeprefix(_PREFIX) not in self._forbidden
+        ]
         if names:
             self._renewed_at = now
             if await self._leases.renew(names):
--- a/tests/test_work_shares.py
+++ b/tests/test_work_shares.py
@@ -11,6 +11,7 @@
 
 from fake_log import FakeLog
 
+from saddledoor import LeaseRelease, decode_record
 from saddledoord.cluster.leases import LeaseLog
 from saddledoord.cluster.work_shares import WorkShares
 
@@ -23,8 +24,14 @@
     def __init__(self, log: FakeLog, machine: str, cores: float = 2.0) -> None:
         self.leases = LeaseLog(log, machine)
         self.shares = WorkShares(
-            self.leases, self._wanted, self._on_acquired, self._on_change, cores
+            self.leases,
+            self._wanted,
+            self._on_acquired,
+            self._on_change,
+            cores,
+            lambda share: self.may_hold,
         )
+        self.may_hold = True
         self.checks = 0
         self.acquisitions = 0
         self.acquire_time = 0.0
@@ -307,3 +314,45 @@
                 assert not b.leases.is_mine("share/pool")
 
     asyncio.run(scenario())
+
+
+def test_a_share_that_a_node_may_not_hold_is_left_to_others():
+    """
+    A node outside the regions of a share's jobs would read their bodies.
+    """
+
+    async def scenario():
+        log = FakeLog()
+        outside, inside = _Node(log, "outside", cores=64.0), _Node(log, "inside")
+        outside.may_hold = False
+        async with outside.running():
+            await asyncio.sleep(0.5)
+            assert outside.leases.get("share/pool") is None
+            async with inside.running():
+                await _until(lambda: inside.holds)
+                assert not outside.holds
+
+    asyncio.run(scenario())
+
+
+def test_a_node_gives_up_a_share_that_it_no_longer_may_hold():
+    """
+    Another node takes it before the lease expires; its items have stopped by then.
+    """
+
+    async def scenario():
+        log = FakeLog()
+        a, b = _Node(log, "a"), _Node(log, "b")
+        b.may_hold = False
+        async with a.running(), b.running():
+            await _until(lambda: a.holds)
+            a.may_hold, b.may_hold = False, True
+            assert await _until(lambda: b.holds) < 0.9
+            assert a.changes == [True, False]
+            assert not a.holds
+            await asyncio.sleep(0.5)
+            records = [decode_record(data) for data in log.records["control"]]
+            released = [r for r in records if isinstance(r, LeaseRelease)]
+            assert len(released) <= 2
+
+    asyncio.run(scenario())
