--- a/tests/adapter/platform_bed.py
+++ b/tests/adapter/platform_bed.py
@@ -121,6 +121,8 @@
     keep_s: int = 300
     duty_names: str = '"usage", "scale"'
     bounds: str = ""
+    zones: dict[str, str] = field(default_factory=dict)
+    edge_zones: dict[str, str] = field(default_factory=dict)
     store_port: int = field(default_factory=free_port)
     duties_port: int = field(default_factory=free_port)
     engine_ports: dict[str, int] = field(default_factory=dict)
@@ -142,6 +144,8 @@
         keep_s: int = 300,
         duty_names: str = '"usage", "scale"',
         bounds: str = "",
+        zones: dict[str, str] | None = None,
+        edge_zones: dict[str, str] | None = None,
     ) -> Iterator:
         """
         Start everything and wait until the edges are ready.
@@ -153,6 +157,8 @@
         :param config: First configuration; None for the default one.
         :param keep_s: Retention of the log in the settings, in seconds; the store keeps
             all records unless it is told otherwise.
+        :param zones: Region of each data centre; None for settings without regions.
+        :param edge_zones: Data centre of each edge that is not in ``dc-a``.
         """
         bed = cls(
             folder,
@@ -161,6 +167,8 @@
             keep_s=keep_s,
             duty_names=duty_names,
             bounds=bounds,
+            zones=zones or {},
+            edge_zones=edge_zones or {},
         )
         try:
             bed._run("store", "store", str(bed.store_port))
@@ -289,6 +297,7 @@
         if self.duties:
             duties = DUTIES.format(self.duties_port)
             text += duties.replace('"usage", "scale"', self.duty_names)
+        text = self._with_zones(name, text)
         path.write_text(text)
         out = self.folder / f"{name}.out"
         with out.open("ab") as stream:
@@ -304,6 +313,19 @@
             )
         self.processes[name] = _Process(handle, out)
 
+    def _with_zones(self, name: str, text: str) -> str:
+        """
+        Add an edge's data centre, its region and the table of regions to its settings.
+        """
+        if not self.zones:
+            return text
+        zone = self.edge_zones.get(name, "dc-a")
+        before, own = 'zone = "dc-a"\n', f'zone = "{zone}"\n'
+        assert text.count(before) == 1
+        own += f'region = "{self.zones[zone]}"\n'
+        table = "".join(f'{key} = "{value}"\n' for key, value in self.zones.items())
+        return text.replace(before, own) + "[zones]\n" + table
+
     def settings_path(self, name: str) -> Path:
         return self.folder / f"{name}.toml"
 
--- a/tests/adapter/standin_store.py
+++ b/tests/adapter/standin_store.py
@@ -154,7 +154,7 @@
                     await self._grown.wait_for(lambda: topic.end > start)
         await self._fail(request)
         begin = max(0, start - topic.first)
-        records = topic.records[begin : begin + self.page]
+        records = _page(topic.records[begin : begin + self.page], request)
         self.reads[request.query["topic"]] += len(records)
         body = struct.pack(">QQ", topic.end, topic.first)
         body += b"".join(struct.pack(">I", len(r)) + r for r in records)
@@ -227,6 +227,18 @@
     return web.Response()
 
 
+def _page(records: list[bytes], request: web.Request) -> list[bytes]:
+    """
+    Return the records that fit into the size that a read asks for, at least one.
+    """
+    left = int(request.query.get("max_kb", "1024")) * 1024
+    for count, record in enumerate(records):
+        left -= 4 + len(record)
+        if count and left < 0:
+            return records[:count]
+    return records
+
+
 def _split(data: bytes):
     position = 0
     while position < len(data):
