--- a/packages/saddledoor/src/saddledoor/_route_table.py
+++ b/packages/saddledoor/src/saddledoor/_route_table.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import cached_property
 
 from ._workspaces import WorkspaceTable
 from .eligibility import intersect_regions
@@ -151,6 +152,17 @@
     limits: GatewayLimits
     workspaces: WorkspaceTable | None = None
 
+    @cached_property
+    def restricts_regions(self) -> bool:
+        """
+        Whether any route or workspace allows only some regions.
+        """
+        workspaces = self.workspaces
+        named = [workspaces.named(n) for n in workspaces.names()] if workspaces else []
+        return any(
+            owner.allowed_regions is not None for owner in [*self.routes, *named]
+        )
+
     def regions_for(
         self, allowed: frozenset[str] | None, workspace: str | None
     ) -> frozenset[str] | None:
--- a/packages/saddledoord/src/saddledoord/cluster/evacuations.py
+++ b/packages/saddledoord/src/saddledoord/cluster/evacuations.py
@@ -114,9 +114,14 @@
     resumed_at: float
 
 
+def _no_limit() -> None:
+    return None
+
+
 class EvacuationKnowledge:
     """
-    Tells whether this VM would know of an evacuation that must have taken effect.
+    Tells whether this VM would know of an evacuation, or of a changed configuration,
+    that must have taken effect.
 
     It may not know of one after a process pause. A VM that has lost the store goes on
     by what it knows; a read that failed during the pause does not show such a loss.
@@ -126,6 +131,8 @@
         None if the settings give none.
     :param are_used: Returns whether there was any evacuation so far. Without a limit
         and an evacuation, knowledge of any age counts as recent.
+    :param config_limit: Returns the time after which a configuration must have taken
+        effect, in seconds; None if no request is refused for an old configuration.
     """
 
     def __init__(
@@ -133,24 +140,28 @@
         read_state: Callable[[], RegistryReadState],
         limit: float | None,
         are_used: Callable[[], bool],
+        config_limit: Callable[[], float | None] = _no_limit,
     ) -> None:
         self._read_state = read_state
         self._are_used = are_used
         self._logged_at = float("-inf")
-        self.set_limit(limit)
+        self._limit = limit
+        self._config_limit = config_limit
 
     @property
     def max_age(self) -> float | None:
         """
         Age up to which the knowledge counts as recent, in seconds; None for any age.
         """
-        if self._limit is None and not self._are_used():
-            return None
-        return max(_MIN_MAX_AGE, (self._limit or _DEFAULT_LIMIT) - _SEND_TIME)
+        limits = [self._config_limit()]
+        if self._limit is not None or self._are_used():
+            limits.append(self._limit or _DEFAULT_LIMIT)
+        shortest = min((limit for limit in limits if limit is not None), default=None)
+        return None if shortest is None else max(_MIN_MAX_AGE, shortest - _SEND_TIME)
 
     def set_limit(self, limit: float | None) -> None:
         """
-        Change the limit, in seconds.
+        Change the limit for evacuations, in seconds.
         """
         self._limit = limit
 
--- a/packages/saddledoord/src/saddledoord/cluster/residency.py
+++ b/packages/saddledoord/src/saddledoord/cluster/residency.py
@@ -39,6 +39,14 @@
         self._config = config
         self._find_route = find_route
 
+    @property
+    def is_used(self) -> bool:
+        """
+        Whether the newest configuration restricts anything.
+        """
+        config = self._config()
+        return config is not None and config.restricts_regions
+
     def request_regions(
         self, route: GatewayRoute, host: str, path: str, workspace: str | None
     ) -> frozenset[str] | None:
--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -164,10 +164,12 @@
         view.residency.own_region = settings.sends.own_region
         self._store = StoreWatch(ports.reconnect)
         log = WatchedLog(ports.log, self._store)
+        self._config_limit = settings.key_bounds.propagation_limit
         knowledge = EvacuationKnowledge(
             self._operator_read_state,
             settings.sends.evacuation_limit,
             lambda: view.evacuations.are_used,
+            self._residency_limit,
         )
         self._operator = RegistryFollower(
             WatchedRegistry(ports.operator, self._store),
@@ -358,6 +360,7 @@
         """
         self._holds_engines = holds_engines
         self.admission.set_bounds(key_bounds)
+        self._config_limit = key_bounds.propagation_limit
         self.view.residency.own_region = sends.own_region
         self._gate.set_settings(sends)
         self._log_freshness.set_cancel_limit(cancel_limit)
@@ -457,6 +460,13 @@
     def _is_store_silent(self) -> bool:
         return boot_time() - self._store.answered_at > _MAX_STORE_SILENCE
 
+    def _residency_limit(self) -> float | None:
+        """
+        Return the time after which changed regions must have taken effect, in seconds;
+        None if the configuration has none.
+        """
+        return self._config_limit if self.view.residency.is_used else None
+
     def _operator_read_state(self) -> RegistryReadState:
         return RegistryReadState(
             self._operator.synced_at,
--- a/tests/adapter/test_edge_residency.py
+++ b/tests/adapter/test_edge_residency.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import signal
 import time
 from concurrent.futures import ThreadPoolExecutor
 
@@ -254,6 +255,26 @@
     assert _runs(bed, _SOUTHERN) == 3
 
 
+def test_an_edge_that_was_paused_sends_by_the_newest_regions(bed):
+    """
+    It has read the request, and the configuration of before the pause.
+    """
+    _apply(bed, _config(2, ["south"]))
+    assert _ask(bed, 2) == {200}
+    before = _runs(bed, ("desk-b",))
+    bed.signal("edge-0", signal.SIGSTOP)
+    bed.configure(_config(3, ["north"]))
+    with ThreadPoolExecutor(1) as pool:
+        asking = pool.submit(_ask, bed, 12)
+        time.sleep(4.0)
+        bed.signal("edge-0", signal.SIGCONT)
+        statuses = asking.result()
+    assert statuses <= {200, 503}
+    assert _runs(bed, ("desk-b",)) == before
+    until(lambda: _ask(bed, 4) == {200})
+    assert _runs(bed, ("desk-b",)) == before
+
+
 def test_without_allowed_regions_shares_and_streams_keep_their_names(bed):
     """
     The regions of the data centres alone restrict nothing.
--- a/tests/test_residency.py
+++ b/tests/test_residency.py
@@ -46,6 +46,7 @@
     unservable_pairs,
 )
 from saddledoord.cluster.change_notifier import ChangeNotifier
+from saddledoord.cluster.evacuations import EvacuationKnowledge, RegistryReadState
 from saddledoord.cluster.view import ClusterView
 from saddledoord.jobs.record_writer import RecordWriter
 from saddledoord.jobs.scoring import Scorer
@@ -204,6 +205,33 @@
     }
 
 
+@pytest.mark.parametrize(
+    ("config", "is_used"),
+    [
+        (_config(), False),
+        (_config(1, _NORTH), True),
+        (_config(1, None, _NORTH), True),
+        (_config(1, None, _NONE, ()), True),
+    ],
+)
+def test_a_restricted_vm_sends_only_by_a_recent_configuration(config, is_used):
+    """
+    A VM that was paused would send by the regions of before; without any restriction
+    it sends as before.
+    """
+    view = _view(config)
+    assert view.residency.is_used == is_used
+    state = RegistryReadState(90.0, True, 90.0, 99.9)
+    knowledge = EvacuationKnowledge(
+        lambda: state,
+        None,
+        lambda: False,
+        lambda: 3.0 if view.residency.is_used else None,
+    )
+    assert knowledge.is_recent(100.0) != is_used
+    assert (knowledge.max_age is None) != is_used
+
+
 def test_a_location_of_the_shared_stream_is_encoded_as_before():
     """
     VMs of the previous release read these records.
