--- a/tests/guard_rows/__init__.py
+++ b/tests/guard_rows/__init__.py
@@ -6,7 +6,18 @@
 
 from __future__ import annotations
 
-from . import crashes, engines, history, jobs, keys, nodes, requests, scaling, sends
+from . import (
+    crashes,
+    engines,
+    history,
+    jobs,
+    keys,
+    nodes,
+    requests,
+    residency,
+    scaling,
+    sends,
+)
 from .guard import Guard
 
 
@@ -22,4 +33,5 @@
     *history.GUARDS,
     *scaling.GUARDS,
     *sends.GUARDS,
+    *residency.GUARDS,
 )
--- a/tests/guard_rows/guard.py
+++ b/tests/guard_rows/guard.py
@@ -21,6 +21,7 @@
     "CRASH_FOLD",
     "CRASH_WATCH",
     "EVENT_STREAM",
+    "EDGE_RESIDENCY",
     "EVACUATIONS",
     "FOLLOW",
     "LEASE_HISTORY",
@@ -41,6 +42,8 @@
     "PROOFS",
     "REGISTRY",
     "REQUESTS",
+    "RESIDENCY",
+    "RESIDENCY_OF_ITEMS",
     "WORK_SHARES",
     "PROCESS_PAUSES",
     "PLANNED_STOPS",
@@ -95,6 +98,9 @@
 WORKSPACES = "tests/test_workspaces.py"
 SEND_GATE = "tests/test_send_gate.py"
 EVACUATIONS = "tests/test_evacuations.py"
+RESIDENCY = "tests/test_residency.py"
+RESIDENCY_OF_ITEMS = "tests/test_residency_of_items.py"
+EDGE_RESIDENCY = "tests/adapter/test_edge_residency.py"
 COLD_ENGINES = "tests/test_cold_engines.py"
 CLOCK = "tests/test_clock.py"
 HTTP_SERVER = "tests/test_http_server.py"
--- a/tests/test_residency.py
+++ b/tests/test_residency.py
@@ -466,6 +466,7 @@
     assert isinstance(outcome, NotRun)
     assert outcome.code.http_status == 503
     assert outcome.retry_after >= 1.0
+    assert "both the route and the workspace" in outcome.detail
     assert engines.called == []
 
 
