--- a/tests/adapter/test_edge_residency.py
+++ b/tests/adapter/test_edge_residency.py
@@ -257,7 +257,8 @@
 
 def test_an_edge_that_was_paused_sends_by_the_newest_regions(bed):
     """
-    It has read the request, and the configuration of before the pause.
+    It gets the requests before it has read the configuration, since the store answers
+    that read more slowly than others.
     """
     _apply(bed, _config(2, ["south"]))
     assert _ask(bed, 2) == {200}
@@ -267,8 +268,10 @@
     with ThreadPoolExecutor(1) as pool:
         asking = pool.submit(_ask, bed, 12)
         time.sleep(4.0)
+        bed.fake_store(slow_in="keyed.op", slow_by=0.4)
         bed.signal("edge-0", signal.SIGCONT)
         statuses = asking.result()
+    bed.fake_store(slow_by=0.0)
     assert statuses <= {200, 503}
     assert _runs(bed, ("desk-b",)) == before
     until(lambda: _ask(bed, 4) == {200})
