--- a/tests/test_residency_of_items.py
+++ b/tests/test_residency_of_items.py
@@ -49,7 +49,11 @@
         read_state = LogReadState(boot_time(), True, float("-inf"))
         reservation = Mock(__enter__=Mock(), __exit__=Mock(return_value=False))
         self.runner = JobRunner(
-            Mock(caught_up=True, open_jobs=lambda: [state]),
+            Mock(
+                caught_up=True,
+                open_jobs=lambda: [state],
+                is_rejected=lambda key: False,
+            ),
             self.view,
             Mock(),
             Mock(permit=self._permit),
@@ -60,7 +64,11 @@
                 reserve=lambda *_: reservation,
             ),
             Mock(),
-            Mock(refresh=AsyncMock(), poison_status=lambda key: PoisonStatus.CLEAN),
+            Mock(
+                refresh=AsyncMock(),
+                poison_status=lambda key: PoisonStatus.CLEAN,
+                held_engines=lambda key: frozenset(),
+            ),
             Mock(),
             Mock(read=self._load),
             Mock(),
