--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -161,12 +161,15 @@
         self._process_pauses = ProcessPauses()
         self.view = ClusterView()
         view = self.view
+        view.residency.own_region = settings.sends.own_region
         self._store = StoreWatch(ports.reconnect)
         log = WatchedLog(ports.log, self._store)
+        self._config_limit = settings.key_bounds.propagation_limit
         knowledge = EvacuationKnowledge(
             self._operator_read_state,
             settings.sends.evacuation_limit,
             lambda: view.evacuations.are_used,
+            self._residency_limit,
         )
         self._operator = RegistryFollower(
             WatchedRegistry(ports.operator, self._store),
@@ -211,7 +214,12 @@
             self._process_pauses.read_delay,
         )
         job_fold = JobFold()
-        texts = TextStore(log, settings.largest_record, settings.largest_append)
+        texts = TextStore(
+            log,
+            settings.largest_record,
+            settings.largest_append,
+            lambda: view.residency.own_region,
+        )
         self.jobs = JobService(
             log,
             job_fold,
@@ -221,6 +229,7 @@
             settings.retention,
             self._is_store_silent,
             lambda: self._shares.any_held,
+            view.residency.job_regions,
         )
         self._writer = RecordWriter(log, texts)
         self._shares = WorkShares(
@@ -229,6 +238,7 @@
             self._sync_jobs,
             self._on_shares_changed,
             settings.cores,
+            view.residency.may_hold,
         )
         paces = EnginePaces(self.view.engine_tables)
         unresponsive = UnresponsiveEngines(ports.engines, self.view.engine_tables)
@@ -350,6 +360,8 @@
         """
         self._holds_engines = holds_engines
         self.admission.set_bounds(key_bounds)
+        self._config_limit = key_bounds.propagation_limit
+        self.view.residency.own_region = sends.own_region
         self._gate.set_settings(sends)
         self._log_freshness.set_cancel_limit(cancel_limit)
         self.jobs.set_retention(result_retention, retention)
@@ -448,6 +460,13 @@
     def _is_store_silent(self) -> bool:
         return boot_time() - self._store.answered_at > _MAX_STORE_SILENCE
 
+    def _residency_limit(self) -> float | None:
+        """
+        Return the time after which changed regions must have taken effect, in seconds;
+        None if the configuration has none.
+        """
+        return self._config_limit if self.view.residency.is_used else None
+
     def _operator_read_state(self) -> RegistryReadState:
         return RegistryReadState(
             self._operator.synced_at,
@@ -499,6 +518,8 @@
         self.view.apply_operator(entry)
         if self.scaling is not None:
             self.scaling.follow_config()
+        # The regions of jobs, and with them their shares, may have changed.
+        self._wake()
 
     def _apply_engine(self, entry) -> None:
         self.view.apply_engine(entry)
