Read jobs from the log before they are answered, and share pages of texts

A VM answered from a part of the log during its replay, answered an empty page of a job whose records the log had dropped during the read, and accepted a submission whose id another workspace had taken. A VM without the store refused the end of a job that it knew whole. Each reader read pages of texts for itself when the cache had evicted them before its turn.

--- a/packages/saddledoord/src/saddledoord/jobs/service.py
+++ b/packages/saddledoord/src/saddledoord/jobs/service.py
@@ -247,9 +247,7 @@
         """
         known = self._fold.get(job.job_id)
         if known is not None:
-            if known.job.may_be_seen_by(job.workspace):
-                return Accepted()
-            return NotRun(ResultCode.BAD_REQUEST, "the job's id is taken", 0.0)
+            return _answer_repeated(known, job)
         if self._store_is_silent():
             return NotRun(ResultCode.LOG_AWAY, "the store is silent", _RETRY_AFTER)
         outcome = await self._append_opened(job, boot_time() + _APPEND_RETRY_LIMIT)
@@ -289,8 +287,16 @@
             if len(state.results) == state.job.size:
                 break
             await self._changes.wait(job_id, deadline - boot_time())
-        if position >= len(state.results) and not await self._follower.sync():
-            return JobStateUnknown()
+        # No result can follow the last item's, so its reader needs no read of the log.
+        is_complete = len(state.results) == state.job.size
+        if position >= len(state.results) and not is_complete:
+            if not await self._follower.sync():
+                _log.info("results_unsure", job=job_id, position=position)
+                return JobStateUnknown()
+            if self._fold.get(job_id) is not state:
+                # The log has dropped records meanwhile, maybe results of this job.
+                _log.info("job_maybe_dropped", job=job_id)
+                return JobStateUnknown()
         results = _page_from(state.results, position)
         try:
             texts = await self._texts.read_first(
@@ -395,7 +401,9 @@
         self, job_id: str, caller: str | None
     ) -> JobState | JobNotFound | JobStateUnknown:
         state = self._fold.get(job_id)
-        if state is None and not await self._follower.sync():
+        # During the replay the fold holds a part of the log only.
+        is_unsure = state is None or not self.caught_up
+        if is_unsure and not await self._follower.sync():
             _log.info("job_unsure", job=job_id, caught_up=self.caught_up)
             return JobStateUnknown()
         state = self._fold.get(job_id)
@@ -418,13 +426,31 @@
         """
         try:
             items = encode_job_items(job.items)
-            (stored,) = await self._texts.write([items], deadline)
+            (stored,), is_known = await asyncio.gather(
+                self._texts.write([items], deadline), self._sync_for_workspace(job)
+            )
         except StoreUnavailableError as error:
             # Without the second record the items never run.
             return NotRun(ResultCode.LOG_AWAY, str(error), _RETRY_AFTER)
+        if not is_known:
+            reason = "the log cannot be read"
+            return NotRun(ResultCode.LOG_AWAY, reason, _RETRY_AFTER)
+        known = self._fold.get(job.job_id)
+        if known is not None:
+            return _answer_repeated(known, job)
         opened = encode_job_record(JobOpened.of(job, stored))
         return await self._append_with_retries([opened], deadline)
 
+    async def _sync_for_workspace(self, job: Job) -> bool:
+        """
+        Read the log up to its end if the job's id may be another workspace's; return
+        False if the store does not answer.
+
+        All readers ignore a second job with the same id, so it would be accepted and
+        never run.
+        """
+        return job.workspace is None or await self._follower.sync()
+
     async def _append_with_retries(
         self, records: list[bytes], deadline: float
     ) -> Accepted | NotRun | OutcomeUnknown:
@@ -479,6 +505,12 @@
         self._on_record()
 
 
+def _answer_repeated(known: JobState, job: Job) -> Accepted | NotRun:
+    if known.job.may_be_seen_by(job.workspace):
+        return Accepted()
+    return NotRun(ResultCode.BAD_REQUEST, "the job's id is taken", 0.0)
+
+
 def _page_from(results: list[ItemResult], position: int) -> tuple[ItemResult, ...]:
     chosen: list[ItemResult] = []
     size = 0
--- a/packages/saddledoord/src/saddledoord/jobs/texts.py
+++ b/packages/saddledoord/src/saddledoord/jobs/texts.py
@@ -14,6 +14,7 @@
 import math
 from collections import OrderedDict
 from collections.abc import Sequence
+from dataclasses import dataclass
 from itertools import chain
 
 import structlog
@@ -21,7 +22,7 @@
 from saddledoor import PageSize, StoredText
 
 from .._clock import boot_time
-from ..ports import LogTruncatedError, SharedLog, StoreUnavailableError
+from ..ports import LogPage, LogTruncatedError, SharedLog, StoreUnavailableError
 from .appending import append_until_acknowledged
 
 
@@ -37,6 +38,18 @@
 _CACHE_SIZE = 2_000_000
 
 
+@dataclass(eq=False)
+class _PageRequest:
+    """
+    A caller that needs a record.
+
+    :param page: A page with the record, read since the request began.
+    """
+
+    offset: int
+    page: LogPage | None = None
+
+
 class TextStore:
     """
     Writes texts to the log and reads them back, with a cache.
@@ -54,6 +67,7 @@
         self._cache: OrderedDict[int, bytes] = OrderedDict()
         self._cached_size = 0
         self._read_lock = asyncio.Lock()
+        self._page_requests: set[_PageRequest] = set()
         self._page_size = PageSize(_MAX_PAGE)
         self._failed_at = float("-inf")
 
@@ -156,33 +170,53 @@
             read of another caller that failed since then counts for it as well.
         :raises StoreUnavailableError: If the record at the offset cannot be read now.
         """
-        async with self._read_lock:
-            # Another caller may have read it, or failed to, during the wait.
-            if offset in self._cache:
-                found[offset] = self._cache[offset]
-                return
-            if self._failed_at > requested_at:
-                raise StoreUnavailableError("a concurrent read of texts failed")
-            try:
-                page = await self._log.read(
-                    TEXTS_STREAM, offset, max_bytes=self._page_size.current
-                )
-            except LogTruncatedError as error:
-                _log.error("text_gone", offset=offset, first=error.first)
-                raise StoreUnavailableError(
-                    f"text {offset} was dropped from the log"
-                ) from None
-            except StoreUnavailableError:
-                self._failed_at = boot_time()
-                self._page_size.failed()
-                raise
-            self._page_size.answered()
-        for index, record in enumerate(page.records):
-            found[offset + index] = record
-            self._add_to_cache(offset + index, record)
+        request = _PageRequest(offset)
+        self._page_requests.add(request)
+        try:
+            async with self._read_lock:
+                # The cache may have evicted a page that another caller read during the
+                # wait, if the callers read more than it holds.
+                page = request.page
+                if page is None and offset in self._cache:
+                    found[offset] = self._cache[offset]
+                    return
+                if page is None:
+                    page = await self._fetch_page(offset, requested_at)
+        finally:
+            self._page_requests.discard(request)
+        found.update(enumerate(page.records, page.start))
         if offset not in found:
             raise StoreUnavailableError(f"no text at offset {offset}")
 
+    async def _fetch_page(self, offset: int, requested_at: float) -> LogPage:
+        """
+        Read a page for all callers that wait for one of its records.
+
+        :raises StoreUnavailableError: If the record at the offset cannot be read now.
+        """
+        if self._failed_at > requested_at:
+            raise StoreUnavailableError("a concurrent read of texts failed")
+        try:
+            page = await self._log.read(
+                TEXTS_STREAM, offset, max_bytes=self._page_size.current
+            )
+        except LogTruncatedError as error:
+            _log.error("text_gone", offset=offset, first=error.first)
+            raise StoreUnavailableError(
+                f"text {offset} was dropped from the log"
+            ) from None
+        except StoreUnavailableError:
+            self._failed_at = boot_time()
+            self._page_size.failed()
+            raise
+        self._page_size.answered()
+        for index, record in enumerate(page.records, page.start):
+            self._add_to_cache(index, record)
+        for request in self._page_requests:
+            if 0 <= request.offset - page.start < len(page.records):
+                request.page = page
+        return page
+
     def _add_to_cache(self, offset: int, record: bytes) -> None:
         if offset in self._cache:
             return
--- a/tests/guard_rows/__init__.py
+++ b/tests/guard_rows/__init__.py
@@ -6,7 +6,18 @@
 
 from __future__ import annotations
 
-from . import crashes, engines, history, jobs, keys, nodes, requests, scaling, sends
+from . import (
+    crashes,
+    engines,
+    history,
+    jobs,
+    keys,
+    nodes,
+    readers,
+    requests,
+    scaling,
+    sends,
+)
 from .guard import Guard
 
 
@@ -20,6 +31,7 @@
     *crashes.GUARDS,
     *keys.GUARDS,
     *history.GUARDS,
+    *readers.GUARDS,
     *scaling.GUARDS,
     *sends.GUARDS,
 )
--- a/tests/guard_rows/guard.py
+++ b/tests/guard_rows/guard.py
@@ -29,6 +29,7 @@
     "HTTP_SERVER",
     "ITEMS",
     "JOBS",
+    "JOB_READERS",
     "JOB_RUNNER",
     "KEYS",
     "LATE_ANSWERS",
@@ -74,6 +75,7 @@
 SEND_AFTER_PAUSE = "tests/adapter/test_send_after_pause.py"
 PROCESS_PAUSES = "tests/adapter/test_edge_process_pauses.py"
 UNREADABLE = "tests/test_unreadable_records.py"
+JOB_READERS = "tests/test_job_readers.py"
 JOB_RUNNER = "tests/test_job_runner.py"
 LOG_FRESHNESS = "tests/test_log_freshness.py"
 ENGINE_RETRIES = "tests/test_asking_again.py"
