--- a/tests/guard_rows/guard.py
+++ b/tests/guard_rows/guard.py
@@ -20,6 +20,7 @@
     "DUTY",
     "CRASH_FOLD",
     "CRASH_WATCH",
+    "EDGE_READERS",
     "EVENT_STREAM",
     "EVACUATIONS",
     "FOLLOW",
@@ -75,6 +76,7 @@
 SEND_AFTER_PAUSE = "tests/adapter/test_send_after_pause.py"
 PROCESS_PAUSES = "tests/adapter/test_edge_process_pauses.py"
 UNREADABLE = "tests/test_unreadable_records.py"
+EDGE_READERS = "tests/adapter/test_edge_readers.py"
 JOB_READERS = "tests/test_job_readers.py"
 JOB_RUNNER = "tests/test_job_runner.py"
 LOG_FRESHNESS = "tests/test_log_freshness.py"
--- a/tests/guard_rows/readers.py
+++ b/tests/guard_rows/readers.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from .guard import DAEMON, JOB_READERS, LIBRARY, Guard
+from .guard import DAEMON, EDGE_READERS, JOB_READERS, LIBRARY, Guard
 
 
 __all__ = ["GUARDS"]
@@ -35,6 +35,13 @@
         "is_complete = False",
         (JOB_READERS, "cut_off_answers"),
     ),
+    Guard(
+        "an edge without the store answers the end of a job that it knows",
+        f"{DAEMON}/jobs/service.py",
+        "is_complete = len(state.results) == state.job.size",
+        "is_complete = False",
+        (EDGE_READERS, "without_the_store"),
+    ),
     Guard(
         "a read is not answered from a job whose records were dropped meanwhile",
         f"{DAEMON}/jobs/service.py",
