--- a/packages/saddledoord/src/saddledoord/jobs/texts.py
+++ b/packages/saddledoord/src/saddledoord/jobs/texts.py
@@ -18,6 +18,7 @@
 import math
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from itertools import chain
 
 import structlog
@@ -64,6 +65,18 @@
     return ""
 
 
+@dataclass(eq=False)
+class _PageRequest:
+    """
+    A caller that needs a record.
+
+    :param page: The records of a page with this one, read since the request began.
+    """
+
+    position: _Position
+    page: dict[_Position, bytes] | None = None
+
+
 class TextStore:
     """
     Writes texts to the log and reads them back, with a cache.
@@ -90,6 +103,7 @@
         self._cache: OrderedDict[_Position, bytes] = OrderedDict()
         self._cached_size = 0
         self._read_lock = asyncio.Lock()
+        self._page_requests: set[_PageRequest] = set()
         self._page_size = PageSize(_MAX_PAGE)
         self._failed_at = float("-inf")
 
@@ -219,37 +233,60 @@
             read of another caller that failed since then counts for it as well.
         :raises StoreUnavailableError: If the record at the offset cannot be read now.
         """
+        request = _PageRequest(position)
+        self._page_requests.add(request)
+        try:
+            async with self._read_lock:
+                # The cache may have evicted a page that another caller read during the
+                # wait, if the callers read more than it holds.
+                page = request.page
+                if page is None and position in self._cache:
+                    found[position] = self._cache[position]
+                    return
+                if page is None:
+                    page = await self._fetch_page(position, requested_at, page_limit)
+        finally:
+            self._page_requests.discard(request)
+        found.update(page)
+        if position not in found:
+            raise StoreUnavailableError(f"no text at offset {position[1]}")
+
+    async def _fetch_page(
+        self, position: _Position, requested_at: float, page_limit: int | None
+    ) -> dict[_Position, bytes]:
+        """
+        Read a page for all callers that wait for one of its records.
+
+        :raises StoreUnavailableError: If the record at the position cannot be read now.
+        """
         stream, offset = position
-        async with self._read_lock:
-            # Another caller may have read it, or failed to, during the wait.
-            if position in self._cache:
-                found[position] = self._cache[position]
-                return
-            if self._failed_at > requested_at:
-                raise StoreUnavailableError("a concurrent read of texts failed")
-            try:
-                page = await self._log.read(
-                    stream, offset, max_bytes=page_limit or self._page_size.current
-                )
-            except LogTruncatedError as error:
-                _log.error("text_gone", stream=stream, offset=offset, first=error.first)
-                raise StoreUnavailableError(
-                    f"text {offset} was dropped from the log"
-                ) from None
-            except StoreUnavailableError:
-                self._failed_at = boot_time()
-                self._page_size.failed()
-                raise
-            if page_limit is None:
-                self._page_size.answered()
+        if self._failed_at > requested_at:
+            raise StoreUnavailableError("a concurrent read of texts failed")
+        try:
+            page = await self._log.read(
+                stream, offset, max_bytes=page_limit or self._page_size.current
+            )
+        except LogTruncatedError as error:
+            _log.error("text_gone", stream=stream, offset=offset, first=error.first)
+            raise StoreUnavailableError(
+                f"text {offset} was dropped from the log"
+            ) from None
+        except StoreUnavailableError:
+            self._failed_at = boot_time()
+            self._page_size.failed()
+            raise
+        if page_limit is None:
+            self._page_size.answered()
         # A store that ignores the limit of the page must not fill the cache with texts
         # that nobody asked for.
         records = page.records if page_limit is None else page.records[:1]
-        for index, record in enumerate(records):
-            found[stream, offset + index] = record
-            self._add_to_cache((stream, offset + index), record)
-        if position not in found:
-            raise StoreUnavailableError(f"no text at offset {offset}")
+        read = {(stream, offset + i): record for i, record in enumerate(records)}
+        for read_position, record in read.items():
+            self._add_to_cache(read_position, record)
+        for request in self._page_requests:
+            if request.position in read:
+                request.page = read
+        return read
 
     def _add_to_cache(self, position: _Position, record: bytes) -> None:
         if position in self._cache:
--- a/tests/test_residency.py
+++ b/tests/test_residency.py
@@ -384,6 +384,17 @@
     )
 
 
+async def _submit(service: JobService, job):
+    """
+    Submit a job to a node that follows the log.
+    """
+    follow_task = asyncio.create_task(service.run())
+    try:
+        return await service.submit(job)
+    finally:
+        follow_task.cancel()
+
+
 def test_a_job_s_items_are_kept_in_the_stream_of_its_regions():
     """
     The record tells readers the regions.
@@ -391,7 +402,7 @@
     log = FakeLog()
     job = replace(make_job(), workspace="w")
     view = _view(_config(1, _BOTH, _NORTH))
-    assert asyncio.run(_service(log, view).submit(job)) == Accepted()
+    assert asyncio.run(_submit(_service(log, view), job)) == Accepted()
     assert log.records["texts"] == []
     assert len(log.records[text_stream(("north",))]) == 1
     opened = decode_job_record(log.records["jobs"][0])
