Move the gateway's settings and ports to a module of their own

Change: GatewaySettings and GatewayPorts are in gateway_settings.py; what the log has to keep is a property of the settings. No behaviour changes.

--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -11,20 +11,17 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine, Mapping
-from dataclasses import dataclass, field
 
 import structlog
 
 from saddledoor import (
     Denial,
-    EngineCrashFold,
     EngineEntry,
     GatewayService,
     JobFold,
     KeyFreshnessBounds,
     ResultCode,
     RouteKind,
-    UsageWindows,
     least_outstanding_rendezvous,
 )
 
@@ -41,6 +38,7 @@
 from .cluster.work_shares import WorkShares
 from .duties.lease import DutyLease
 from .duties.usage import UsageDuty
+from .gateway_settings import GatewayPorts, GatewaySettings
 from .jobs.attempt import AttemptRunner
 from .jobs.log_freshness import LogFreshness, LogReadState
 from .jobs.placement import Placement
@@ -50,7 +48,7 @@
 from .jobs.service import JobService
 from .jobs.texts import TextStore
 from .orders.weights import WeightUpdater
-from .ports import DutyCalls, Engines, KeyedEntry, Registry, SharedLog
+from .ports import KeyedEntry
 from .process_pauses import ProcessPauses
 from .scaling.controller import ReadState, ScalingController
 from .scaling.duty import ScalingDuty
@@ -80,67 +78,6 @@
 _FLUSH_TIMEOUT = 1.5
 
 
-@dataclass(frozen=True)
-class GatewaySettings:
-    """
-    Settings of a node.
-
-    :param vm: Name of the VM.
-    :param address: IP address of the VM; a VM that replaces another one has a different
-        address.
-    :param cores: Processor time of the VM, in cores.
-    :param lease_term: Term of the lease for orders, in seconds.
-    :param largest_record: Largest record of the log, in bytes.
-    :param largest_append: Largest append to the log, in bytes.
-    :param cancel_limit: Time after the end of a job from which none of its items may be
-        sent to an engine, in seconds.
-    :param result_retention: Age up to which an ended job may be read, in seconds.
-    :param retention: Age up to which the log keeps records, in seconds.
-    :param key_bounds: Freshness bounds for the known keys.
-    :param usage: Windows of the usage that is reported; None if no usage is reported.
-    :param orders_engines: Whether engines may be ordered from the platform.
-    :param holds_engines: Whether the numbers of engines stay as they are.
-    :param engine_drain_time: Time for which an engine that leaves serves on, in
-        seconds; None if unknown.
-    :param sends: Settings of the gate of all sends.
-    """
-
-    vm: str
-    address: str
-    cores: float
-    lease_term: float
-    largest_record: int
-    largest_append: int
-    cancel_limit: float
-    result_retention: float
-    retention: float
-    key_bounds: KeyFreshnessBounds
-    usage: UsageWindows | None = None
-    orders_engines: bool = False
-    holds_engines: bool = False
-    engine_drain_time: float | None = None
-    sends: SendSettings = field(default_factory=SendSettings)
-
-
-@dataclass(frozen=True)
-class GatewayPorts:
-    """
-    The adapters to the environment of a gateway.
-
-    :param operator: Registry of configurations and named versions.
-    :param entries: Registry of the engines' entries.
-    :param reconnect: Called to use new connections to the store for further calls.
-    :param duties: Calls to the platform; None if there are none.
-    """
-
-    log: SharedLog
-    operator: Registry
-    entries: Registry
-    engines: Engines
-    reconnect: Callable[[], None]
-    duties: DutyCalls | None = None
-
-
 class Gateway:
     """
     One node of the service.
@@ -155,7 +92,7 @@
         ports: GatewayPorts,
         record_request: Callable[[str, ResultCode, float], None],
     ) -> None:
-        log_short_retention(settings.retention, _needed_retention(settings))
+        log_short_retention(settings.retention, settings.needed_retention)
         self._stopping = False
         self._tasks: list[asyncio.Task] = []
         self._process_pauses = ProcessPauses()
@@ -553,20 +490,6 @@
         )
 
 
-def _needed_retention(settings: GatewaySettings) -> dict[str, float]:
-    """
-    Return the shortest sufficient retention of the log by what is read, in seconds.
-    """
-    needed = {
-        "leases": settings.lease_term,
-        "jobs": settings.result_retention,
-        "engine_crashes": EngineCrashFold.retention,
-    }
-    if settings.usage is not None:
-        needed["usage"] = settings.usage.report_period
-    return needed
-
-
 def _report_failure(
     task: asyncio.Task, failed: Callable[[BaseException], None]
 ) -> None:
