--- a/packages/saddledoord/src/saddledoord/ports/duties.py
+++ b/packages/saddledoord/src/saddledoord/ports/duties.py
@@ -56,7 +56,8 @@
     """
 
     DONE = "done"
-    #: A higher fencing number was seen; for an order also: no engine is available.
+    #: The receiver knows a higher fencing number; for an order also: no engine is
+    #: available.
     FENCED = "fenced"
     #: The platform reported that it did not carry the call out.
     REFUSED = "refused"
