Refuse a request at once that may start alone only after its deadline

Cause: a request under which two engines have crashed waits for an isolated start. If the pause before it ends after the request's deadline, the request was held until then, although it was known that it could not be served.

Change: such a request is refused at once, with the time until the isolated start as Retry-After.

Measured: the new test holds, and its guard row is red without the check.

--- a/packages/saddledoord/src/saddledoord/serving/engine_choice.py
+++ b/packages/saddledoord/src/saddledoord/serving/engine_choice.py
@@ -81,11 +81,18 @@
         return min(times, default=None)
 
     def must_wait(
-        self, service: str, key: str, attempts: EngineAttempts, needs: SendNeeds
+        self,
+        service: str,
+        key: str,
+        attempts: EngineAttempts,
+        needs: SendNeeds,
+        deadline: float,
     ) -> bool:
         """
         Return whether a request must wait because it, or another request, may be sent
-        to engines only in isolation.
+        to engines only in isolation; not if it may start only after its deadline.
+
+        :param deadline: Monotonic, in seconds.
         """
         poison_status = self._crash_watch.poison_status(key)
         if poison_status is PoisonStatus.QUARANTINED:
@@ -93,6 +100,8 @@
         is_isolated = poison_status is PoisonStatus.ISOLATED
         if not is_isolated and not self._crash_watch.held_engines(key):
             return False
+        if is_isolated and self._crash_watch.isolated_start_at(key) >= deadline:
+            return False
         if not attempts.may_try_another_engine():
             return False
         return self._pool.choose(service, attempts.engines, needs) is not None
--- a/packages/saddledoord/src/saddledoord/serving/engine_crash_watch.py
+++ b/packages/saddledoord/src/saddledoord/serving/engine_crash_watch.py
@@ -142,6 +142,13 @@
             return None
         return self._isolation.choose(key, choose)
 
+    def isolated_start_at(self, key: str) -> float:
+        """
+        Return the earliest time of an isolated start of a request, monotonic, in
+        seconds.
+        """
+        return self._crashes.isolated_start_at(key)
+
     def may_start(self, engine: Incarnation, key: str) -> bool:
         """
         Return whether a request may be sent to an engine that was chosen for it.
@@ -330,7 +337,7 @@
         """
         if self._interruptions(key) or self._isolation.is_running(key):
             return False
-        return boot_time() >= self._crashes.isolated_start_at(key)
+        return boot_time() >= self.isolated_start_at(key)
 
     def _interruptions(self, key: str) -> int:
         """
--- a/packages/saddledoord/src/saddledoord/serving/pass_through.py
+++ b/packages/saddledoord/src/saddledoord/serving/pass_through.py
@@ -343,7 +343,7 @@
         Whether the request must wait for an isolated start, its own or another one.
         """
         target = (current.service, current.key, current.attempts, current.needs)
-        return current.may_begin() and self._choice.must_wait(*target)
+        return current.may_begin() and self._choice.must_wait(*target, current.deadline)
 
     def _wait_time(self, current: RequestState, is_pending: bool) -> float:
         """
@@ -435,14 +435,19 @@
 
     def _give_up(self, current: RequestState) -> Outcome:
         outcome = current.last
-        is_quarantined = (
-            self._crash_watch.poison_status(current.key) is PoisonStatus.QUARANTINED
-        )
-        if outcome is None and is_quarantined:
+        poison_status = self._crash_watch.poison_status(current.key)
+        if outcome is None and poison_status is PoisonStatus.QUARANTINED:
             code = ResultCode.ENDS_ENGINES
             outcome = NotRun(
                 code, "engines have ended under it", _QUARANTINE_RETRY_AFTER
             )
+        elif outcome is None and poison_status is PoisonStatus.ISOLATED:
+            start_at = self._crash_watch.isolated_start_at(current.key)
+            outcome = NotRun(
+                ResultCode.OVERLOADED,
+                "engines have crashed under it, and it must start alone",
+                max(_RETRY_AFTER, start_at - boot_time()),
+            )
         elif outcome is None:
             code = (
                 ResultCode.NO_BACKEND
--- a/tests/function_engines.py
+++ b/tests/function_engines.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Awaitable, Callable
 
-from crash_watches import make_crash_watch
+from crash_watches import FakeControlLog, make_crash_watch
 
 from builders import make_engine_entry, make_gateway_config
 from saddledoor import EngineEntry, GatewayRoute, KeyFreshnessBounds, least_outstanding
@@ -49,12 +49,16 @@
 
 
 def make_pass_through(
-    engines: FunctionEngines, route: GatewayRoute, count: int = 2
+    engines: FunctionEngines,
+    route: GatewayRoute,
+    count: int = 2,
+    control_log: FakeControlLog | None = None,
 ) -> tuple[PassThrough, EnginePool, ClusterView]:
     """
     Return a `PassThrough` with one route, its pool and its view.
 
     :param count: Number of engines, which are named from ``desk-0``.
+    :param control_log: Delivers records of crashes; None for none.
     """
     view = ClusterView()
     view.apply_operator(KeyedEntry("config", 0, make_gateway_config(1, [route])))
@@ -64,7 +68,7 @@
     gate = SendGate(view)
     pool = EnginePool(view, least_outstanding(lambda: 0.0), gate)
     timeouts = EngineTimeouts(view)
-    crash_watch = make_crash_watch(view)
+    crash_watch = make_crash_watch(view, control_log)
     admission = Admission(view, boot_time, KeyFreshnessBounds(2.0))
     pass_through = PassThrough(
         view, pool, gate, engines, timeouts, crash_watch, admission, _ignore_request
--- a/tests/guard_rows/crashes.py
+++ b/tests/guard_rows/crashes.py
@@ -190,4 +190,11 @@
         "deque[CrashRecord]()",
         (CRASH_WATCH, "waits_for_the_store"),
     ),
+    Guard(
+        "a request that may start alone only after its deadline is refused at once",
+        f"{DAEMON}/serving/engine_choice.py",
+        "if is_isolated and self._crash_watch.isolated_start_at(key) >= deadline:",
+        "if False:",
+        ("tests/test_pass_through.py", "must_start_alone_later"),
+    ),
 )
--- a/tests/test_pass_through.py
+++ b/tests/test_pass_through.py
@@ -8,12 +8,21 @@
 
 import asyncio
 import time
+from dataclasses import replace
 
 import pytest
+from crash_watches import FakeControlLog
 from function_engines import FunctionEngines, make_pass_through
 
 from builders import make_engine_entry, make_request, make_route
-from saddledoor import OutcomeUnknown, RouteKind, ScoreCall
+from saddledoor import (
+    EngineCrashed,
+    NotRun,
+    OutcomeUnknown,
+    RouteKind,
+    ScoreCall,
+    request_key,
+)
 from saddledoord._clock import boot_time
 from saddledoord.jobs.scoring import Scorer, ScoringFailedError
 from saddledoord.ports import EngineAnswer
@@ -53,6 +62,35 @@
     assert len(engines.called) == 1
 
 
+@pytest.mark.parametrize(("limit", "is_served"), [(0.3, False), (3.0, True)])
+def test_a_request_that_must_start_alone_later_is_refused_at_once(limit, is_served):
+    """
+    It would otherwise be held until its deadline, although it is known that it cannot
+    start before.
+    """
+
+    async def answer(engine, request):
+        return EngineAnswer(200, (), b"", "mark")
+
+    request = make_request("/look/x")
+    control_log = FakeControlLog()
+    route = replace(make_route("/look/"), timeout=5.0)
+    pass_through, _, _ = make_pass_through(
+        FunctionEngines(answer), route, control_log=control_log
+    )
+    key = request_key(request.host, request.method, request.target, request.body, "")
+    for number in range(2):
+        control_log.deliver(EngineCrashed(f"crashed-{number}", 1, (key,)))
+    started_at = boot_time()
+    outcome = asyncio.run(pass_through.serve(request, limit))
+    if is_served:
+        assert isinstance(outcome, EngineAnswer)
+    else:
+        assert isinstance(outcome, NotRun)
+        assert boot_time() - started_at < 0.2
+        assert 0.5 < outcome.retry_after <= 1.0
+
+
 def _score(answer, max_attempts: int = 3) -> tuple[str | None, list[str], int]:
     """
     Score a text; return the signature, the called engines and the number of failures.
