Keep one holder of a lease in our own deployments when the log drops records

Cause: the daemon began a truncated stream with the leases it knew before, and took an empty state for "no lease is held". Renewals name only the offset of a claim, so a reader without the claim ignores them, and its fold never agrees with the others again.

A holder gives up a lease that a complete fold lacks, and renews nothing while the leases are unknown; without that, a lease that only one VM knew was never taken again.

--- a/packages/saddledoord/src/saddledoord/_parts.py
+++ b/packages/saddledoord/src/saddledoord/_parts.py
@@ -17,6 +17,7 @@
 from .backends.control import WeightController
 from .backends.dispatch import Dispatcher
 from .backends.watcher import Watcher
+from .cluster.lease_snapshots import LeaseSnapshotWriter
 from .filters.claim import KeyLedger
 from .http.app import build_app
 from .http.in_flight import InFlight
@@ -24,6 +25,7 @@
 from .log.claims import ClaimLog
 from .log.client import LogClient
 from .log.follower import StreamFollower, follow_config
+from .log.lease_stream import LeaseStream
 from .log.leases import LeaseKeeper
 from .observability.burn_feed import BurnFeed
 from .observability.daemon_metrics import Metrics
@@ -46,7 +48,9 @@
 
     backends: BackendClient
     peers: PeerClient
-    followers: tuple[StreamFollower, ...]
+    config_stream: StreamFollower
+    lease_stream: LeaseStream
+    lease_snapshots: LeaseSnapshotWriter
     keeper: LeaseKeeper
     dispatcher: Dispatcher
     watcher: Watcher
@@ -65,7 +69,9 @@
         Return the coroutines that run until the VM stops.
         """
         return [
-            *(follower.run() for follower in self.followers),
+            self.config_stream.run(),
+            self.lease_stream.run(),
+            self.lease_snapshots.run(),
             self.keeper.run(),
             self.control.run(),
             self.watcher.run(),
@@ -100,8 +106,11 @@
     budgets = RetryBudgets(state)
     timeout = settings.timings.log_timeout
     log = LogClient(backends.session, settings.log_service, timeout, metrics)
-    config_stream, control_stream = follow_config(log, state, spawn)
-    keeper = LeaseKeeper(log, state, control_stream)
+    lease_stream = LeaseStream(log, state)
+    keeper = LeaseKeeper(log, state, lease_stream)
+    lease_snapshots = LeaseSnapshotWriter(
+        lease_stream, settings.timings.log_retention, settings.timings.lease_term
+    )
     dispatcher = Dispatcher(state)
     watcher = Watcher(state, backends)
     vm_list = VmListReader(state, peers)
@@ -121,7 +130,9 @@
     return Parts(
         backends=backends,
         peers=peers,
-        followers=(config_stream, control_stream),
+        config_stream=follow_config(log, state, spawn),
+        lease_stream=lease_stream,
+        lease_snapshots=lease_snapshots,
         keeper=keeper,
         dispatcher=dispatcher,
         watcher=watcher,
--- a/packages/saddledoord/src/saddledoord/_settings.py
+++ b/packages/saddledoord/src/saddledoord/_settings.py
@@ -47,6 +47,8 @@
     :param burn: Pause between this VM's records for the burn report.
     :param log_timeout: Longest wait for an answer of the log beyond a read's own wait.
     :param log_wait: How long a read of the log waits for new records.
+    :param log_retention: Least time for which the log keeps records of leases. Their
+        state is written anew several times in it, for VMs that start later.
     :param lame_duck: How long a stopping VM still accepts requests.
     :param drain: Longest wait for requests in flight after that.
     """
@@ -62,6 +64,7 @@
     burn: Seconds = 60.0
     log_timeout: Seconds = 2.0
     log_wait: Seconds = 10.0
+    log_retention: Seconds = 600.0
     lame_duck: Seconds = 2.0
     drain: Seconds = 60.0
 
--- a/packages/saddledoord/src/saddledoord/_state.py
+++ b/packages/saddledoord/src/saddledoord/_state.py
@@ -78,7 +78,7 @@
     started: int
     members: MemberTable
     config_fold: ConfigFold | None = None
-    lease_fold: LeaseFold = field(default_factory=LeaseFold)
+    lease_fold: LeaseFold = field(default_factory=lambda: LeaseFold(is_complete=False))
     active_config: ActiveConfig = field(default_factory=ActiveConfig)
     deployment: Deployment | None = None
     drain: Drain = field(default_factory=lambda: Drain(0.0, 0.0))
--- a/packages/saddledoord/src/saddledoord/cluster/lease_snapshots.py
+++ b/packages/saddledoord/src/saddledoord/cluster/lease_snapshots.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
+from typing import Protocol
 
 import structlog
 
@@ -15,10 +17,9 @@
 
 from .._clock import boot_time
 from ..ports import Appended, AppendOutcomeUnknown, NotAppended
-from .leases import LeaseLog
 
 
-__all__ = ["LeaseSnapshotWriter"]
+__all__ = ["LeaseHistory", "LeaseSnapshotWriter"]
 
 _log = structlog.get_logger()
 
@@ -26,6 +27,69 @@
 _CHECK_INTERVAL = 0.1
 
 
+class LeaseHistory(Protocol):
+    """
+    The stream of lease records, as far as it has been read.
+    """
+
+    @property
+    def is_complete(self) -> bool:
+        """
+        Whether the state of all leases is known.
+        """
+
+    @property
+    def caught_up(self) -> bool:
+        """
+        Whether all records that were in the log at the start have been read.
+        """
+
+    @property
+    def is_store_reachable(self) -> bool:
+        """
+        Whether the store answered the last read of the stream.
+        """
+
+    @property
+    def next_offset(self) -> int:
+        """
+        Offset after the newest record that was read.
+        """
+
+    def on_record(self, apply: Callable[[object], None]) -> None:
+        """
+        Add a function that is called with each record of the stream.
+        """
+
+    def held_lease_names(self) -> list[str]:
+        """
+        Return the names of the leases that this process holds, as far as the log has
+        been read.
+        """
+
+    async def wait(self, timeout: float) -> None:
+        """
+        Wait for a change of any lease.
+
+        :param timeout: Longest wait, in seconds.
+        """
+
+    async def sync(self) -> bool:
+        """
+        Apply all records of the log; return False if the store did not answer.
+        """
+
+    async def request_snapshot(self) -> None:
+        """
+        Ask the nodes that know all leases for a snapshot.
+        """
+
+    async def append_snapshot(self) -> Appended | NotAppended | AppendOutcomeUnknown:
+        """
+        Append the state of all leases; if it is not known, a snapshot without leases.
+        """
+
+
 class LeaseSnapshotWriter:
     """
     Follows a `SnapshotSchedule`.
@@ -34,7 +98,9 @@
     :param longest_term: Longest term of a lease, in seconds.
     """
 
-    def __init__(self, leases: LeaseLog, retention: float, longest_term: float) -> None:
+    def __init__(
+        self, leases: LeaseHistory, retention: float, longest_term: float
+    ) -> None:
         self._leases = leases
         self._schedule = SnapshotSchedule(
             retention, longest_term, boot_time(), random.uniform
--- a/packages/saddledoord/src/saddledoord/http/status.py
+++ b/packages/saddledoord/src/saddledoord/http/status.py
@@ -37,6 +37,7 @@
             "vms": _vms(state),
             "sites": _sites(state, now),
             "backends": _backends(state, now),
+            "leases_known": state.lease_fold.is_complete,
             "leases": _leases(state),
             "steps": collectors.steps(),
         }
--- a/packages/saddledoord/src/saddledoord/log/follower.py
+++ b/packages/saddledoord/src/saddledoord/log/follower.py
@@ -1,7 +1,7 @@
 # SPDX-License-Identifier: MIT
 
 """
-Follows the streams of the log and folds their records.
+Follows streams of the log, and folds the configuration.
 """
 
 from __future__ import annotations
@@ -15,7 +15,6 @@
 from saddledoor import (
     ConfigFold,
     ConfigVerdict,
-    LeaseFold,
     Record,
     deployment_from_json,
     encode_record,
@@ -29,12 +28,10 @@
 from .client import LogClient, LogPage, LogUnavailableError
 
 
-__all__ = ["CONFIG_STREAM", "CONTROL_STREAM", "StreamFollower", "follow_config"]
+__all__ = ["CONFIG_STREAM", "StreamFollower", "follow_config"]
 
 #: The stream of configurations and verdicts on them.
 CONFIG_STREAM = "config"
-#: The stream of lease records.
-CONTROL_STREAM = "control"
 
 _log = structlog.get_logger()
 
@@ -61,6 +58,20 @@
         """
         return self._next
 
+    @property
+    def caught_up(self) -> bool:
+        """
+        Whether all records that were in the stream at the start have been read.
+        """
+        return self._caught_up
+
+    @property
+    def is_reachable(self) -> bool:
+        """
+        Whether the log answered the newest read of the stream by `run`.
+        """
+        return self._is_reachable
+
     def __init__(
         self,
         log: LogClient,
@@ -77,6 +88,8 @@
         self._begin = begin
         self._apply = apply
         self._next = -1
+        self._caught_up = False
+        self._is_reachable = False
         self.wait = state.settings.timings.log_wait
 
     async def run(self) -> None:
@@ -85,11 +98,14 @@
         """
         while True:
             try:
-                await self.poll(self.wait if self._next >= 0 else 0.0)
-                self._state.log.note(answered=True)
+                if self._caught_up:
+                    await self.poll(self.wait)
+                else:
+                    await self.catch_up()
+                self._note(answered=True)
                 await asyncio.sleep(self._pause)
             except LogUnavailableError:
-                self._state.log.note(answered=False)
+                self._note(answered=False)
                 await asyncio.sleep(_RETRY_PAUSE)
 
     async def poll(self, wait: float) -> None:
@@ -111,6 +127,11 @@
         while self._next != previous:
             previous = self._next
             await self.poll(0.0)
+        self._caught_up = True
+
+    def _note(self, answered: bool) -> None:
+        self._is_reachable = answered
+        self._state.log.note(answered=answered)
 
     def _apply_page(self, page: LogPage) -> None:
         # A long poll and a catch-up may run concurrently: records that were applied
@@ -127,9 +148,9 @@
 
 def follow_config(
     log: LogClient, state: NodeState, spawn: Callable[..., object]
-) -> tuple[StreamFollower, StreamFollower]:
+) -> StreamFollower:
     """
-    Return the followers of the configuration stream and the lease stream.
+    Return the follower of the configuration stream.
 
     :param spawn: Runs a coroutine in the background.
     """
@@ -150,26 +171,7 @@
         if offset in state.config_fold.pending:
             spawn(_append_verdict(log, state, offset))
 
-    def begin_leases(first: int) -> None:
-        state.lease_fold = LeaseFold(next_offset=first, leases=state.lease_fold.leases)
-
-    def apply_leases(offset: int, record: Record | None) -> None:
-        if record is None:
-            return
-        state.lease_fold = state.lease_fold.apply(offset, record)
-        state.observe_leases()
-
-    return (
-        StreamFollower(log, state, CONFIG_STREAM, begin_config, apply_config),
-        StreamFollower(
-            log,
-            state,
-            CONTROL_STREAM,
-            begin_leases,
-            apply_leases,
-            state.settings.timings.control_pause,
-        ),
-    )
+    return StreamFollower(log, state, CONFIG_STREAM, begin_config, apply_config)
 
 
 async def _append_verdict(log: LogClient, state: NodeState, offset: int) -> None:
--- a/packages/saddledoord/src/saddledoord/log/leases.py
+++ b/packages/saddledoord/src/saddledoord/log/leases.py
@@ -15,7 +15,8 @@
 from .._clock import boot_time
 from .._state import NodeState
 from .client import LogClient, LogUnavailableError
-from .follower import CONTROL_STREAM, StreamFollower, new_record_id
+from .follower import new_record_id
+from .lease_stream import CONTROL_STREAM, LeaseStream
 
 
 __all__ = ["LeaseKeeper"]
@@ -33,12 +34,10 @@
     Manages the leases that this process holds.
     """
 
-    def __init__(
-        self, log: LogClient, state: NodeState, follower: StreamFollower
-    ) -> None:
+    def __init__(self, log: LogClient, state: NodeState, stream: LeaseStream) -> None:
         self._log = log
         self._state = state
-        self._follower = follower
+        self._stream = stream
         self._held: dict[str, HeldLease] = {}
         self._claim_locks: dict[str, asyncio.Lock] = {}
 
@@ -52,13 +51,14 @@
         """
         Return a lease if this process holds it, as far as the log has been read.
 
-        `HeldLease.may_act` tells whether the process may act on it.
+        `HeldLease.may_act` tells whether the process may act on it. While the state of
+        the leases is unknown, it may until its term ends, as others wait for that.
         """
         held = self._held.get(name)
-        if held is None:
-            return None
+        if held is None or not self._stream.is_complete:
+            return held
         lease = self._state.lease_fold.get(name)
-        if lease is not None and lease.fence > held.fence:
+        if lease is None or lease.fence != held.fence:
             del self._held[name]
             _log.warning("lease_lost", lease=name, fence=held.fence)
             return None
@@ -75,8 +75,10 @@
 
     def may_claim(self, name: str) -> bool:
         """
-        Return whether a lease is free or has expired.
+        Return whether a lease is known to be free or to have expired.
         """
+        if not self._stream.is_complete:
+            return False
         lease = self._state.lease_fold.get(name)
         return self._state.watch(name).may_claim(lease, boot_time())
 
@@ -96,7 +98,7 @@
         Read the log now, since the follower lags by its pause.
         """
         try:
-            await self._follower.catch_up()
+            await self._stream.catch_up()
         except LogUnavailableError:
             pass
 
@@ -127,7 +129,7 @@
             pass
         try:
             # Also after a failed append, since only the log shows whether it succeeded.
-            await self._follower.catch_up()
+            await self._stream.catch_up()
         except LogUnavailableError:
             return None
         lease = self._state.lease_fold.get(name)
@@ -150,7 +152,12 @@
     async def renew(self) -> None:
         """
         Renew all leases in one append.
+
+        Leases are not renewed while their state is unknown: if no other VM knows it,
+        the renewals would defer the time from which all leases have expired.
         """
+        if not self._stream.is_complete:
+            return
         held = [lease for name in self.names() if (lease := self.held(name))]
         if not held:
             return
@@ -158,7 +165,7 @@
         records = [LeaseRenewal(lease.name, lease.fence) for lease in held]
         try:
             offset = await self._log.append(CONTROL_STREAM, records)
-            await self._follower.catch_up()
+            await self._stream.catch_up()
         except LogUnavailableError:
             return
         term = self._state.settings.timings.lease_term
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -32,6 +32,7 @@
     token_digest,
     validate,
 )
+from saddledoord._settings import Settings, Timings
 from saddledoord.ports import ForwardedRequest
 
 
@@ -180,3 +181,22 @@
 
 def make_request(target: str) -> ForwardedRequest:
     return ForwardedRequest("POST", "desk.example", target, (), b"body", "r-1")
+
+
+def make_settings(vm: str, **timings: float) -> Settings:
+    """
+    Return the settings of a daemon.
+
+    :param timings: Durations that differ from the defaults, in seconds.
+    """
+    return Settings(
+        vm=vm,
+        data_centre="dc-a",
+        deployment="test",
+        http="127.0.0.1:7001",
+        grpc="127.0.0.1:7002",
+        log_service="http://127.0.0.1:9000",
+        vm_list="http://127.0.0.1:9001",
+        peer_secret="a secret for tests only",
+        timings=Timings(**timings),
+    )
--- a/tests/fake_log.py
+++ b/tests/fake_log.py
@@ -1,7 +1,7 @@
 # SPDX-License-Identifier: MIT
 
 """
-A log in memory.
+Logs in memory: of the users' platform, and of our own deployments.
 """
 
 from __future__ import annotations
@@ -10,6 +10,9 @@
 from collections import defaultdict
 from collections.abc import Sequence
 
+from saddledoor import Record
+from saddledoord.log.client import LoggedRecord, LogUnavailableError
+from saddledoord.log.client import LogPage as LogClientPage
 from saddledoord.ports import (
     DEFAULT_ANSWER_TIMEOUT,
     MAX_PAGE_BYTES,
@@ -22,7 +25,7 @@
 )
 
 
-__all__ = ["FakeLog"]
+__all__ = ["FakeLog", "FakeLogClient"]
 
 
 class FakeLog:
@@ -96,3 +99,41 @@
                 break
             chosen.append(record)
         return LogPage(start, tuple(chosen), len(self.records[stream]))
+
+
+class FakeLogClient:
+    """
+    One stream of the log of our own deployments, with injected failures.
+
+    :ivar records: All records that were ever appended.
+    :ivar first: Offset of the oldest record that is left.
+    :ivar comes_first: Records that another VM appends just before the next append.
+    :ivar unreachable: Whether reads and appends fail without an effect.
+    """
+
+    def __init__(self) -> None:
+        self.records: list[Record] = []
+        self.first = 0
+        self.comes_first: list[Record] = []
+        self.unreachable = False
+
+    async def append(self, stream: str, records: Sequence[Record]) -> int:
+        await asyncio.sleep(0)
+        if self.unreachable:
+            raise LogUnavailableError("away")
+        self.records += self.comes_first
+        self.comes_first = []
+        offset = len(self.records)
+        self.records += records
+        return offset
+
+    async def read(self, stream: str, start: int, wait: float = 0.0) -> LogClientPage:
+        await asyncio.sleep(min(wait, 0.02))
+        if self.unreachable:
+            raise LogUnavailableError("away")
+        start = max(start, self.first)
+        records = tuple(
+            LoggedRecord(offset, 0.0, record)
+            for offset, record in enumerate(self.records[start:], start)
+        )
+        return LogClientPage(self.first, start + len(records), records)
--- a/tests/guard_rows/guard.py
+++ b/tests/guard_rows/guard.py
@@ -26,6 +26,7 @@
     "EVACUATIONS",
     "FOLLOW",
     "LEASE_HISTORY",
+    "LEASE_STREAM",
     "LOG_HISTORY",
     "Guard",
     "HTTP_SERVER",
@@ -91,6 +92,7 @@
 REGISTRY = "tests/adapter/test_registry.py"
 FOLLOW = "tests/test_follow.py"
 LEASE_HISTORY = "tests/test_lease_history.py"
+LEASE_STREAM = "tests/test_lease_stream.py"
 LOG_HISTORY = "tests/test_log_history.py"
 INCARNATIONS = "tests/test_engine_lives.py"
 CRASH_FOLD = "tests/test_engine_crash_fold.py"
--- a/tests/test_same_decisions.py
+++ b/tests/test_same_decisions.py
@@ -20,6 +20,7 @@
 
 #: Names of the library that both import, by subject.
 _SHARED = {
+    "interfaces": {"EngineEntry", "GatewayConfig", "GeneratedEvent"},
     "leases": {
         "HeldLease",
         "LeaseClaim",
