Tell when a count of usage was written, for readers of a truncated log

A reader whose oldest record was a count that was written late, since the store had been unavailable, took later windows for known though their counts had been dropped: with a count of window 0 written in window 6, window 5 was known and empty, where all others had 6 requests. As the duty's holder it would have reported that.

UsageCounted.written_in bounds the windows that count as known. The state machine writes such counts now and lets several windows pass at once.

Without the bound: tests/test_usage.py "written_late" cannot pass (the field is new), and the state machine is red (guard "late counts"; not noticed before the machine let several windows pass).

--- a/packages/saddledoor/src/saddledoor/_records.py
+++ b/packages/saddledoor/src/saddledoor/_records.py
@@ -207,12 +207,15 @@
     :param counts: Totals of the window so far by workspace; a missing workspace has
         not changed.
     :param whole: Whether the process will count nothing more in the window.
+    :param written_in: Window in which the record was written. Records of earlier
+        releases lack the field.
     """
 
     source: str
     window: int
     counts: dict[str, int]
     whole: bool = False
+    written_in: int | None = None
     kind: Literal["usage_counted"] = "usage_counted"
 
 
--- a/packages/saddledoor/src/saddledoor/_usage.py
+++ b/packages/saddledoor/src/saddledoor/_usage.py
@@ -30,6 +30,9 @@
 #: Number of preceding windows whose sources are expected to report on a window; longer
 #: than most cuts of a VM last.
 _ACTIVE_SOURCE_WINDOWS = 3
+#: Number of windows in which an append may be carried out, from the one in which its
+#: record was made.
+_WRITE_WINDOWS = 2
 
 
 @dataclass(frozen=True)
@@ -167,7 +170,7 @@
         """
         match record:
             case UsageCounted(source=source, window=window, counts=counts):
-                self._record_first_count(window)
+                self._record_first_count(record)
                 if record.whole:
                     self._closed_by.setdefault(window, set()).add(source)
                 known = self._counts.setdefault(window, {})
@@ -210,14 +213,19 @@
         """
         return self._decided.get(window)
 
-    def _record_first_count(self, window: int) -> None:
+    def _record_first_count(self, record: UsageCounted) -> None:
         """
         Note from which window on all records are known: those of the windows that began
         after the oldest count in the log was written, and of the windows before that
         tell which sources are awaited.
         """
-        if self._first_known is None and self.late_windows is not None:
-            self._first_known = window + self.late_windows + _ACTIVE_SOURCE_WINDOWS
+        if self._first_known is not None or self.late_windows is None:
+            return
+        first = record.window + self.late_windows
+        if record.written_in is not None:
+            # A count may be later than its report if the store was unavailable.
+            first = max(first, record.written_in + _WRITE_WINDOWS)
+        self._first_known = first + _ACTIVE_SOURCE_WINDOWS
 
     def _drop_old(self) -> None:
         for table in (self._counts, self._decided, self._closed_by):
@@ -260,10 +268,12 @@
         self._newly_closed.update(range(first, last + 1))
         self._last_closed = max(self._last_closed, last)
 
-    def take(self) -> list[UsageCounted]:
+    def take(self, written_in: int | None = None) -> list[UsageCounted]:
         """
         Return records of the changes since the last call; each count is the total of
         its window.
+
+        :param written_in: Current window.
         """
         changed, self._changed = self._changed, {}
         closed, self._newly_closed = self._newly_closed, set()
@@ -275,6 +285,7 @@
                 if window in changed
                 else {},
                 window in closed,
+                written_in,
             )
             for window in sorted(changed.keys() | closed)
         ]
--- a/packages/saddledoord/src/saddledoord/duties/usage_counter.py
+++ b/packages/saddledoord/src/saddledoord/duties/usage_counter.py
@@ -89,7 +89,7 @@
         Write the unwritten counts to the log.
         """
         self._has_counts.clear()
-        records = self._meter.take()
+        records = self._meter.take(self._windows.of(self.now))
         if not records:
             return
         data = [encode_record(record).encode() for record in records]
--- a/tests/guard_rows/history.py
+++ b/tests/guard_rows/history.py
@@ -57,6 +57,13 @@
         "return True",
         _EQUAL_OR_UNKNOWN,
     ),
+    Guard(
+        "late counts of usage make no earlier window known",
+        f"{LIBRARY}/_usage.py",
+        "first = max(first, record.written_in + _WRITE_WINDOWS)",
+        "pass",
+        _EQUAL_OR_UNKNOWN,
+    ),
     Guard(
         "a node with unknown leases claims none",
         f"{DAEMON}/cluster/leases.py",
--- a/tests/test_log_history.py
+++ b/tests/test_log_history.py
@@ -324,20 +324,23 @@
 
     # --------------------------------------------------------------- usage
 
-    @rule()
-    def next_window(self) -> None:
-        self.window += 1
+    @rule(windows=st.integers(1, 6))
+    def pass_windows(self, windows: int) -> None:
+        self.window += windows
 
     @rule(
         source=_NODES,
-        late=st.integers(0, _LATE_WINDOWS - 1),
+        late=st.integers(0, _LATE_WINDOWS - 1) | st.integers(_LATE_WINDOWS, 8),
         count=st.integers(1, 9),
         workspace=_WORKSPACES,
         whole=st.booleans(),
     )
     def count(self, source, late, count, workspace, whole) -> None:
+        """
+        Counts are written later than usual if the store was unavailable.
+        """
         window = max(0, self.window - late)
-        record = UsageCounted(source, window, {workspace: count}, whole)
+        record = UsageCounted(source, window, {workspace: count}, whole, self.window)
         self.append("usage", record)
 
     @rule(late=st.integers(1, 4), count=st.integers(1, 9))
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -219,3 +219,16 @@
     for now in range(11, 50):
         clock.observe(1002.0 + now, float(now))
     assert clock.at(50.0) == 1052.0
+
+
+def test_a_count_that_was_written_late_makes_no_earlier_window_known():
+    """
+    Guards against a report that lacks counts: the oldest record left was written long
+    after its window, since the store was unavailable, and the counts of the windows in
+    between were dropped.
+    """
+    fold = UsageFold.truncated(_WINDOWS)
+    late = _WINDOWS.late_windows
+    fold.apply(UsageCounted("vm-1", 7, {"red": 1}, written_in=7 + 2 * late))
+    assert not fold.knows(7 + 2 * late)
+    assert fold.knows(7 + 2 * late + 5)
