End reads of the operator's registry before what is known is outdated

What callers saw: where regions restrict requests, each request in half of every second waited for up to 0.5 s; at a store that answered a little later, or beside load, it got 503. Of 60 requests at such a VM 9 took over 0.1 s, up to 0.495 s, for an objective of 0.2 s.

Cause: requests are sent by a configuration that was read at most 1.5 s ago, but a read waits at the store for 1 s, and what is known is as old as the start of the read before: 1 s to 2 s.

Change: a read waits for at most half of the age less 0.5 s for the answer.

--- a/packages/saddledoord/src/saddledoord/cluster/follow.py
+++ b/packages/saddledoord/src/saddledoord/cluster/follow.py
@@ -36,6 +36,9 @@
 #: How long a read waits at the store for new records, in seconds. An unavailable store
 #: is noticed only after this wait and the answer timeout.
 _READ_WAIT = 1.0
+#: Part of the maximum age of what is known that is left for the store's answers, in
+#: seconds.
+_ANSWER_MARGIN = 0.5
 #: Longest wait for a page while the stream is read for the first time (replay), in
 #: seconds: all nodes may start at once and share the store's bandwidth, by which 70 of
 #: them get 1 MB each in 0.9 s.
@@ -329,8 +332,9 @@
     :param on_reload: Called with the existing keys after all keys have been read.
     :param on_reachable: Called with False when the store becomes unavailable, and with
         True when it answers again.
-    :param max_age: Returns the time without a complete read, in seconds, after which
-        the next read does not wait at the store; infinite for never.
+    :param max_age: Returns the age up to which what is known is used, in seconds;
+        infinite for any age. Reads wait at the store for less time if it is short, and
+        not at all after it.
     """
 
     def __init__(
@@ -419,13 +423,21 @@
         if self._next is None:
             return await self._registry.newest()
         try:
-            is_old = boot_time() - self._synced_at > self._max_age()
-            wait = 0.0 if is_old else _READ_WAIT
-            return await self._registry.changes(self._next, wait)
+            return await self._registry.changes(self._next, self._read_wait())
         except LogTruncatedError as error:
             _log.warning("records_gone", reading=self._name, first=error.first)
             return await self._registry.newest()
 
+    def _read_wait(self) -> float:
+        """
+        Return how long the next read may wait at the store, in seconds.
+        """
+        max_age = self._max_age()
+        if boot_time() - self._synced_at > max_age:
+            return 0.0
+        # Until a read ends, what is known is as old as the start of the one before.
+        return min(_READ_WAIT, max(0.0, max_age - _ANSWER_MARGIN) / 2)
+
     def _apply_page(self, page: KeyedPage) -> None:
         self._next = page.next_offset
         for entry in page.entries:
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -248,3 +248,31 @@
         task.cancel()
 
     asyncio.run(scenario())
+
+
+def test_what_is_known_stays_recent_while_the_store_answers():
+    """
+    Guards against requests that wait, or are refused, since a read of the registry
+    waited for longer at the store than what is known may be used.
+    """
+
+    class Registry(_Registry):
+        async def changes(self, start: int, wait: float) -> KeyedPage:
+            await asyncio.sleep(wait + 0.1)
+            return await super().changes(start, wait)
+
+    async def scenario() -> list[float]:
+        max_age = 1.5
+        follower = RegistryFollower(
+            Registry(), "operator", lambda entry: None, max_age=lambda: max_age
+        )
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(0.5)
+        ages = []
+        for _ in range(150):
+            await asyncio.sleep(0.02)
+            ages.append(boot_time() - follower.synced_at)
+        task.cancel()
+        return ages
+
+    assert max(asyncio.run(scenario())) < 1.5
