Wait for the operator's registry right before a request is sent

A request whose engine had been chosen was denied if what is known became outdated before the send.

The attempt waits as the choice does, up to 0.5 s and the request's deadline.

tests/test_residency.py "right_before" before: NO_BACKEND, "no engine may get it: outdated".

--- a/packages/saddledoord/src/saddledoord/serving/gate.py
+++ b/packages/saddledoord/src/saddledoord/serving/gate.py
@@ -123,11 +123,14 @@
         if self._cold is not None:
             self._cold.set_bounds(settings.cold_bounds)
 
-    async def wait_until_up_to_date(self) -> None:
+    async def wait_until_up_to_date(self, deadline: float) -> None:
         """
-        Wait a short time if evacuations may be unknown after a process pause.
+        Wait a short time if evacuations or changed regions may be unknown, as after a
+        process pause.
+
+        :param deadline: Deadline of the request, monotonic, in seconds.
         """
-        waited_until = boot_time() + _MAX_WAIT
+        waited_until = min(deadline, boot_time() + _MAX_WAIT)
         while not self._is_up_to_date(boot_time()) and boot_time() < waited_until:
             await asyncio.sleep(_CHECK_INTERVAL)
 
--- a/packages/saddledoord/src/saddledoord/serving/pass_through.py
+++ b/packages/saddledoord/src/saddledoord/serving/pass_through.py
@@ -233,10 +233,11 @@
             )
             return refuse_without_region()
         await self._crash_watch.refresh()
-        await self._gate.wait_until_up_to_date()
         pending: set[asyncio.Task[Outcome]] = set()
         try:
             while current.remaining > _MIN_TIME_LEFT:
+                if not pending:
+                    await self._gate.wait_until_up_to_date(deadline)
                 if not pending or self._may_hedge(current):
                     pending |= self._start(current, bool(pending))
                 if not (
@@ -361,6 +362,8 @@
     async def _attempt(
         self, current: RequestState, engine: EngineEntry, attempt: EngineAttempt
     ) -> Outcome:
+        # What is known may have become outdated since the engine was chosen.
+        await self._gate.wait_until_up_to_date(current.deadline)
         # Before the check, since a pause may come right after it.
         decided_at = boot_time()
         if not current.may_begin():
--- a/tests/guard_rows/residency.py
+++ b/tests/guard_rows/residency.py
@@ -9,6 +9,7 @@
 from .guard import (
     DAEMON,
     EDGE_RESIDENCY,
+    EVACUATIONS,
     LIBRARY,
     RESIDENCY,
     RESIDENCY_OF_ITEMS,
@@ -153,4 +154,18 @@
         "return None",
         (EDGE_RESIDENCY, "was_paused"),
     ),
+    Guard(
+        "a request waits for the registry right before its send",
+        f"{DAEMON}/serving/pass_through.py",
+        "        await self._gate.wait_until_up_to_date(current.deadline)\n",
+        "",
+        (RESIDENCY, "right_before"),
+    ),
+    Guard(
+        "a read of the registry ends before what is known is outdated",
+        f"{DAEMON}/cluster/follow.py",
+        "return min(_READ_WAIT, max(0.0, max_age - _ANSWER_MARGIN) / 2)",
+        "return _READ_WAIT",
+        (EVACUATIONS, "stays_recent"),
+    ),
 )
--- a/tests/test_residency.py
+++ b/tests/test_residency.py
@@ -11,6 +11,7 @@
 
 import asyncio
 from dataclasses import replace
+from types import SimpleNamespace
 
 import pytest
 from fake_log import FakeLog
@@ -45,6 +46,7 @@
     share_regions,
     unservable_pairs,
 )
+from saddledoord._clock import boot_time
 from saddledoord.cluster.change_notifier import ChangeNotifier
 from saddledoord.cluster.evacuations import EvacuationKnowledge, RegistryReadState
 from saddledoord.cluster.view import ClusterView
@@ -510,3 +512,24 @@
     scorer = Scorer(view, pass_through)
     asyncio.run(scorer.score(call, 0, lambda: None, lambda: True, "w"))
     assert engines.called == ["desk-1"]
+
+
+def test_a_request_waits_if_the_regions_may_be_outdated_right_before_its_send():
+    """
+    Guards against a refusal by a VM that reads the configuration again a moment later.
+    """
+    pass_through, engines, _ = _pass_through(_answer, _NORTH)
+    choose_new, up_to_date_at = pass_through._choice.choose_new, []
+
+    def choose_and_lapse(*arguments):
+        engine = choose_new(*arguments)
+        up_to_date_at.append(boot_time() + 0.2)
+        return engine
+
+    pass_through._choice.choose_new = choose_and_lapse
+    pass_through._gate._knowledge = SimpleNamespace(
+        max_age=1.5, is_recent=lambda now: not up_to_date_at or now >= up_to_date_at[0]
+    )
+    outcome = asyncio.run(pass_through.serve(make_request("/look/x"), 1.0, "k"))
+    assert isinstance(outcome, EngineAnswer)
+    assert engines.called == ["desk-1"]
