Test three guards by themselves whose removal another guard made up for

Each is checked twice, when an engine is chosen and right before the send, so the tests with processes do not notice that one is removed.

Each row has a test of its own unit now; the tests with processes stay as they are.

--- a/tests/guard_rows/crashes.py
+++ b/tests/guard_rows/crashes.py
@@ -25,7 +25,7 @@
             return None
 """,
         "",
-        (CRASHING, "request_that_ends_engines"),
+        (CRASH_WATCH, "for_a_quarantined_request"),
     ),
     Guard(
         "an item is not blamed for engines that it did not reach",
@@ -41,7 +41,7 @@
                 continue
 """,
         "                self._log_quarantined(run)\n",
-        (CRASHING, "item_that_ends_engines"),
+        (JOB_RUNNER, "quarantined_item_is_not_started"),
     ),
     Guard(
         "engine crashes are reported to all nodes",
--- a/tests/guard_rows/engines.py
+++ b/tests/guard_rows/engines.py
@@ -6,7 +6,16 @@
 
 from __future__ import annotations
 
-from .guard import DAEMON, INCARNATIONS, LIBRARY, PLACEMENT, REGISTRY, REQUESTS, Guard
+from .guard import (
+    DAEMON,
+    DECISIONS,
+    INCARNATIONS,
+    LIBRARY,
+    PLACEMENT,
+    REGISTRY,
+    REQUESTS,
+    Guard,
+)
 
 
 __all__ = ["GUARDS"]
@@ -17,7 +26,7 @@
         f"{LIBRARY}/_engine_directory.py",
         "if entry.service == service and not entry.draining",
         "if entry.service == service",
-        (REQUESTS, "leaving_engine"),
+        (DECISIONS, "draining_engine_is_not_usable"),
     ),
     Guard(
         "entries that expire in a store outage are kept",
--- a/tests/test_engine_crash_watch.py
+++ b/tests/test_engine_crash_watch.py
@@ -7,16 +7,25 @@
 from __future__ import annotations
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 from crash_watches import FakeControlLog, make_crash_watch
 
 from builders import make_engine_entry
-from saddledoor import EngineCrashed, EngineEntry, PoisonStatus, RequestsCleared
+from saddledoor import (
+    EngineAttempts,
+    EngineCrashed,
+    EngineEntry,
+    PoisonStatus,
+    RequestsCleared,
+    SendNeeds,
+)
 from saddledoord._clock import boot_time
 from saddledoord.cluster.view import ClusterView
 from saddledoord.ports import KeyedEntry
 from saddledoord.serving import engine_crash_watch, isolation
+from saddledoord.serving.engine_choice import EngineChoice
 from saddledoord.serving.engine_crash_watch import EngineCrashWatch
 
 
@@ -418,3 +427,18 @@
     records = asyncio.run(scenario())
     assert len(records) == 256
     assert b"key-299" in records[-1]
+
+
+def test_no_engine_is_chosen_for_a_quarantined_request():
+    """
+    Guards against an engine that counts as tried, and is denied right before the send.
+    """
+    pool = SimpleNamespace(choose=lambda *_: make_engine_entry("engine-0"))
+    watch = SimpleNamespace(
+        poison_status=lambda key: PoisonStatus.QUARANTINED,
+        held_engines=lambda key: set(),
+        engines_with_suspects=lambda key: set(),
+    )
+    attempts = EngineAttempts(3, repeatable=True)
+    choice = EngineChoice(pool, watch)
+    assert choice.choose_new("desk", "key", attempts, SendNeeds()) is None
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -69,6 +69,15 @@
     assert directory.usable("desk", 10.0) == []
 
 
+def test_a_draining_engine_is_not_usable():
+    """
+    Guards against an engine that is chosen, and denied only right before the send.
+    """
+    directory = EngineDirectory()
+    directory.put(make_engine_entry("e-1", draining=True))
+    assert directory.usable("desk", 10.0) == []
+
+
 def test_an_entry_that_lapses_around_an_outage_is_bridged_for_a_while():
     """
     It stays usable until a running engine would have written it again, unless the
--- a/tests/test_job_runner.py
+++ b/tests/test_job_runner.py
@@ -153,3 +153,23 @@
         await _run_until(state, dropped, AsyncMock(), load, AsyncMock(), watch, True)
 
     asyncio.run(run())
+
+
+def test_a_quarantined_item_is_not_started():
+    """
+    Guards against an engine that is reserved for an item which must not be sent.
+    """
+    generate = AsyncMock()
+    watch = _free_watch()
+    watch.poison_status = lambda key: PoisonStatus.QUARANTINED
+    watch.engines_with_suspects = lambda key: set()
+
+    async def run() -> None:
+        waited = asyncio.Event()
+        asyncio.get_running_loop().call_later(0.2, waited.set)
+        state = make_job_state(make_job(1))
+        load = AsyncMock(return_value=[])
+        await _run_until(state, waited, AsyncMock(), load, generate, watch)
+
+    asyncio.run(run())
+    generate.assert_not_awaited()
