--- a/packages/saddledoord/src/saddledoord/log/lease_stream.py
+++ b/packages/saddledoord/src/saddledoord/log/lease_stream.py
@@ -148,9 +148,14 @@
         The log has no append on a condition. A snapshot that follows records which it
         does not include has no effect (`LeaseFold`), and counts as not appended.
         """
-        # The follower lags by its pause.
-        if not await self.sync():
-            return NotAppended("the log is unavailable")
+        if self.is_complete:
+            # The follower lags by its pause.
+            if not await self.sync():
+                return NotAppended("the log is unavailable")
+            if not self.is_complete:
+                return NotAppended("the log dropped records meanwhile")
+        # A snapshot without leases has no effect if there are unread records, which may
+        # be of a holder.
         end = self.next_offset
         snapshot = self._state.lease_fold.snapshot(end)
         try:
--- a/tests/guard_rows/history.py
+++ b/tests/guard_rows/history.py
@@ -164,4 +164,16 @@
         "if lease is not None and lease.fence > held.fence:",
         (LEASE_STREAM, "claims_it_again"),
     ),
+    Guard(
+        "own deployment: a snapshot without leases follows no unread records",
+        f"{DAEMON}/log/lease_stream.py",
+        "        if self.is_complete:\n"
+        "            # The follower lags by its pause.\n"
+        "            if not await self.sync():\n"
+        '                return NotAppended("the log is unavailable")\n'
+        "            if not self.is_complete:\n"
+        '                return NotAppended("the log dropped records meanwhile")\n',
+        "        await self.sync()\n",
+        (LEASE_STREAM, "without_leases"),
+    ),
 )
--- a/tests/test_lease_stream.py
+++ b/tests/test_lease_stream.py
@@ -155,6 +155,29 @@
     asyncio.run(scenario())
 
 
+def test_a_snapshot_without_leases_has_no_effect_after_unread_records():
+    """
+    Guards against a lease that is taken from its holder, which has renewed it since the
+    records were read that a VM without knowledge of the leases judges by.
+    """
+
+    async def scenario():
+        log = FakeLogClient()
+        holder, joined = _Vm(log, "vm-a"), _Vm(log, "vm-b")
+        await holder.stream.catch_up()
+        held = await holder.keeper.try_claim(_LEASE)
+        log.first = len(log.records)
+        await joined.stream.catch_up()
+        assert not joined.stream.is_complete
+        log.records.append(LeaseRenewal(_LEASE, held.fence))
+        assert isinstance(await joined.stream.append_snapshot(), NotAppended)
+        await holder.stream.catch_up()
+        assert holder.state.lease_fold.get(_LEASE).fence == held.fence
+        assert holder.may_act
+
+    asyncio.run(scenario())
+
+
 def test_a_holder_acts_until_its_term_ends_if_the_log_is_away():
     """
     Guards against a lease that is given up, or kept for longer than its term, while the
