--- a/Makefile
+++ b/Makefile
@@ -32,10 +32,10 @@
 SECONDS ?= 14
 SERIES ?= all
 soak: $(VENV)/.made
-	@HISTORY_SEEDS="$(SEEDS)" $(BIN)/python -m pytest -q tests/test_log_history.py \
-	  -k have_the_state
 	@PYTHONPATH=tests:tests/adapter $(BIN)/python -m soak \
 	  --seeds="$(SEEDS)" --seconds="$(SECONDS)" --series="$(SERIES)"
+	@HISTORY_SEEDS="$(SEEDS)" $(BIN)/python -m pytest -q tests/test_log_history.py \
+	  -k have_the_state
 
 bench: $(VENV)/.made
 	@$(BIN)/pip install --quiet --disable-pip-version-check -r requirements-plots.txt
