Review case 4 is the crash of the edges; stand-ins for links and bookings

Cause: the gravest case comes first. Change: the case of the signature that is not UTF-8 moves to review/4; the stand-ins get a link whose connections go silent, bookings, and engines that end.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,114 +1,97 @@
 # SPDX-License-Identifier: MIT
 
 """
-One write of an engine's entry gets no answer and is done seconds later, after the
-engine has stated that it drains.
+Half of the instances of a plain service hand out some answers to reward calls in which
+one bit of the signature is wrong, for a few seconds each time.
 """
 
 from __future__ import annotations
 
 import asyncio
 import sys
-import time
 from pathlib import Path
 
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "rig"))
 
 from deployment import BROKEN, HELD, NOT_RUN, Deployment, make_config, run, trouble
+from trainer import Group, Trainer
 
 
-LEAVING = "desk-0"
-#: Bounds of the settings, in seconds.
-CONTACT, DRAIN = 3.0, 2.0
-#: Delay of the write that is done late, in seconds; the platform's limit is 6.
-LATE = 5.9
-#: Time without any disruption before the engine is told to leave, in seconds.
-CALM = CONTACT + 0.3
-#: Time for which look-ups are sent after that, in seconds.
-TAIL = 6.0
+#: Share of the faulty instances' answers that are spoiled, the length of one such
+#: disruption and the pause before the next one, in seconds.
+SPOILED, SPOILED_FOR, PAUSE = 0.02, 5.0, 1.0
+FAULTY = ("desk-0", "desk-1")
+EDGES = 3
+#: Longest time for which jobs are submitted, in seconds.
+LENGTH = 70.0
+#: The rule: on this many machines, so many ends of processes by themselves.
+MACHINES, ENDS = 2, 3
+GROUPS, ITEMS = 28, 4
 
 
-async def look_up(deployment: Deployment, stop: asyncio.Event) -> None:
+async def train(deployment: Deployment) -> tuple[int, int]:
     """
-    Send look-ups to both edges in turn.
+    Run steps; return the numbers of items and of results.
     """
-    names, tasks, number = list(deployment.edges), set(), 0
-    while not stop.is_set():
+    trainer, items, results = Trainer(deployment), 0, 0
+    end = asyncio.get_running_loop().time() + LENGTH
+    number = 0
+    while asyncio.get_running_loop().time() < end and not is_broken(deployment):
+        groups = [
+            Group(f"s{number:x}g{index:x}", (b"6",) * ITEMS) for index in range(GROUPS)
+        ]
+        step = await trainer.submit(number, groups, GROUPS)
+        await trainer.read_until(step, GROUPS, set())
+        await trainer.end(step)
+        items += GROUPS * ITEMS
+        results += len(step.results)
         number += 1
-        tasks.add(asyncio.create_task(send(deployment, names[number % 2], number)))
-        await asyncio.sleep(0.025)
-    await asyncio.gather(*tasks)
-
-
-async def send(deployment: Deployment, edge: str, number: int) -> None:
-    name = f"look{number:06x}"
-    sent_at = time.monotonic()
-    answer = await deployment.ask(
-        edge,
-        "POST",
-        f"/look/{number}",
-        b"a look-up",
-        Saddledoor_Attempt_Id=name,
-        Saddledoor_Deadline_Ms="1500",
-    )
-    seconds = round(time.monotonic() - sent_at, 3)
-    deployment.record(
-        "look-up", id=name, edge=edge, status=answer.status, seconds=seconds
-    )
-
-
-async def wait_for_write(deployment: Deployment) -> None:
+    return items, results
+
+
+def is_broken(deployment: Deployment) -> bool:
+    ends = [len(times) for times in deployment.own_ends.values()]
+    return sum(count >= ENDS for count in ends) >= MACHINES
+
+
+async def spoil_answers(deployment: Deployment) -> None:
     """
-    Wait until the write that is to be done late has reached the store.
+    Play the disruption again and again.
     """
-    async with asyncio.timeout(3.0):
-        while not deployment.control("store")["held"]:
-            await asyncio.sleep(0.02)
+    while True:
+        for share, seconds in ((SPOILED, SPOILED_FOR), (0.0, PAUSE)):
+            for name in FAULTY:
+                await asyncio.to_thread(deployment.control, name, spoil=share)
+            deployment.record("share of spoiled answers", servers=FAULTY, share=share)
+            await asyncio.sleep(seconds)
 
 
 async def case(deployment: Deployment) -> int:
     deployment.start_store()
     await deployment.wait_for_store()
     await deployment.put_operator("config", make_config())
-    for index in range(3):
+    for index in range(4):
         deployment.start_engine(f"desk-{index}", "desk", slots=6, seed=index)
-    deployment.start_engine("pool-0", "pool", model="model-a")
-    for index in range(2):
+    for index in range(3):
+        deployment.start_engine(f"pool-{index}", "pool", model="model-a", seed=index)
+    for index in range(EDGES):
         deployment.start_edge(f"edge-{index}")
     await deployment.wait_until_ready()
-    stop = asyncio.Event()
-    load = asyncio.create_task(look_up(deployment, stop))
-    await asyncio.sleep(3.0)
+    disruption = None
     if trouble():
-        deployment.control("store", hold_key=LEAVING, hold_s=LATE)
-        await wait_for_write(deployment)
-        deployment.record("the store withholds one answer", late_s=LATE)
-    await asyncio.sleep(CALM)
-    # The answer to the engine's write is the store's acknowledgement.
-    left = await asyncio.to_thread(deployment.control, LEAVING, leave=True)
-    deployment.record("acknowledged as draining", engine=LEAVING, when=left["at"])
-    await asyncio.sleep(TAIL)
-    stop.set()
-    await load
-    return judge(deployment, left["at"])
-
-
-def judge(deployment: Deployment, acknowledged_at: float) -> int:
-    lines = deployment.lines()
-    runs = [line for line in lines if line["what"] == "run" and line["by"] == LEAVING]
-    before = [line for line in runs if line["at"] <= acknowledged_at]
-    late = [line for line in runs if line["at"] > acknowledged_at + DRAIN]
-    answered = sum(
-        line["what"] == "look-up" and line["status"] == 200 for line in lines
-    )
-    print(f"{answered} look-ups answered, {len(before)} run by {LEAVING} before")
-    if not before or not answered:
+        disruption = asyncio.create_task(spoil_answers(deployment))
+    items, results = await train(deployment)
+    if disruption is not None:
+        disruption.cancel()
+    spoiled = sum(deployment.control(name)["spoiled"] for name in FAULTY)
+    ends = {name: len(times) for name, times in deployment.own_ends.items()}
+    print(f"{items} items, {results} results, {spoiled} answers spoiled")
+    print(f"edges that ended by themselves: {ends}")
+    deployment.record("judged", items=items, results=results, spoiled=spoiled, **ends)
+    if not results or (trouble() and not spoiled):
         return NOT_RUN
-    delays = sorted(round(line["at"] - acknowledged_at, 3) for line in late)
-    print(f"{len(late)} requests reached {LEAVING} later than {DRAIN} s: {delays[:5]}")
-    deployment.record("judged", late=len(late), delays=delays)
-    return BROKEN if late else HELD
+    return BROKEN if is_broken(deployment) else HELD
 
 
 if __name__ == "__main__":
--- a/review/rig/deployment.py
+++ b/review/rig/deployment.py
@@ -97,7 +97,7 @@
 
 def make_config(attempts: int = 3) -> dict:
     """
-    Return a configuration with a route of look-ups, one of scoring and one of jobs.
+    Return a configuration with routes of look-ups, bookings, scoring and jobs.
     """
     plain = {"host": HOST, "timeout_ms": 1500, "slo_ms": 192, "priority": 2}
     return {
@@ -111,6 +111,14 @@
                 "max_attempts": 2,
                 **plain,
             },
+            {
+                "name": "book",
+                "path_prefix": "/book/",
+                "route_type": "unsafe",
+                "service": "desk",
+                "max_attempts": 2,
+                **plain,
+            },
             {
                 "name": "score",
                 "path_prefix": "/score/",
@@ -219,6 +227,14 @@
         script = str(_HERE / "stand_in_store.py")
         self._start("store", [sys.executable, script, str(self._port("store"))])
 
+    def start_link(self) -> None:
+        """
+        Start a link between the edges and the store, whose name is ``link``.
+        """
+        script = str(_HERE / "stand_in_link.py")
+        ports = [str(self._port("store link")), self.store, str(self._port("link"))]
+        self._start("link", [sys.executable, script, *ports])
+
     def start_engine(self, name: str, service: str, **settings: object) -> None:
         fields = {
             "port": self._port(name),
@@ -240,7 +256,10 @@
         path = self.folder / f"{name}.toml"
         path.write_text(
             _SETTINGS.format(
-                name=name, front=front, ready=ready, store=self._ports["store"]
+                name=name,
+                front=front,
+                ready=ready,
+                store=self._ports.get("store link", self._ports["store"]),
             )
         )
         self._start_edge(name)
--- a/review/rig/stand_in_engine.py
+++ b/review/rig/stand_in_engine.py
@@ -13,6 +13,7 @@
 import asyncio
 import contextlib
 import json
+import os
 import random
 import struct
 import sys
@@ -59,6 +60,7 @@
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
         self._state = "ready"
+        self._beats = True
         self._writes = 0
         self._orders = 0
         self._version = 1
@@ -87,7 +89,8 @@
         """
         while True:
             self._restart_beat.clear()
-            self._spawn(self.write_entry())
+            if self._beats:
+                self._spawn(self.write_entry())
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(self._settings.heartbeat_s):
                     await self._restart_beat.wait()
@@ -108,11 +111,25 @@
         }
         if settings.model:
             entry |= {"stage": "both", "models": self._models()}
-        key = settings.engine_id.encode()
-        record = bytes([len(key)]) + key + json.dumps(entry).encode()
-        url = f"http://{settings.store}/v1/log-append?topic=keyed.servers&part=0"
+        acknowledged = await self._append(json.dumps(entry).encode())
+        self.record("entry", seq_no=number, state=state, acknowledged=acknowledged)
+
+    async def remove_entry(self) -> None:
+        """
+        Remove the entry; the engine serves on.
+        """
+        self._beats = False
+        acknowledged = await self._append(b"")
+        self.record("entry removed", acknowledged=acknowledged)
+
+    async def _append(self, value: bytes) -> bool:
+        """
+        Write the entry's value; return whether the store has acknowledged it.
+        """
+        key = self._settings.engine_id.encode()
+        record = bytes([len(key)]) + key + value
+        url = f"http://{self._settings.store}/v1/log-append?topic=keyed.servers&part=0"
         limit = aiohttp.ClientTimeout(total=_WRITE_TIMEOUT)
-        acknowledged = False
         with contextlib.suppress(aiohttp.ClientError, TimeoutError):
             async with (
                 aiohttp.ClientSession(timeout=limit) as session,
@@ -120,8 +137,8 @@
                     url, data=struct.pack(">I", len(record)) + record
                 ) as response,
             ):
-                acknowledged = response.status == 200
-        self.record("entry", seq_no=number, state=state, acknowledged=acknowledged)
+                return response.status == 200
+        return False
 
     def _models(self) -> list[dict]:
         name = self._settings.model
@@ -221,8 +238,8 @@
 
     async def control(self, request: web.Request) -> web.Response:
         """
-        Set the share of spoiled answers, or tell the engine that it leaves; the answer
-        comes when the store has accepted that.
+        Set the share of spoiled answers, or tell the engine to leave, by its state
+        or by removing its entry; the answer comes when the store has accepted that.
         """
         body = await request.json()
         self._spoil = body.get("spoil", self._spoil)
@@ -230,6 +247,10 @@
             self._state = "draining"
             await self.write_entry()
             self._restart_beat.set()
+        if body.get("remove"):
+            await self.remove_entry()
+        if "ends_after_s" in body:
+            asyncio.get_running_loop().call_later(body["ends_after_s"], os._exit, 0)
         return web.json_response({"at": time.monotonic(), "spoiled": self._spoiled})
 
 
