--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,12 +1,13 @@
 # SPDX-License-Identifier: MIT
 
 """
-A group with an item that fails on every run and an item with a long text is not whole
-when its job ends, and comes again in the following jobs.
+One write of an engine's entry gets no answer and is done seconds later, after the
+engine has stated that it drains; the engine ends as announced.
 """
 
 from __future__ import annotations
 
+import asyncio
 import sys
 from pathlib import Path
 
@@ -14,66 +15,87 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "rig"))
 
 from deployment import BROKEN, HELD, NOT_RUN, Deployment, make_config, run, trouble
-from trainer import Group, Trainer
+from look_ups import look_up
 
 
-#: `max_attempts` of the route, and the answers of 500 after which the rule forbids
-#: further runs.
-ATTEMPTS = 3
-LIMIT = 3 * ATTEMPTS
-#: Events of a long text and of the other ones, and the time between two events, in
-#: seconds: the long one takes 8.25 s, more than the 7.5 s in which results are due.
-LONG, SHORT, GAP = b"165", b"12", 0.05
-#: Steps, groups of each, and whole groups that the trainer waits for.
-STEPS, GROUPS, DESIRED = 4, 10, 9
+LEAVING = "desk-0"
+#: Bounds of the settings, in seconds.
+CONTACT, DRAIN = 3.0, 2.0
+#: Delay of the write that is done late, in seconds; the platform's limit is 6.
+LATE = 5.9
+#: Time without any disruption before the engine is told to leave, in seconds.
+CALM = CONTACT + 0.3
+#: Time from the acknowledgement to the engine's end, `DRAIN` and a little more, and for
+#: which requests are sent after the acknowledgement, in seconds.
+ENDS_AFTER, TAIL = 3.2, 6.0
+#: Time that a request runs, in seconds.
+WORK = 0.15
+
+
+async def wait_for_write(deployment: Deployment) -> None:
+    """
+    Wait until the write that is to be done late has reached the store.
+    """
+    async with asyncio.timeout(3.0):
+        while not deployment.control("store")["held"]:
+            await asyncio.sleep(0.02)
 
 
 async def case(deployment: Deployment) -> int:
     deployment.start_store()
     await deployment.wait_for_store()
-    await deployment.put_operator("config", make_config(ATTEMPTS))
-    for index in range(2):
-        deployment.start_engine(f"desk-{index}", "desk", slots=6, seed=index)
+    await deployment.put_operator("config", make_config())
     for index in range(3):
         deployment.start_engine(
-            f"pool-{index}", "pool", model="model-a", gap_s=GAP, seed=index
+            f"desk-{index}", "desk", slots=6, seed=index, work_s=WORK
         )
+    deployment.start_engine("pool-0", "pool", model="model-a")
     for index in range(2):
         deployment.start_edge(f"edge-{index}")
     await deployment.wait_until_ready()
-    trainer = Trainer(deployment)
-    again: list[Group] = [Group("again", (b"fail", LONG if trouble() else SHORT))]
-    for number in range(STEPS):
-        fresh = [
-            Group(f"s{number}g{index}", (SHORT, SHORT))
-            for index in range(GROUPS - len(again))
-        ]
-        # Groups that were not whole stand first, and the trainer waits for them.
-        step = await trainer.submit(number, [*again, *fresh], DESIRED)
-        must = {group.name for group in again} if number else set()
-        await trainer.read_until(step, DESIRED, must)
-        await trainer.end(step)
-        whole = {group.name for group in step.whole_groups()}
-        again = [group for group in step.groups if group.name not in whole]
-        again = again[: DESIRED // 2]
-        deployment.record("step ended", number=number, whole=len(whole))
-    return judge(deployment)
-
-
-def judge(deployment: Deployment) -> int:
-    lines = [line for line in deployment.lines() if line.get("id") == "againi0"]
-    failures, late = 0, 0
-    for line in lines:
-        if line["what"] == "answer" and line.get("status") == 500:
-            failures += 1
-        if line["what"] == "run" and failures >= LIMIT:
-            late += 1
-    runs = sum(line["what"] == "run" for line in lines)
-    print(f"the item was run {runs} times and answered with 500 {failures} times")
-    print(f"it reached an engine {late} times after {LIMIT} such answers")
-    deployment.record("judged", runs=runs, failures=failures, late=late)
-    if not runs:
+    stop = asyncio.Event()
+    load = asyncio.create_task(look_up(deployment, stop, bookings=True))
+    await asyncio.sleep(3.0)
+    if trouble():
+        deployment.control("store", hold_key=LEAVING, hold_s=LATE)
+        await wait_for_write(deployment)
+        deployment.record("the store withholds one answer", late_s=LATE)
+    await asyncio.sleep(CALM)
+    # The answer to the engine's write is the store's acknowledgement.
+    left = await asyncio.to_thread(
+        deployment.control, LEAVING, leave=True, ends_after_s=ENDS_AFTER
+    )
+    deployment.record("acknowledged as draining", engine=LEAVING, when=left["at"])
+    await asyncio.sleep(TAIL)
+    stop.set()
+    await load
+    return judge(deployment, left["at"])
+
+
+def judge(deployment: Deployment, acknowledged_at: float) -> int:
+    lines = deployment.lines()
+    runs = [line for line in lines if line["what"] == "run" and line["by"] == LEAVING]
+    before = [line for line in runs if line["at"] <= acknowledged_at]
+    late = [line for line in runs if line["at"] > acknowledged_at + DRAIN]
+    answered = sum(
+        line["what"] == "answered" and line["status"] == 200 for line in lines
+    )
+    print(f"{answered} requests answered, {len(before)} run by {LEAVING} before")
+    if not before or not answered:
         return NOT_RUN
+    delays = sorted(round(line["at"] - acknowledged_at, 3) for line in late)
+    print(f"{len(late)} requests reached {LEAVING} later than {DRAIN} s: {delays[:5]}")
+    late_ids = {line["id"] for line in late}
+    lost = [
+        line["id"]
+        for line in lines
+        if line["what"] == "answered"
+        and line["id"] in late_ids
+        and line["id"].startswith("book")
+        and line["status"] != 200
+    ]
+    print(f"{len(lost)} of them were bookings that the engine's end cut off")
+    deployment.record("judged", late=len(late), delays=delays, lost=lost)
     return BROKEN if late else HELD
 
 
