--- a/review/rig/deployment.py
+++ b/review/rig/deployment.py
@@ -35,7 +35,7 @@
 #: Pause before the platform starts a process again that has ended, in seconds.
 _RESTART_PAUSE = 0.5
 
-# Bounds and limits as on the sheet of skupna-pot.
+# Bounds and limits as on the sheets of skupna-pot and, without fences, of tracado-sul.
 _SETTINGS = """\
 node_name = "{name}"
 role = "edge"
@@ -68,7 +68,7 @@
 status_s = 120
 cancel_ms = 3000
 settle_ms = 1000
-fence_required = true
+fence_required = {fences}
 lease_ms = 3000
 freeze_slack_ms = 300
 [platform]
@@ -181,10 +181,12 @@
 
     folder: Path
     record_path: Path
+    fences: bool = True
     edges: dict[str, tuple[int, int]] = field(default_factory=dict)
     own_ends: dict[str, list[float]] = field(default_factory=dict)
     _ports: dict[str, int] = field(default_factory=dict)
     _processes: dict[str, subprocess.Popen] = field(default_factory=dict)
+    _stopping: set[str] = field(default_factory=set)
     _watches: set[asyncio.Task] = field(default_factory=set)
     _session: aiohttp.ClientSession | None = None
     _closing: bool = False
@@ -214,7 +216,8 @@
 
     def _start(self, name: str, arguments: list[str], **variables: str) -> None:
         kept = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
-        with (self.folder / f"{name}.out").open("ab") as out:
+        path = self.folder / f"{name.replace('/', '-')}.out"
+        with path.open("ab") as out:
             self._processes[name] = subprocess.Popen(
                 arguments,
                 cwd=_ROOT,
@@ -231,13 +234,25 @@
         """
         Start a link between the edges and the store, whose name is ``link``.
         """
+        self._start_link("link", self._port("store link"), self.store)
+
+    def _start_link(self, name: str, port: int, target: str) -> None:
         script = str(_HERE / "stand_in_link.py")
-        ports = [str(self._port("store link")), self.store, str(self._port("link"))]
-        self._start("link", [sys.executable, script, *ports])
+        ports = [str(port), target, str(self._port(name))]
+        self._start(name, [sys.executable, script, *ports])
+
+    def start_engine_link(self, name: str) -> None:
+        """
+        Start a link between the edges and an engine that is started later, whose name
+        is the engine's with ``/link``.
+        """
+        port, target = self._port(f"{name}/path"), self._port(name)
+        self._start_link(f"{name}/link", port, f"127.0.0.1:{target}")
 
     def start_engine(self, name: str, service: str, **settings: object) -> None:
         fields = {
             "port": self._port(name),
+            "address_port": self._ports.get(f"{name}/path", self._port(name)),
             "engine_id": name,
             "service": service,
             "store": self.store,
@@ -260,6 +275,7 @@
                 front=front,
                 ready=ready,
                 store=self._ports.get("store link", self._ports["store"]),
+                fences=str(self.fences).lower(),
             )
         )
         self._start_edge(name)
@@ -280,11 +296,23 @@
             status = self._processes[name].poll()
             if status is None or self._closing:
                 continue
-            self.own_ends.setdefault(name, []).append(time.monotonic())
-            self.record("edge ended by itself", edge=name, status=status)
+            if name in self._stopping:
+                self._stopping.discard(name)
+                self.record("edge stopped", edge=name, status=status)
+            else:
+                self.own_ends.setdefault(name, []).append(time.monotonic())
+                self.record("edge ended by itself", edge=name, status=status)
             await asyncio.sleep(_RESTART_PAUSE)
             self._start_edge(name)
 
+    def stop_edge(self, name: str) -> None:
+        """
+        Send SIGTERM, as the platform does before it starts the process again.
+        """
+        self._stopping.add(name)
+        self._processes[name].terminate()
+        self.record("SIGTERM", edge=name)
+
     def is_ready(self, name: str) -> bool:
         url = f"http://127.0.0.1:{self.edges[name][1]}/v1/readiness"
         with contextlib.suppress(OSError), urllib.request.urlopen(url, timeout=1):
--- a/review/rig/stand_in_engine.py
+++ b/review/rig/stand_in_engine.py
@@ -25,6 +25,8 @@
 from aiohttp import web
 
 
+#: Time that a change of version takes, in seconds.
+_LOAD = 0.9
 #: Time that a write of the entry waits for its answer, in seconds.
 _WRITE_TIMEOUT = 1.0
 
@@ -32,6 +34,7 @@
 @dataclass(frozen=True)
 class Settings:
     """
+    :ivar address_port: Port of the address in its entry.
     :ivar model: Model of an engine; empty for a plain service.
     :ivar work_s: Time that a plain request runs.
     :ivar gap_s: Time between two events of a text.
@@ -39,6 +42,7 @@
     """
 
     port: int
+    address_port: int
     engine_id: str
     service: str
     store: str
@@ -101,7 +105,7 @@
         number, state = self._writes, self._state
         entry = {
             "service": settings.service,
-            "address": f"127.0.0.1:{settings.port}",
+            "address": f"127.0.0.1:{settings.address_port}",
             "zone": "zone-a",
             "version": "v1",
             "slots": settings.slots,
@@ -231,6 +235,28 @@
             }
         )
 
+    async def order(self, request: web.Request) -> web.Response:
+        """
+        Take an order; this engine does not check fences.
+        """
+        order = await request.json()
+        fields = {name: order[name] for name in ("holder", "fence_token", "version")}
+        self.record("order", **fields)
+        reply = {"Saddledoor-Attempt-Id": request.headers["Saddledoor-Attempt-Id"]}
+        if self._busy or order.get("if_rev", self._orders) != self._orders:
+            return web.Response(status=409, headers=reply)
+        if order["version"] == self._version:
+            return web.Response(status=200, headers=reply)
+        self._orders += 1
+        self._spawn(self._load(order["version"]))
+        return web.Response(status=202, headers=reply)
+
+    async def _load(self, version: int) -> None:
+        self._busy = True
+        await asyncio.sleep(_LOAD)
+        self._version, self._busy = version, False
+        await self.write_entry()
+
     async def health(self, request: web.Request) -> web.Response:
         status = 200 if self._state == "ready" else 503
         headers = {"Saddledoor-Instance-Id": self._settings.engine_id}
@@ -251,7 +277,8 @@
             await self.remove_entry()
         if "ends_after_s" in body:
             asyncio.get_running_loop().call_later(body["ends_after_s"], os._exit, 0)
-        return web.json_response({"at": time.monotonic(), "spoiled": self._spoiled})
+        state = {"spoiled": self._spoiled, "version": self._version}
+        return web.json_response({"at": time.monotonic(), **state})
 
 
 async def _start_beat(app: web.Application) -> None:
@@ -268,6 +295,7 @@
     app["engine"] = engine
     app.on_startup.append(_start_beat)
     app.router.add_get("/v1/report", engine.report)
+    app.router.add_post("/v1/order", engine.order)
     app.router.add_get("/health", engine.health)
     app.router.add_post("/control", engine.control)
     app.router.add_route("*", "/{path:.*}", engine.request)
