--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 export PYTHONPATH=target/deps
 python3 -c "import aiohttp, saddledoord" || exit 2
-exec python3 review/5/case.py
+exec python3 -B review/6/case.py
