--- a/review/4/case.py
+++ b/review/4/case.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "rig"))
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from deployment import (
     BROKEN,
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "rig"))
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from deployment import BROKEN, HELD, NOT_RUN, Deployment, make_config, run, trouble
 from trainer import Group, Trainer
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "rig"))
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from deployment import BROKEN, HELD, NOT_RUN, Deployment, make_config, run, trouble
 from look_ups import look_up
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 [ -d target/deps ] || bash deploy/build.sh
-export PYTHONPATH=target/deps:review/rig PYTHONDONTWRITEBYTECODE=1
+export PYTHONPATH=target/deps:review PYTHONDONTWRITEBYTECODE=1
 for name in stand_in_store stand_in_engine stand_in_link deployment trainer look_ups; do
   python3 -c "import $name"
 done
--- a/review/rig/deployment.py
+++ b/review/deployment.py
@@ -31,7 +31,7 @@
 HOST = "desk.example"
 MODEL = "model-a"
 _HERE = Path(__file__).parent
-_ROOT = _HERE.parent.parent
+_ROOT = _HERE.parent
 #: Pause before the platform starts a process again that has ended, in seconds.
 _RESTART_PAUSE = 0.5
 
