Release a lease only after the calls under it have ended

An edge that is stopped as planned released the lease of the orders while an order of its own had no answer. Calls under a lease are counted now, and a release waits for their end; sockets reset on close, so a call that timed out has ended, too. The same for reports of usage, the ordering of engines, and the leases of our own deployment, whose sockets did not reset.

--- a/packages/saddledoord/src/saddledoord/backends/client.py
+++ b/packages/saddledoord/src/saddledoord/backends/client.py
@@ -16,6 +16,7 @@
 from saddledoor import NotRun, OutcomeUnknown, Part, ResultCode
 
 from .send_once import send_once
+from .sockets import create_resetting_socket
 
 
 __all__ = [
@@ -97,8 +98,13 @@
         """
         Open the clients; requires a running event loop.
         """
-        pooled = aiohttp.TCPConnector(limit=0, keepalive_timeout=15)
-        single = aiohttp.TCPConnector(limit=0, force_close=True)
+        # An order that was given up must not arrive after one of the next lease holder.
+        pooled = aiohttp.TCPConnector(
+            limit=0, keepalive_timeout=15, socket_factory=create_resetting_socket
+        )
+        single = aiohttp.TCPConnector(
+            limit=0, force_close=True, socket_factory=create_resetting_socket
+        )
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_TIMEOUT)
         return cls(
             aiohttp.ClientSession(connector=pooled, timeout=timeout),
--- a/packages/saddledoord/src/saddledoord/backends/control.py
+++ b/packages/saddledoord/src/saddledoord/backends/control.py
@@ -239,25 +239,25 @@
         if engine_state.busy:
             return
         timeout = self._state.settings.timings.order_timeout
-        current = self._keeper.held(lease.name)
         # Checked immediately before the order is sent: it is the only protection for an
         # engine that ignores fencing numbers.
-        if current is None or not current.may_act(boot_time(), timeout):
-            return
-        engine_state.busy = True
-        body = {
-            "order_id": uuid.uuid4().hex,
-            "fence": current.fence,
-            "action": order.action,
-            "model": order.model,
-            "version": order.version,
-        }
-        try:
-            status = await self._backends.order(engine.address, body, timeout)
-            self._metrics.orders.add(1, {"outcome": str(status)})
-        except (aiohttp.ClientError, TimeoutError):
-            self._metrics.orders.add(1, {"outcome": "unknown"})
-        finally:
-            engine_state.busy = False
+        with self._keeper.acting(lease.name, timeout) as current:
+            if current is None:
+                return
+            engine_state.busy = True
+            body = {
+                "order_id": uuid.uuid4().hex,
+                "fence": current.fence,
+                "action": order.action,
+                "model": order.model,
+                "version": order.version,
+            }
+            try:
+                status = await self._backends.order(engine.address, body, timeout)
+                self._metrics.orders.add(1, {"outcome": str(status)})
+            except (aiohttp.ClientError, TimeoutError):
+                self._metrics.orders.add(1, {"outcome": "unknown"})
+            finally:
+                engine_state.busy = False
         # The engine's state decides, not its response to the order.
         await self._read_engine(engine)
--- a/packages/saddledoord/src/saddledoord/duties/lease.py
+++ b/packages/saddledoord/src/saddledoord/duties/lease.py
@@ -6,12 +6,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+from contextlib import contextmanager
+
 import structlog
 
 from saddledoor import HeldLease, Lease
 
 from .._clock import boot_time
 from ..cluster.leases import LeaseLog
+from .in_flight import ActionsInFlight
 
 
 __all__ = ["DutyLease"]
@@ -23,6 +27,9 @@
 #: Time for which a node does not claim the lease after `back_off`, in terms; two nodes
 #: must not take turns within one term.
 _BACKOFF_TERMS = 3
+#: Longest wait for the actions in flight before a release, in seconds. Calls under a
+#: lease end within 0.6 s.
+_ACTION_TIMEOUT = 0.7
 
 
 class DutyLease:
@@ -40,6 +47,7 @@
         self._held: HeldLease | None = None
         self._released = False
         self._backoff_until = float("-inf")
+        self._actions = ActionsInFlight()
 
     def current(self, margin: float) -> HeldLease | None:
         """
@@ -48,6 +56,22 @@
         held = self._held
         return held if held and held.may_act(boot_time(), margin) else None
 
+    @contextmanager
+    def acting(self, margin: float) -> Iterator[HeldLease | None]:
+        """
+        Provide the lease for an action, such as a call that carries its fencing number,
+        or None if the action may not begin. The lease is not released before the end of
+        the context.
+
+        :param margin: Upper bound of the action's duration, in seconds.
+        """
+        held = self.current(margin)
+        if held is None:
+            yield None
+            return
+        with self._actions.track():
+            yield held
+
     def record_fenced(self, fence: int) -> None:
         """
         Drop the lease, because a receiver has seen a higher fencing number.
@@ -85,7 +109,8 @@
 
     async def release(self) -> None:
         """
-        Release the lease for good, so that another node can claim it at once.
+        Release the lease for good, so that another node can claim it at once; while an
+        action is in flight, after its end.
         """
         self._released = True
         await self._release_held()
@@ -101,6 +126,16 @@
         self._held = None
         lease = self._leases.get(self._duty)
         if lease is not None and self._leases.is_mine(self._duty):
+            # An action of this node that arrives after one of the next holder would
+            # carry a lower fencing number, which not every receiver checks.
+            if not await self._actions.wait_until_idle(_ACTION_TIMEOUT):
+                _log.warning(
+                    "duty_not_released",
+                    duty=self._duty,
+                    fence=lease.fence,
+                    in_flight=self._actions.count,
+                )
+                return
             _log.info("duty_released", duty=self._duty, fence=lease.fence)
             await self._leases.release([self._duty])
 
--- a/packages/saddledoord/src/saddledoord/duties/usage_reporter.py
+++ b/packages/saddledoord/src/saddledoord/duties/usage_reporter.py
@@ -135,11 +135,11 @@
         """
         counts = await self._decide(window)
         decided_at = boot_time()
-        held = self._lease.current(_CALL_MARGIN)
-        if counts is None or held is None:
-            return False
-        report = UsageReport(window, counts, self._holder, held.fence)
-        outcome = await self._calls.report_usage(report, decided_at)
+        with self._lease.acting(_CALL_MARGIN) as held:
+            if counts is None or held is None:
+                return False
+            report = UsageReport(window, counts, self._holder, held.fence)
+            outcome = await self._calls.report_usage(report, decided_at)
         _log.info(
             "usage_reported",
             window=window,
--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -355,9 +355,11 @@
             await asyncio.sleep(_RETRY_PAUSE)
         self._runner.hand_over()
         flushed = await self._writer.wait_until_flushed(_FLUSH_TIMEOUT)
-        await self._shares.release()
         await asyncio.gather(
-            self._lease.release(), self._release_usage(), self._release_scaling()
+            self._shares.release(),
+            self._lease.release(),
+            self._release_usage(),
+            self._release_scaling(),
         )
         _log.info(
             "handed_over", flushed=flushed, seconds=round(boot_time() - started_at, 3)
--- a/packages/saddledoord/src/saddledoord/log/leases.py
+++ b/packages/saddledoord/src/saddledoord/log/leases.py
@@ -7,6 +7,9 @@
 from __future__ import annotations
 
 import asyncio
+from collections import defaultdict
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import structlog
 
@@ -14,6 +17,7 @@
 
 from .._clock import boot_time
 from .._state import NodeState
+from ..duties.in_flight import ActionsInFlight
 from .client import LogClient, LogUnavailableError
 from .follower import new_record_id
 from .lease_stream import CONTROL_STREAM, LeaseStream
@@ -27,6 +31,8 @@
 _RENEWALS = 3
 #: Interval of reading the log while a released lease has no new holder, in seconds.
 _TAKEOVER_POLL = 0.05
+#: Time beyond the timeout of an order until it has ended for certain, in seconds.
+_ACTION_MARGIN = 0.2
 
 
 class LeaseKeeper:
@@ -40,6 +46,7 @@
         self._stream = stream
         self._held: dict[str, HeldLease] = {}
         self._claim_locks: dict[str, asyncio.Lock] = {}
+        self._actions: defaultdict[str, ActionsInFlight] = defaultdict(ActionsInFlight)
 
     def names(self) -> tuple[str, ...]:
         """
@@ -64,6 +71,21 @@
             return None
         return held
 
+    @contextmanager
+    def acting(self, name: str, margin: float) -> Iterator[HeldLease | None]:
+        """
+        Provide a lease for an action, or None if the action may not begin; the lease is
+        not released before the end of the context.
+
+        :param margin: Upper bound of the action's duration, in seconds.
+        """
+        held = self.held(name)
+        if held is None or not held.may_act(boot_time(), margin):
+            yield None
+            return
+        with self._actions[name].track():
+            yield held
+
     def holder_address(self, name: str) -> str | None:
         """
         Return the peer address of a lease's holder, or None if the lease is free.
@@ -182,11 +204,16 @@
 
     async def release(self, name: str) -> None:
         """
-        Release a lease; it expires by itself if the log is unavailable.
+        Release a lease when no action under it is in flight; it expires by itself if
+        one does not end or if the log is unavailable.
         """
         held = self._held.pop(name, None)
         if held is None:
             return
+        timeout = self._state.settings.timings.order_timeout + _ACTION_MARGIN
+        if not await self._actions[name].wait_until_idle(timeout):
+            _log.warning("lease_not_released", lease=name, fence=held.fence)
+            return
         try:
             await self._log.append(CONTROL_STREAM, [LeaseRelease(name, held.fence)])
             _log.info("lease_released", lease=name, fence=held.fence)
--- a/packages/saddledoord/src/saddledoord/orders/weights.py
+++ b/packages/saddledoord/src/saddledoord/orders/weights.py
@@ -220,18 +220,18 @@
 
     async def _send_order(self, load: _Load, state: EngineState) -> None:
         ordered_at = boot_time()
-        held = self._lease.current(_ORDER_MARGIN)
-        if held is None:
-            return
-        order = VersionOrder(
-            load.model,
-            load.version,
-            self._holder,
-            held.fence,
-            state.accepted_orders,
-            self._retain_running(load.model),
-        )
-        outcome = await self._engines.order(load.engine, order, ordered_at)
+        with self._lease.acting(_ORDER_MARGIN) as held:
+            if held is None:
+                return
+            order = VersionOrder(
+                load.model,
+                load.version,
+                self._holder,
+                held.fence,
+                state.accepted_orders,
+                self._retain_running(load.model),
+            )
+            outcome = await self._engines.order(load.engine, order, ordered_at)
         _log.info(
             "engine_ordered",
             engine=load.engine.engine_id,
--- a/packages/saddledoord/src/saddledoord/scaling/duty.py
+++ b/packages/saddledoord/src/saddledoord/scaling/duty.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import structlog
 
@@ -106,13 +106,22 @@
         self._cancel()
 
     async def _stop(self) -> None:
-        lease = self._lease
-        self._cancel()
-        if lease is not None:
-            await lease.release()
+        lease, tasks = self._lease, self._tasks
+        self._tasks = []
+        self._lease = self._controller = None
+        try:
+            # Before the tasks are cancelled: an order in flight gets its answer.
+            if lease is not None:
+                await lease.release()
+        finally:
+            _cancel_all(tasks)
 
     def _cancel(self) -> None:
-        for task in self._tasks:
-            task.cancel()
+        _cancel_all([*self._tasks, *self._releases])
         self._tasks = []
         self._lease = self._controller = None
+
+
+def _cancel_all(tasks: Iterable[asyncio.Task]) -> None:
+    for task in tasks:
+        task.cancel()
--- a/packages/saddledoord/src/saddledoord/scaling/orders.py
+++ b/packages/saddledoord/src/saddledoord/scaling/orders.py
@@ -123,18 +123,18 @@
         """
         Send an order; return whether further calls may follow.
         """
-        held = self._lease.current(_CALL_MARGIN)
-        if held is None:
-            return False
-        order = EngineOrder(
-            self._service,
-            group.data_centre,
-            pending.desired,
-            group.is_spot,
-            self._holder,
-            held.fence,
-        )
-        outcome = await self._calls.order_engines(order, decided_at)
+        with self._lease.acting(_CALL_MARGIN) as held:
+            if held is None:
+                return False
+            order = EngineOrder(
+                self._service,
+                group.data_centre,
+                pending.desired,
+                group.is_spot,
+                self._holder,
+                held.fence,
+            )
+            outcome = await self._calls.order_engines(order, decided_at)
         _log.info(
             "engines_ordered",
             service=self._service,
--- a/tests/adapter/test_edge_weights.py
+++ b/tests/adapter/test_edge_weights.py
@@ -10,7 +10,10 @@
 import time
 from datetime import UTC, datetime
 
-from platform_bed import until
+import pytest
+from slow_link import SlowLink
+
+from platform_bed import PlatformBed, until
 from platform_documents import MODEL, make_job, texts, whole_texts
 
 
@@ -185,3 +188,53 @@
 
 def _resumed(bed) -> list[dict]:
     return [run for run in bed.runs() if run["resume_after"] >= 1]
+
+
+@pytest.fixture
+def one_engine(tmp_path):
+    """
+    Two edges and one model engine.
+    """
+    with PlatformBed.open(tmp_path, edges=2, engines=1) as bed:
+        yield bed
+
+
+def test_no_order_of_a_stopped_holder_arrives_after_one_of_the_next(one_engine):
+    """
+    Guards against a lease that is released while an order is still on its way: engines
+    that check no fences would carry it out.
+    """
+    bed = one_engine
+    until(lambda: _holder(bed))
+    first = _holder(bed)
+    with SlowLink.open(bed.engine_ports["engine-0"], delay=0.3) as link:
+        link.hold(b'"opcode"', f'"{first}"'.encode())
+        bed.put_entry("engine-0", "pool", link.port, MODEL)
+        time.sleep(0.6)
+        bed.name_version(2)
+        assert link.held.wait(5.0)
+        bed.signal(first, signal.SIGTERM)
+        stopped_at = time.monotonic()
+        until(lambda: _holder(bed) != first, 5.0)
+        # The order on its way delays the next holder by its own time only.
+        assert time.monotonic() - stopped_at < 0.9
+        until(lambda: bed.fake_engine("engine-0")["version"] == 2)
+        bed.name_version(3)
+        until(lambda: bed.fake_engine("engine-0")["version"] == 3)
+    orders = bed.fake_engine("engine-0")["orders"]
+    fences = [order["fence_token"] for order in orders]
+    assert fences == sorted(fences)
+    assert {order["holder"] for order in orders} == set(bed.front_ports)
+
+
+def _holder(bed) -> str:
+    """
+    Return the edge that was the last to claim the lease of the orders.
+    """
+    taken = [
+        (line["fence"], edge)
+        for edge in bed.front_ports
+        for line in _lines(bed, edge, "duty_taken")
+        if line["duty"] == "orders"
+    ]
+    return max(taken, default=(0, ""))[1]
--- a/tests/guard_rows/guard.py
+++ b/tests/guard_rows/guard.py
@@ -18,6 +18,7 @@
     "CRASHING",
     "DECISIONS",
     "DUTY",
+    "DUTY_LEASE",
     "CRASH_FOLD",
     "CRASH_WATCH",
     "EDGE_READERS",
@@ -101,6 +102,7 @@
 KEYS = "tests/adapter/test_edge_keys.py"
 USAGE = "tests/adapter/test_edge_usage.py"
 DUTY = "tests/test_usage_duty.py"
+DUTY_LEASE = "tests/test_duty_lease.py"
 WORKSPACES = "tests/test_workspaces.py"
 SEND_GATE = "tests/test_send_gate.py"
 EVACUATIONS = "tests/test_evacuations.py"
--- a/tests/guard_rows/nodes.py
+++ b/tests/guard_rows/nodes.py
@@ -8,7 +8,9 @@
 
 from .guard import (
     DAEMON,
+    DUTY_LEASE,
     FOLLOW,
+    LEASE_STREAM,
     LIBRARY,
     REQUESTS,
     STORE_WATCH,
@@ -140,4 +142,49 @@
         "if False:",
         ("tests/test_unreadable_records.py", "hides_nothing"),
     ),
+    Guard(
+        "a lease is released after the calls in flight",
+        f"{DAEMON}/duties/lease.py",
+        "if not await self._actions.wait_until_idle(_ACTION_TIMEOUT):",
+        "if False:",
+        (DUTY_LEASE, "last_action_has_ended"),
+    ),
+    Guard(
+        "a lease with an action that does not end expires",
+        f"{DAEMON}/duties/lease.py",
+        """                    in_flight=self._actions.count,
+                )
+                return
+""",
+        """                    in_flight=self._actions.count,
+                )
+""",
+        (DUTY_LEASE, "does_not_end_expires"),
+    ),
+    Guard(
+        "an order of weights is an action under the lease",
+        f"{DAEMON}/orders/weights.py",
+        "with self._lease.acting(_ORDER_MARGIN) as held:",
+        "for held in [self._lease.current(_ORDER_MARGIN)]:",
+        (WEIGHTS, "stopped_holder"),
+    ),
+    Guard(
+        "the ordering of engines releases its lease before it is cancelled",
+        f"{DAEMON}/scaling/duty.py",
+        """            if lease is not None:
+                await lease.release()
+""",
+        """            _cancel_all(tasks)
+            if lease is not None:
+                await lease.release()
+""",
+        ("tests/test_scaling_duty.py", "in_flight"),
+    ),
+    Guard(
+        "own deployment: a lease is released after the orders in flight",
+        f"{DAEMON}/log/leases.py",
+        "if not await self._actions[name].wait_until_idle(timeout):",
+        "if False:",
+        (LEASE_STREAM, "order"),
+    ),
 )
--- a/tests/test_engine_lives.py
+++ b/tests/test_engine_lives.py
@@ -12,6 +12,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from contextlib import contextmanager
 from dataclasses import dataclass, replace
 
 import pytest
@@ -358,6 +359,10 @@
     def current(self, margin):
         return _Held()
 
+    @contextmanager
+    def acting(self, margin):
+        yield self.current(margin)
+
 
 class _LoadableEngine:
     """
--- a/tests/test_lease_stream.py
+++ b/tests/test_lease_stream.py
@@ -195,3 +195,43 @@
             assert not vm.may_act
 
     asyncio.run(scenario())
+
+
+def test_a_lease_is_released_after_the_last_order_has_ended():
+    """
+    Guards against an order that reaches an engine after one of the next holder.
+    """
+
+    async def scenario():
+        log = FakeLogClient()
+        async with _Vm(log, "vm-a").running() as first:
+            await _claim(first)
+            with first.keeper.acting(_LEASE, 0.1) as held:
+                assert held is not None
+                releasing = asyncio.create_task(first.keeper.release(_LEASE))
+                await asyncio.sleep(0.05)
+                assert not first.state.lease_fold.get(_LEASE).released
+                with first.keeper.acting(_LEASE, 0.1) as again:
+                    assert again is None
+            await releasing
+            await first.stream.catch_up()
+            assert first.state.lease_fold.get(_LEASE).released
+
+    asyncio.run(scenario())
+
+
+def test_a_lease_under_which_an_order_does_not_end_is_not_released():
+    """
+    The next holder waits for the term, as after a crash.
+    """
+
+    async def scenario():
+        log = FakeLogClient()
+        async with _Vm(log, "vm-a").running() as first:
+            await _claim(first)
+            with first.keeper.acting(_LEASE, 0.1):
+                await first.keeper.release(_LEASE)
+                await first.stream.catch_up()
+                assert not first.state.lease_fold.get(_LEASE).released
+
+    asyncio.run(scenario())
--- a/tests/test_scaling_controller.py
+++ b/tests/test_scaling_controller.py
@@ -8,7 +8,8 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field, replace
 
 import pytest
@@ -72,6 +73,10 @@
             return None
         return HeldLease("scale", self.fence, self.clock() + 10.0)
 
+    @contextmanager
+    def acting(self, margin: float) -> Iterator[HeldLease | None]:
+        yield self.current(margin)
+
     async def confirm(self, fence: int) -> bool | None:
         return self.in_log
 
--- a/tests/test_usage_duty.py
+++ b/tests/test_usage_duty.py
@@ -9,7 +9,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 import pytest
@@ -42,6 +43,10 @@
             return None
         return HeldLease("usage", self.fence, boot_time() + 10.0)
 
+    @contextmanager
+    def acting(self, margin: float) -> Iterator[HeldLease | None]:
+        yield self.current(margin)
+
     def record_fenced(self, fence: int) -> None:
         self.fenced_at.append(fence)
         self.fence = None
