Contain errors that the bytes of other processes raise

Answers whose status, headers or signature are invalid are refused at the boundary; a record or an entry that fails is skipped alone; a loop that fails runs again.

--- a/packages/saddledoor/src/saddledoor/_usage.py
+++ b/packages/saddledoor/src/saddledoor/_usage.py
@@ -114,7 +114,9 @@
         """
         if last_decided is None:
             return []
-        return list(range(self.first_to_resend(unix_time), last_decided + 1))
+        # A decision on a later window is damaged, as it would be of the future.
+        newest = min(last_decided, self.of(unix_time))
+        return list(range(self.first_to_resend(unix_time), newest + 1))
 
     def first_to_resend(self, unix_time: float) -> int:
         """
--- a/packages/saddledoord/src/saddledoord/_daemon.py
+++ b/packages/saddledoord/src/saddledoord/_daemon.py
@@ -23,6 +23,7 @@
 from .http.server import HttpServer, server_config
 from .peers.server import start_peer_server
 from .samples.collector import collector_lease
+from .supervision import keep_running
 
 
 __all__ = ["Daemon"]
@@ -69,7 +70,7 @@
         serving = asyncio.create_task(http.serve(sockets=[listener]))
         _log.info("started", vm=settings.vm, http=settings.http, grpc=settings.grpc)
         for loop in parts.loops():
-            self._spawn(loop)
+            self._spawn(keep_running(loop))
         await self._stop_requested.wait()
         is_drained = await self._drain_unless_interrupted(parts, http)
         http.end(force=not is_drained)
@@ -112,10 +113,7 @@
         self._tasks.discard(task)
         if task.cancelled() or task.exception() is None:
             return
-        # A VM without one of its loops is stopped; other VMs take over.
         _log.error("task_failed", exc_info=task.exception())
-        self._state.drain.request_stop(boot_time())
-        self._stop_requested.set()
 
     def _handle_signals(self) -> None:
         def on_signal() -> None:
--- a/packages/saddledoord/src/saddledoord/_parts.py
+++ b/packages/saddledoord/src/saddledoord/_parts.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
+from functools import partial
 
 from ._pipeline import Pipeline
 from ._settings import Settings
@@ -35,6 +36,7 @@
 from .peers.vm_list import VmListReader
 from .samples.collector import Collectors
 from .samples.runner import SampleRunner
+from .supervision import Loop
 
 
 __all__ = ["Parts", "build_parts"]
@@ -64,23 +66,23 @@
     app: Callable
     peer_service: PeerService
 
-    def loops(self) -> list[Coroutine]:
+    def loops(self) -> list[Loop]:
         """
-        Return the coroutines that run until the VM stops.
+        Return the loops that run until the VM stops.
         """
         return [
-            self.config_stream.run(),
-            self.lease_stream.run(),
-            self.lease_snapshots.run(),
-            self.keeper.run(),
-            self.control.run(),
-            self.watcher.run(),
-            self.dispatcher.grant_free_slots(),
-            self.claims.run_releases(),
-            self.burn.run(),
-            self.vm_list.run(self.backends.session),
-            self.exchange.run_pulls(),
-            self.exchange.run_summaries(),
+            self.config_stream.run,
+            self.lease_stream.run,
+            self.lease_snapshots.run,
+            self.keeper.run,
+            self.control.run,
+            self.watcher.run,
+            self.dispatcher.grant_free_slots,
+            self.claims.run_releases,
+            self.burn.run,
+            partial(self.vm_list.run, self.backends.session),
+            self.exchange.run_pulls,
+            self.exchange.run_summaries,
         ]
 
     async def close(self) -> None:
--- a/packages/saddledoord/src/saddledoord/backends/client.py
+++ b/packages/saddledoord/src/saddledoord/backends/client.py
@@ -20,6 +20,7 @@
 
 
 __all__ = [
+    "UNUSABLE_JSON",
     "BackendClient",
     "CallAnswer",
     "CompletionBrokenError",
@@ -50,6 +51,19 @@
         super().__init__(reason)
 
 
+#: Errors of a JSON document with other values than expected; numbers beyond those of
+#: floats and deep nesting raise the last two.
+UNUSABLE_JSON = (
+    KeyError,
+    IndexError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+
+
 @dataclass(frozen=True)
 class CallAnswer:
     """
@@ -144,16 +158,17 @@
             if response.headers.get(REQUEST_ID_HEADER, send_id) != send_id:
                 response.close()
                 raise aiohttp.ClientPayloadError("load: the answer to another request")
-            data = await response.json()
+            body = await response.read()
         try:
+            data = json.loads(body)
             return LoadReading(
                 float(data["running"]) + float(data["waiting"]),
                 data.get("state") == "leaving",
                 {str(k): int(v) for k, v in data.get("versions", {}).items()},
                 {str(k): int(v) for k, v in data.get("staged", {}).items()},
             )
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
-            raise aiohttp.ClientPayloadError(f"load: {error!r}") from None
+        except UNUSABLE_JSON as error:
+            raise aiohttp.ClientPayloadError(f"load: {error!r:.100}") from None
 
     async def order(self, address: str, order: dict, timeout: float) -> int:
         """
@@ -255,10 +270,10 @@
 
 
 def _read_part(data: bytes, request_id: str) -> Part:
-    event = json.loads(data)
-    if not isinstance(event, dict) or event.get("id") != request_id:
-        raise CompletionBrokenError("a part of another request", True)
     try:
+        event = json.loads(data)
+        if not isinstance(event, dict) or event.get("id") != request_id:
+            raise CompletionBrokenError("a part of another request", True)
         choice = event["choices"][0]
         version = event.get("weight_version")
         return Part(
@@ -267,5 +282,5 @@
             version if isinstance(version, int) else None,
             choice.get("finish_reason"),
         )
-    except (KeyError, IndexError, TypeError) as error:
-        raise CompletionBrokenError(f"event: {error!r}", True) from None
+    except UNUSABLE_JSON as error:
+        raise CompletionBrokenError(f"event: {error!r:.100}", True) from None
--- a/packages/saddledoord/src/saddledoord/backends/control.py
+++ b/packages/saddledoord/src/saddledoord/backends/control.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import uuid
 from dataclasses import dataclass
 
@@ -30,7 +31,7 @@
 from ..log.follower import CONFIG_STREAM
 from ..log.leases import LeaseKeeper
 from ..observability.daemon_metrics import Metrics
-from .client import BackendClient, LoadReading
+from .client import UNUSABLE_JSON, BackendClient, LoadReading
 
 
 __all__ = ["WeightController", "control_lease_name"]
@@ -161,13 +162,18 @@
             async with self._backends.session.get(
                 f"{url}/v1/weights", timeout=limit
             ) as response:
-                data = await response.json()
-            for model, version in data["models"].items():
-                # Never decreases: the response may be stale.
-                previous = self._announced_versions.get(model, -1)
-                self._announced_versions[model] = max(previous, int(version))
-        except (aiohttp.ClientError, TimeoutError, ValueError, KeyError, TypeError):
+                body = await response.read()
+            versions = {
+                str(model): int(version)
+                for model, version in json.loads(body)["models"].items()
+            }
+        except (aiohttp.ClientError, TimeoutError, *UNUSABLE_JSON) as error:
+            _log.info("weights_not_read", reason=repr(error)[:100])
             return
+        for model, version in versions.items():
+            # Never decreases: the response may be stale.
+            previous = self._announced_versions.get(model, -1)
+            self._announced_versions[model] = max(previous, version)
 
     async def _read_engines(self) -> None:
         due = [
--- a/packages/saddledoord/src/saddledoord/cluster/follow.py
+++ b/packages/saddledoord/src/saddledoord/cluster/follow.py
@@ -315,13 +315,20 @@
         try:
             self._apply(offset, record)
         except UndecodableRecordError as error:
-            self._skipped += 1
-            _log.error(
-                "record_skipped",
-                topic=self._stream,
-                offset=offset,
-                reason=str(error),
-            )
+            self._skip(offset, str(error))
+        except Exception as error:
+            # Every node would fail at this record, at each start again.
+            self._skip(offset, repr(error), exc_info=error)
+
+    def _skip(self, offset: int, reason: str, **context: object) -> None:
+        self._skipped += 1
+        _log.error(
+            "record_skipped",
+            topic=self._stream,
+            offset=offset,
+            reason=reason,
+            **context,
+        )
 
 
 class RegistryFollower:
@@ -445,7 +452,21 @@
             if entry.offset > self._offsets.get(entry.key, -1):
                 self._offsets[entry.key] = entry.offset
                 self._skipped += isinstance(entry.value, UnusableValue)
-                self._apply(entry)
+                self._apply_entry(entry)
         if page.whole:
             self._is_loaded = True
             self._on_reload({entry.key for entry in page.entries})
+
+    def _apply_entry(self, entry: KeyedEntry) -> None:
+        try:
+            self._apply(entry)
+        except Exception as error:
+            # Contained to this key, whose next change is applied again.
+            self._skipped += 1
+            _log.error(
+                "entry_skipped",
+                reading=self._name,
+                key=entry.key,
+                offset=entry.offset,
+                exc_info=error,
+            )
--- a/packages/saddledoord/src/saddledoord/duties/usage.py
+++ b/packages/saddledoord/src/saddledoord/duties/usage.py
@@ -7,11 +7,11 @@
 from __future__ import annotations
 
 import secrets
-from collections.abc import Coroutine
 
 from saddledoor import UsageWindows
 
 from ..ports import DutyCalls, SharedLog
+from ..supervision import Loop
 from .lease import DutyLease
 from .usage_counter import UsageCounter
 from .usage_reporter import UsageReporter
@@ -49,11 +49,11 @@
         """
         self._counter.count(workspace, started_at)
 
-    def loops(self) -> list[Coroutine]:
+    def loops(self) -> list[Loop]:
         """
-        Return the coroutines that run until cancelled.
+        Return the loops of the duty.
         """
-        return [self._lease.run(), self._counter.run(), self._reporter.run()]
+        return [self._lease.run, self._counter.run, self._reporter.run]
 
     async def release(self) -> None:
         """
--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Mapping
 
 import structlog
 
@@ -61,6 +61,7 @@
 from .serving.pass_through import PassThrough
 from .serving.pool import EnginePool
 from .serving.unresponsive_engines import UnresponsiveEngines
+from .supervision import Loop, keep_running
 
 
 __all__ = ["Gateway", "GatewayPorts", "GatewaySettings"]
@@ -306,39 +307,30 @@
         self.jobs.set_retention(result_retention, retention)
         self._lease_snapshots.set_retention(retention)
 
-    def start(self, failed: Callable[[BaseException], None]) -> None:
+    def start(self) -> None:
         """
-        Start the loops.
-
-        :param failed: Called with the exception of a loop that failed.
+        Start the loops; one that fails runs again.
         """
-        loops: list[Coroutine] = [
-            self._process_pauses.run(),
-            self._operator.run(),
-            self._entries.run(),
-            self.jobs.run(),
-            self._writer.run(),
-            self._leases.run(),
-            self._lease_snapshots.run(),
-            self._crash_watch.run(),
-            self._shares.run(),
-            self._runner.run(),
-            self._runner.persist(),
-            self._lease.run(),
-            self._weights.run(),
+        loops: list[Loop] = [
+            self._process_pauses.run,
+            self._operator.run,
+            self._entries.run,
+            self.jobs.run,
+            self._writer.run,
+            self._leases.run,
+            self._lease_snapshots.run,
+            self._crash_watch.run,
+            self._shares.run,
+            self._runner.run,
+            self._runner.persist,
+            self._lease.run,
+            self._weights.run,
         ]
         if self._usage is not None:
             loops += self._usage.loops()
-        for loop in loops:
-            task = asyncio.create_task(loop)
-            task.add_done_callback(lambda task: _report_failure(task, failed))
-            self._tasks.append(task)
+        self._tasks += [asyncio.create_task(keep_running(loop)) for loop in loops]
         if self.scaling is not None:
-            self.scaling.start(
-                lambda task: task.add_done_callback(
-                    lambda task: _report_failure(task, failed)
-                )
-            )
+            self.scaling.start()
 
     async def stop(self, store_timeout: float) -> None:
         """
@@ -493,10 +485,3 @@
             if route.kind is RouteKind.JOB
             and any(share.service in services for share in route.shares)
         )
-
-
-def _report_failure(
-    task: asyncio.Task, failed: Callable[[BaseException], None]
-) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        failed(task.exception())
--- a/packages/saddledoord/src/saddledoord/jobs/record_writer.py
+++ b/packages/saddledoord/src/saddledoord/jobs/record_writer.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+import structlog
+
 from saddledoor import JobRecord, StoredText, encode_job_record
 
 from ..ports import SharedLog
@@ -19,6 +21,8 @@
 
 __all__ = ["JOBS_STREAM", "RecordWriter"]
 
+_log = structlog.get_logger()
+
 #: The log stream of the job records.
 JOBS_STREAM = "jobs"
 #: Time for which records are collected for one batch, in seconds; far below the time
@@ -52,6 +56,20 @@
     pass
 
 
+def _encode(queued: _QueuedRecord, position: StoredText) -> bytes | None:
+    """
+    Encode a record; log and drop one that cannot be encoded, since the records of other
+    items must not wait for it.
+    """
+    record = None
+    try:
+        record = queued.make_record(position)
+        return encode_job_record(record)
+    except Exception as error:
+        _log.error("record_not_encoded", record=repr(record), exc_info=error)
+        return None
+
+
 class RecordWriter:
     """
     Appends queued records until the log acknowledges them.
@@ -113,12 +131,15 @@
             await asyncio.sleep(_BATCH_DELAY)
             batch = self._next_batch()
             positions = await self._write_texts(batch)
-            records = [
-                encode_job_record(queued.make_record(position))
+            encoded = [
+                (queued, record)
                 for queued, position in zip(batch, positions, strict=True)
+                if (record := _encode(queued, position)) is not None
             ]
-            await append_until_acknowledged(self._log, JOBS_STREAM, records)
-            for queued in batch:
+            if encoded:
+                records = [record for _, record in encoded]
+                await append_until_acknowledged(self._log, JOBS_STREAM, records)
+            for queued, _ in encoded:
                 queued.on_written()
             if not self._queue:
                 self._idle.set()
--- a/packages/saddledoord/src/saddledoord/scaling/duty.py
+++ b/packages/saddledoord/src/saddledoord/scaling/duty.py
@@ -15,6 +15,7 @@
 
 from ..cluster.view import ClusterView
 from ..duties.lease import DutyLease
+from ..supervision import keep_running
 from .controller import ScalingController
 
 
@@ -46,16 +47,12 @@
         self._tasks: list[asyncio.Task] = []
         self._releases: set[asyncio.Task] = set()
         self._may_run = False
-        self._on_task: Callable[[asyncio.Task], None] = lambda task: None
 
-    def start(self, on_task: Callable[[asyncio.Task], None]) -> None:
+    def start(self) -> None:
         """
         Allow the duty to run.
-
-        :param on_task: Called with each task that is started.
         """
         self._may_run = True
-        self._on_task = on_task
         self.follow_config()
 
     def follow_config(self) -> None:
@@ -69,10 +66,8 @@
             _log.info("scaling_started")
             self._lease = self._new_lease()
             self._controller = self._new_controller(self._lease)
-            for loop in (self._lease.run(), self._controller.run()):
-                task = asyncio.create_task(loop)
-                self._on_task(task)
-                self._tasks.append(task)
+            for loop in (self._lease.run, self._controller.run):
+                self._tasks.append(asyncio.create_task(keep_running(loop)))
         elif not is_wanted and self._controller is not None:
             _log.info("scaling_stopped")
             release = asyncio.create_task(self._stop())
--- a/packages/saddledoord/src/saddledoord/serving/engine_crash_watch.py
+++ b/packages/saddledoord/src/saddledoord/serving/engine_crash_watch.py
@@ -305,10 +305,13 @@
             group.create_task(self._claims.run())
 
     async def _check_engine(self, engine: EngineEntry, engine_runs: EngineRuns) -> None:
-        if await self._engines.has_exited(engine):
-            self._report_crash(engine_runs, engine_runs.interrupted_at or boot_time())
-        # The next interruption starts a new check.
-        engine_runs.interrupted_at = None
+        try:
+            if await self._engines.has_exited(engine):
+                ended_at = engine_runs.interrupted_at or boot_time()
+                self._report_crash(engine_runs, ended_at)
+        finally:
+            # The next interruption starts a new check.
+            engine_runs.interrupted_at = None
 
     def _on_incarnation_ended(self, engine_runs: EngineRuns) -> None:
         """
--- a/tests/adapter/test_edge_weights.py
+++ b/tests/adapter/test_edge_weights.py
@@ -11,7 +11,7 @@
 from datetime import UTC, datetime
 
 import pytest
-from slow_link import SlowLink
+from links import Link
 
 from platform_bed import PlatformBed, until
 from platform_documents import MODEL, make_job, texts, whole_texts
@@ -207,7 +207,7 @@
     bed = one_engine
     until(lambda: _holder(bed))
     first = _holder(bed)
-    with SlowLink.open(bed.engine_ports["engine-0"], delay=0.3) as link:
+    with Link.open(bed.engine_ports["engine-0"], delay=0.3) as link:
         link.hold(b'"opcode"', f'"{first}"'.encode())
         bed.put_entry("engine-0", "pool", link.port, MODEL)
         time.sleep(0.6)
--- a/tests/guard_rows/guard.py
+++ b/tests/guard_rows/guard.py
@@ -30,6 +30,7 @@
     "LEASE_STREAM",
     "LOG_HISTORY",
     "Guard",
+    "GARBLED_ANSWERS",
     "HTTP_SERVER",
     "ITEMS",
     "JOBS",
@@ -59,6 +60,7 @@
     "UNREADABLE",
     "USAGE",
     "STORE_WATCH",
+    "SUPERVISION",
     "WEIGHTS",
     "WORKSPACES",
 ]
@@ -71,6 +73,8 @@
 ITEMS = "tests/adapter/test_edge_items.py"
 WEIGHTS = "tests/adapter/test_edge_weights.py"
 REQUESTS = "tests/adapter/test_edge_requests.py"
+GARBLED_ANSWERS = "tests/adapter/test_garbled_answers.py"
+SUPERVISION = "tests/test_supervision.py"
 LATE_ANSWERS = "tests/adapter/test_late_answers.py"
 EVENT_STREAM = "tests/adapter/test_event_stream.py"
 PROOFS = "tests/test_proofs.py"
--- a/tests/guard_rows/requests.py
+++ b/tests/guard_rows/requests.py
@@ -10,6 +10,7 @@
     DAEMON,
     ENGINE_RETRIES,
     EVENT_STREAM,
+    GARBLED_ANSWERS,
     ITEMS,
     LATE_ANSWERS,
     LIBRARY,
@@ -18,6 +19,7 @@
     PROCESS_PAUSES,
     REQUESTS,
     RETRIES,
+    SUPERVISION,
     WEIGHTS,
     Guard,
 )
@@ -195,7 +197,7 @@
     Guard(
         "a success carries the engine's signature",
         "platform/engine_answers.py",
-        "if response.status < 300 and not signature:",
+        "if response.status < 300 and not _VISIBLE_ASCII.fullmatch(signature):",
         "if False:",
         (REQUESTS, "signature"),
     ),
@@ -269,4 +271,57 @@
         "watch_task = asyncio.create_task(asyncio.sleep(3600))",
         ("tests/adapter/test_edge_settings.py", "taken_while"),
     ),
+    Guard(
+        "a mark that is no text is not passed on",
+        "platform/engine_answers.py",
+        "not _VISIBLE_ASCII.fullmatch(signature)",
+        "not signature",
+        (GARBLED_ANSWERS, "mark"),
+    ),
+    Guard(
+        "an answer with an invalid head is not passed on",
+        "platform/engine_answers.py",
+        "if not _has_valid_head(response):",
+        "if False:",
+        (GARBLED_ANSWERS, "head"),
+    ),
+    Guard(
+        "a loop that fails runs again",
+        f"{DAEMON}/supervision.py",
+        "        except Exception as error:",
+        "        except ZeroDivisionError as error:",
+        (SUPERVISION, "runs_again"),
+    ),
+    Guard(
+        "a record that cannot be applied hides none behind it",
+        f"{DAEMON}/cluster/follow.py",
+        """            # Every node would fail at this record, at each start again.
+            self._skip(offset, repr(error), exc_info=error)
+""",
+        "            raise\n",
+        (SUPERVISION, "hides_none"),
+    ),
+    Guard(
+        "an entry that cannot be applied hides no other one",
+        f"{DAEMON}/cluster/follow.py",
+        "            # Contained to this key, whose next change is applied again.\n",
+        "            raise\n",
+        (SUPERVISION, "hides_no_other"),
+    ),
+    Guard(
+        "a record that cannot be encoded holds up no other one",
+        f"{DAEMON}/jobs/record_writer.py",
+        """        _log.error("record_not_encoded", record=repr(record), exc_info=error)
+        return None
+""",
+        "        raise\n",
+        (SUPERVISION, "cannot_be_encoded"),
+    ),
+    Guard(
+        "a body that closes its connection is a failed call",
+        "platform/failures.py",
+        "ValueError, RuntimeError)",
+        "ValueError)",
+        (GARBLED_ANSWERS, "closes_its_connection"),
+    ),
 )
--- a/tests/test_scaling_duty.py
+++ b/tests/test_scaling_duty.py
@@ -61,7 +61,7 @@
         duty = ScalingDuty(
             view, lambda: _Lease(events), lambda lease: _Controller(events)
         )
-        duty.start(lambda task: None)
+        duty.start()
         await asyncio.sleep(0)
         if by_config:
             view.config = SimpleNamespace(services={})
