Tell an absent store from lost connections of one VM

Each failed read counted as an outage of the store, after which missing entries are bridged. Only a call that fails over a new connection, or that the store refuses, shows an outage now.

Red before: test_edge_lost_connections.py (silent, one-way). Green before and after: reset, slow, and the three kinds of absence after which entries that lapsed are bridged.

--- a/packages/saddledoord/src/saddledoord/cluster/store_watch.py
+++ b/packages/saddledoord/src/saddledoord/cluster/store_watch.py
@@ -71,6 +71,15 @@
         self._reconnect = reconnect
         self._calls: set[_Call] = set()
         self._answered_at = float("-inf")
+        self._away_at = float("-inf")
+
+    @property
+    def away_at(self) -> float:
+        """
+        When a call last failed that does not only show a lost connection, monotonic, in
+        seconds.
+        """
+        return self._away_at
 
     @property
     def answered_at(self) -> float:
@@ -95,9 +104,13 @@
             cancel_requests = asyncio.current_task().cancelling()
             if pending.is_cancelled and not cancel_requests:
                 raise StoreUnavailableError(
-                    "silent while other calls are answered"
+                    "silent while other calls are answered", is_connection_lost=True
                 ) from None
             raise
+        except StoreUnavailableError as error:
+            if not error.is_connection_lost:
+                self._away_at = boot_time()
+            raise
         finally:
             self._calls.discard(pending)
         return answer
--- a/packages/saddledoord/src/saddledoord/cluster/view.py
+++ b/packages/saddledoord/src/saddledoord/cluster/view.py
@@ -216,12 +216,11 @@
         entry = self.directory.get(incarnation.engine_id)
         return entry is not None and entry.incarnation.follows(incarnation)
 
-    def store_reached(self, reached: bool) -> None:
+    def store_reached(self) -> None:
         """
-        Record that the store became unavailable or answers again.
+        Record that the store answers again after it was away.
         """
-        if reached:
-            self.directory.record_store_recovery(boot_time())
+        self.directory.record_store_recovery(boot_time())
 
     def _adopt(self, config: GatewayConfig) -> None:
         if self._config is not None and config.version <= self._config.version:
--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -123,7 +123,7 @@
             "engines",
             self._apply_engine,
             view.retain_engines,
-            view.store_reached,
+            self._on_entries_reachable,
         )
         cold_bounds = settings.sends.cold_bounds
         cold_engines = ColdEngines(view, self._cold_permission, cold_bounds)
@@ -455,6 +455,18 @@
         # The regions of jobs, and with them their shares, may have changed.
         self._wake()
 
+    def _on_entries_reachable(self, is_reachable: bool) -> None:
+        """
+        Record that the store is back; not if only connections of this VM were lost, as
+        entries expire only while the store is away.
+        """
+        if not is_reachable:
+            return
+        if self._store.away_at < self._entries.synced_at:
+            _log.info("store_was_not_away", reading="engines")
+            return
+        self.view.store_reached()
+
     def _apply_engine(self, entry) -> None:
         self.view.apply_engine(entry)
         if isinstance(entry.value, EngineEntry):
--- a/packages/saddledoord/src/saddledoord/ports/store.py
+++ b/packages/saddledoord/src/saddledoord/ports/store.py
@@ -42,8 +42,16 @@
 class StoreUnavailableError(Exception):
     """
     The store gave no usable answer in time.
+
+    :param is_connection_lost: Whether only a connection may have failed that was open
+        before the call. Otherwise the store was not reached over a new one, or refused
+        the call.
     """
 
+    def __init__(self, reason: str, is_connection_lost: bool = False) -> None:
+        super().__init__(reason)
+        self.is_connection_lost = is_connection_lost
+
 
 class LogTruncatedError(Exception):
     """
--- a/tests/adapter/links.py
+++ b/tests/adapter/links.py
@@ -11,6 +11,7 @@
 import random
 import threading
 from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 
 from platform_bed import free_port
 
@@ -35,6 +36,18 @@
 #: Start of the line with an engine's mark, and the share in which only the mark is
 #: damaged.
 _MARK, _MARK_SHARE = b"Saddledoor-Server-Seal: ", 0.3
+#: Time that a packet takes over a slow connection, in seconds.
+_SLOW = 0.3
+
+
+@dataclass(eq=False)
+class _Connection:
+    """
+    A connection of a caller, and how it is disturbed; empty for not at all.
+    """
+
+    caller: asyncio.StreamWriter
+    how: str = ""
 
 
 class Link:
@@ -52,6 +65,8 @@
         self._target_port = target_port
         self._delay = delay
         self._marks: tuple[bytes, ...] = ()
+        self._open: set[_Connection] = set()
+        self._loop: asyncio.AbstractEventLoop | None = None
 
     @classmethod
     @contextlib.contextmanager
@@ -63,7 +78,7 @@
             if their sender resets the connection meanwhile.
         """
         link = cls(target_port, delay)
-        loop = asyncio.new_event_loop()
+        loop = link._loop = asyncio.new_event_loop()
         server = loop.run_until_complete(
             asyncio.start_server(link._serve, "127.0.0.1", link.port)
         )
@@ -83,25 +98,57 @@
         """
         self._marks = marks
 
+    def disturb(self, how: str) -> None:
+        """
+        Disturb all open connections; new ones work.
+
+        :param how: ``silent``: nothing passes; ``one-way``: no answer passes;
+            ``reset``; ``slow``: each packet takes 0.3 s.
+        """
+        done = threading.Event()
+
+        def disturb() -> None:
+            for connection in self._open:
+                connection.how = how
+                if how == "reset":
+                    connection.caller.transport.abort()
+            self._open = set()
+            done.set()
+
+        self._loop.call_soon_threadsafe(disturb)
+        assert done.wait(5.0)
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         # A task that is cancelled when the link closes has nothing to report.
         with contextlib.suppress(OSError, asyncio.CancelledError):
             target = await asyncio.open_connection("127.0.0.1", self._target_port)
-            await asyncio.gather(
-                self._forward(reader, target[1], is_answer=False),
-                self._forward(target[0], writer, is_answer=True),
-            )
+            connection = _Connection(writer)
+            self._open.add(connection)
+            try:
+                await asyncio.gather(
+                    self._forward(reader, target[1], connection, is_answer=False),
+                    self._forward(target[0], writer, connection, is_answer=True),
+                )
+            finally:
+                self._open.discard(connection)
 
     async def _forward(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        connection: _Connection,
         is_answer: bool,
     ) -> None:
         with contextlib.suppress(OSError):
             while data := await reader.read(65536):
+                if connection.how == "slow":
+                    await asyncio.sleep(_SLOW)
+                elif connection.how == "silent" or (
+                    connection.how == "one-way" and is_answer
+                ):
+                    continue
                 if is_answer and self.damage is not None:
                     data = self.damage(data)
                 elif self._marks and all(mark in data for mark in self._marks):
--- a/tests/adapter/platform_bed.py
+++ b/tests/adapter/platform_bed.py
@@ -125,6 +125,8 @@
     edge_zones: dict[str, str] = field(default_factory=dict)
     store_port: int = field(default_factory=free_port)
     duties_port: int = field(default_factory=free_port)
+    edges_store_port: int = 0
+    store_link: object = None
     engine_ports: dict[str, int] = field(default_factory=dict)
     front_ports: dict[str, int] = field(default_factory=dict)
     ready_ports: dict[str, int] = field(default_factory=dict)
@@ -146,6 +148,7 @@
         bounds: str = "",
         zones: dict[str, str] | None = None,
         edge_zones: dict[str, str] | None = None,
+        store_link: Callable[[int], contextlib.AbstractContextManager] | None = None,
     ) -> Iterator:
         """
         Start everything and wait until the edges are ready.
@@ -159,6 +162,7 @@
             all records unless it is told otherwise.
         :param zones: Region of each data centre; None for settings without regions.
         :param edge_zones: Data centre of each edge that is not in ``dc-a``.
+        :param store_link: Opens a link to the store, which the edges use.
         """
         bed = cls(
             folder,
@@ -170,9 +174,13 @@
             zones=zones or {},
             edge_zones=edge_zones or {},
         )
+        stack = contextlib.ExitStack()
         try:
             bed._run("store", "store", str(bed.store_port))
             until(lambda: bed._answers(bed.store_port))
+            if store_link is not None:
+                bed.store_link = stack.enter_context(store_link(bed.store_port))
+                bed.edges_store_port = bed.store_link.port
             if duties:
                 bed._run("duties", "duties", str(bed.duties_port))
                 until(lambda: bed._answers(bed.duties_port))
@@ -190,6 +198,7 @@
         finally:
             for process in bed.processes.values():
                 process.end()
+            stack.close()
 
     def start_engine(
         self,
@@ -291,7 +300,7 @@
         ready = self.ready_ports.setdefault(name, free_port())
         metrics = self.metrics_ports.setdefault(name, free_port())
         path = self.settings_path(name)
-        ports = (front, ready, self.store_port)
+        ports = (front, ready, self.edges_store_port or self.store_port)
         text = SETTINGS.format(name, *ports, self.lease_ms, self.keep_s)
         text += self.bounds
         if self.duties:
--- a/tests/adapter/test_registry.py
+++ b/tests/adapter/test_registry.py
@@ -184,7 +184,7 @@
     view = ClusterView()
     page = _changes(make_record(b"a", _GOOD), make_record(b"a", value))
     view.apply_engine(page.entries[0])
-    view.store_reached(True)
+    view.store_reached()
     view.apply_engine(page.entries[1])
     engines = view.directory.usable("pool", boot_time())
     assert [engine.engine_id for engine in engines] == used
@@ -199,7 +199,7 @@
         make_record(b"a", _GOOD), make_record(b"a", _BAD)
     ).entries
     view.apply_engine(good)
-    view.store_reached(True)
+    view.store_reached()
     view.retain_engines(set())
     assert len(view.directory.usable("pool", boot_time())) == 1
     view.apply_engine(invalid)
--- a/tests/guard_rows/engines.py
+++ b/tests/guard_rows/engines.py
@@ -11,6 +11,7 @@
     DECISIONS,
     INCARNATIONS,
     LIBRARY,
+    LOST_CONNECTIONS,
     PLACEMENT,
     REGISTRY,
     REQUESTS,
@@ -166,4 +167,25 @@
         "            if False:\n",
         (_BACKEND_ANSWERS, "reading"),
     ),
+    Guard(
+        "lost connections are no absence of the store",
+        f"{DAEMON}/gateway.py",
+        "if self._store.away_at < self._entries.synced_at:",
+        "if False:",
+        (LOST_CONNECTIONS, "after_lost_connections"),
+    ),
+    Guard(
+        "an entry that lapsed while the store was away is bridged",
+        f"{DAEMON}/cluster/store_watch.py",
+        "                self._away_at = boot_time()\n",
+        "                pass\n",
+        (LOST_CONNECTIONS, "was_away"),
+    ),
+    Guard(
+        "a call over a new connection tells of the store",
+        "platform/store.py",
+        "        context.trace_request_ctx.is_reused = True\n",
+        "        pass\n",
+        (LOST_CONNECTIONS, "after_lost_connections"),
+    ),
 )
--- a/tests/guard_rows/guard.py
+++ b/tests/guard_rows/guard.py
@@ -39,6 +39,7 @@
     "KEYS",
     "LATE_ANSWERS",
     "LOG_FRESHNESS",
+    "LOST_CONNECTIONS",
     "LIBRARY",
     "INCARNATIONS",
     "PASS_THROUGH",
@@ -88,6 +89,7 @@
 EDGE_READERS = "tests/adapter/test_edge_readers.py"
 JOB_READERS = "tests/test_job_readers.py"
 JOB_RUNNER = "tests/test_job_runner.py"
+LOST_CONNECTIONS = "tests/adapter/test_edge_lost_connections.py"
 LOG_FRESHNESS = "tests/test_log_freshness.py"
 ENGINE_RETRIES = "tests/test_asking_again.py"
 POOL = "tests/test_pool.py"
--- a/tests/test_send_gate.py
+++ b/tests/test_send_gate.py
@@ -140,7 +140,7 @@
     """
     view = _view(_ENGINE)
     gate = SendGate(view)
-    view.store_reached(True)
+    view.store_reached()
     view.apply_engine(KeyedEntry("desk-0", 1, None))
     assert isinstance(_permit(gate), SendPermit)
 
