Hold items and their scoring calls responsible for no crash

After six crashes soon after its starts an item was never placed again, in its job and the next, although the engines had room. The crash watch judged it like a plain request, and nothing that a node sees tells the two apart then. Items are handed in for later and never crash engines by themselves, so they have no key in the watch any more: no suspicion, isolation, claim or pause. Plain requests keep their rule.

--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -197,7 +197,6 @@
                 paces,
                 placement,
                 timeouts,
-                self._crash_watch,
                 placement.must_leave,
             ),
             self._crash_watch,
--- a/packages/saddledoord/src/saddledoord/jobs/attempt.py
+++ b/packages/saddledoord/src/saddledoord/jobs/attempt.py
@@ -14,7 +14,6 @@
 from .._clock import boot_time
 from ..cluster.engine_timeouts import EngineTimeouts
 from ..ports import Engines, Generation, GenerationFailedError, SendPermit
-from ..serving.engine_crash_watch import EngineCrashWatch, EngineRun
 from ..serving.pace import EnginePaces
 from .item_run import ItemRun
 from .item_times import ItemPhase
@@ -51,18 +50,6 @@
 _MIN_STAY_TIME = 0.25
 #: Urgency of items; the platform's default is 5.
 _URGENCY = 5
-#: Outcomes which show that the engine has run the item and has not crashed.
-_ANSWERED = frozenset({GenerationFailedError.FAILED, GenerationFailedError.REJECTED})
-#: Outcomes which show that the engine has not run the item, so the item cannot have
-#: caused a crash of it. Otherwise an item that could not connect to engines that were
-#: down would be suspected of their crashes.
-_NOT_RUN = frozenset(
-    {
-        GenerationFailedError.NOT_STARTED,
-        GenerationFailedError.WRONG_INCARNATION,
-        GenerationFailedError.UNREACHABLE,
-    }
-)
 
 
 class _StreamTimer:
@@ -127,11 +114,9 @@
         paces: EnginePaces,
         placement: Placement,
         timeouts: EngineTimeouts,
-        crash_watch: EngineCrashWatch,
         must_leave: Callable[[ItemRun, EngineEntry], bool] = _stays,
     ) -> None:
         self._must_leave = must_leave
-        self._crash_watch = crash_watch
         self._timeouts = timeouts
         self._engines = engines
         self._paces = paces
@@ -143,44 +128,19 @@
 
         :raises GenerationFailedError: If the text is still incomplete.
         """
-        incarnation = permit.engine.incarnation
         try:
-            with self._crash_watch.track_run(incarnation, run.key) as at_engine:
-                async with self._timeouts.within(incarnation):
-                    await self._run_tracked(run, route, permit, at_engine)
+            async with self._timeouts.within(permit.engine.incarnation):
+                await self._receive_events(run, route, permit)
         except TimeoutError:
             raise GenerationFailedError(
                 GenerationFailedError.RESTARTED, "the engine has restarted"
             ) from None
 
-    async def _run_tracked(
-        self,
-        run: ItemRun,
-        route: GatewayRoute,
-        permit: SendPermit,
-        at_engine: EngineRun,
-    ) -> None:
-        """
-        Receive the events, and report to the crash tracking how the run ended.
-        """
-        try:
-            await self._receive_events(run, route, permit, at_engine)
-        except GenerationFailedError as error:
-            if error.outcome == GenerationFailedError.BROKEN:
-                at_engine.record_interrupted(permit.engine)
-            elif error.outcome in _ANSWERED:
-                at_engine.record_completed()
-            elif error.outcome in _NOT_RUN:
-                at_engine.record_not_started()
-            raise
-        at_engine.record_completed()
-
     async def _receive_events(
         self,
         run: ItemRun,
         route: GatewayRoute,
         permit: SendPermit,
-        at_engine: EngineRun,
     ) -> None:
         engine = permit.engine
         generation = Generation(run.request, run.text.last, _URGENCY)
@@ -202,9 +162,6 @@
                 gap = None if is_gap_unknown else now - last
                 self._paces.observe(engine.incarnation, gap, now)
                 last = now
-                if not timer.is_catching_up:
-                    # An event that arrived during a pause has no known time.
-                    at_engine.record_event()
                 self._add_event(run, route, engine, event)
                 if self._must_leave(run, engine):
                     raise GenerationFailedError(
--- a/packages/saddledoord/src/saddledoord/jobs/item_run.py
+++ b/packages/saddledoord/src/saddledoord/jobs/item_run.py
@@ -54,7 +54,6 @@
     :param loaded: Whether the events in the log have been read.
     :param stalls: Number of moves away from silent engines.
     :param pace_moves: Number of moves to faster engines.
-    :param quarantine_logged: Whether its quarantine has been logged.
     :param ineligible: Engines that are not eligible for the item at present.
     :param engines: Ids of the engines that it was sent to, in order.
     :param needs: What the gate has to check, by the newest configuration.
@@ -75,7 +74,6 @@
     loaded: bool = False
     stalls: int = 0
     pace_moves: int = 0
-    quarantine_logged: bool = False
     ineligible: set[Incarnation] = field(default_factory=set)
     engines: list[str] = field(default_factory=list)
     needs: SendNeeds = field(default_factory=SendNeeds)
--- a/packages/saddledoord/src/saddledoord/jobs/runner.py
+++ b/packages/saddledoord/src/saddledoord/jobs/runner.py
@@ -24,7 +24,6 @@
     ItemResultRecorded,
     JobItem,
     JobState,
-    PoisonStatus,
     SendNeeds,
 )
 from saddledoor.exceptions import UndecodableRecordError
@@ -126,8 +125,6 @@
         """
         while True:
             self._wake.clear()
-            # After a process pause, read first which items have crashed engines.
-            await self._crash_watch.refresh()
             self._reconcile()
             if self._may_start():
                 self._dispatch()
@@ -237,8 +234,6 @@
         run = self._runs.pop(key)
         if run.task is not None:
             run.task.cancel()
-        if run.state.ended:
-            self._crash_watch.end_suspicion(run.key)
         listed = run.item.item_id in run.state.listed
         if listed or run.state.ended:
             return
@@ -273,57 +268,25 @@
                 self._give_up(run)
                 continue
             requirements = (route.name, job.model, job.oldest_version, run.needs)
-            poison_status = self._crash_watch.poison_status(run.key)
-            is_clean = poison_status is PoisonStatus.CLEAN
-            if requirements in unavailable and is_clean and not run.ineligible:
+            if requirements in unavailable and not run.ineligible:
                 continue
             self._placement.update_is_long(run)
-            if poison_status is PoisonStatus.QUARANTINED:
-                self._log_quarantined(run)
-                continue
-            engine = self._choose(run, route, poison_status)
+            engine = self._choose(run, route)
             if engine is None:
-                if is_clean:
-                    unavailable.add(requirements)
+                unavailable.add(requirements)
                 run.ineligible.clear()
                 continue
             self._begin(run, route, engine)
 
-    def _choose(
-        self, run: ItemRun, route: GatewayRoute, poison_status: PoisonStatus
-    ) -> EngineEntry | None:
+    def _choose(self, run: ItemRun, route: GatewayRoute) -> EngineEntry | None:
         """
         Return an engine for an item, or None.
-
-        A suspect goes to an engine without other suspects if there is one; no item goes
-        to an engine that is held for the isolated start of another one.
         """
 
         def choose(excluded: Iterable[Incarnation]) -> EngineEntry | None:
             return self._placement.choose(run, route, run.ineligible.union(excluded))
 
-        if poison_status is PoisonStatus.ISOLATED:
-            return self._crash_watch.choose_isolated(run.key, choose)
-        held = self._crash_watch.held_engines(run.key)
-        if poison_status is PoisonStatus.CLEAN:
-            return choose(held)
-        engine = choose(held | self._crash_watch.engines_with_suspects(run.key))
-        engine = engine if engine is not None else choose(held)
-        if engine is None or not self._crash_watch.may_start_suspect(run.key):
-            return None
-        return engine
-
-    def _log_quarantined(self, run: ItemRun) -> None:
-        if run.quarantine_logged:
-            return
-        run.quarantine_logged = True
-        _log.warning(
-            "item_barred",
-            job=run.state.job.job_id,
-            item=run.item.item_id,
-            content=run.key,
-            engines=run.engines,
-        )
+        return self._crash_watch.choose_unsuspected(choose)
 
     def _begin(self, run: ItemRun, route: GatewayRoute, engine: EngineEntry) -> None:
         reservation = self._placement.reserve(run, engine)
@@ -370,9 +333,6 @@
                 decided_at = boot_time()
                 # The process may have been paused during the read.
                 complete = self._may_start() and not run.state.ended
-                # The engine may have been reserved for another item meanwhile.
-                if not self._crash_watch.may_start(engine.incarnation, run.key):
-                    complete = False
                 if complete:
                     # The configuration may have changed during the read.
                     run.needs = self._needs(run.state, run.item)
--- a/packages/saddledoord/src/saddledoord/jobs/scoring.py
+++ b/packages/saddledoord/src/saddledoord/jobs/scoring.py
@@ -96,7 +96,7 @@
                 _request(call),
                 boot_time() + route.timeout,
                 count_failure,
-                call.request_id,
+                None,
                 may_call,
                 workspace=workspace,
             )
--- a/packages/saddledoord/src/saddledoord/serving/engine_choice.py
+++ b/packages/saddledoord/src/saddledoord/serving/engine_choice.py
@@ -29,12 +29,12 @@
         self._crash_watch = crash_watch
 
     def choose_new(
-        self, service: str, key: str, attempts: EngineAttempts, needs: SendNeeds
+        self, service: str, key: str | None, attempts: EngineAttempts, needs: SendNeeds
     ) -> EngineEntry | None:
         """
         Return an engine that has not received the request, or None.
 
-        :param key: Identifies the request across attempts and nodes.
+        :param key: See `EngineCrashWatch`.
         """
         if not attempts.may_try_another_engine():
             return None
@@ -46,7 +46,7 @@
         return self._choose_for(key, choose)
 
     def choose_again(
-        self, service: str, key: str, attempts: EngineAttempts, needs: SendNeeds
+        self, service: str, key: str | None, attempts: EngineAttempts, needs: SendNeeds
     ) -> EngineEntry | None:
         """
         Return an engine that has received the request and may receive it again now, or
@@ -62,7 +62,7 @@
         return self._choose_for(key, choose)
 
     def next_retry_at(
-        self, service: str, key: str, attempts: EngineAttempts, needs: SendNeeds
+        self, service: str, key: str | None, attempts: EngineAttempts, needs: SendNeeds
     ) -> float | None:
         """
         Return the earliest time at which an engine may receive the request again,
@@ -83,7 +83,7 @@
     def must_wait(
         self,
         service: str,
-        key: str,
+        key: str | None,
         attempts: EngineAttempts,
         needs: SendNeeds,
         deadline: float,
@@ -108,11 +108,13 @@
             return False
         return self._pool.choose(service, attempts.engines, needs) is not None
 
-    def _choose_for(self, key: str, choose: Choose) -> EngineEntry | None:
+    def _choose_for(self, key: str | None, choose: Choose) -> EngineEntry | None:
         """
         Choose an engine: none for a quarantined request, preferably one without other
         suspects for a suspect, and none that is held for another request.
         """
+        if key is None:
+            return self._crash_watch.choose_unsuspected(choose)
         poison_status = self._crash_watch.poison_status(key)
         if poison_status is PoisonStatus.QUARANTINED:
             return None
--- a/packages/saddledoord/src/saddledoord/serving/engine_crash_watch.py
+++ b/packages/saddledoord/src/saddledoord/serving/engine_crash_watch.py
@@ -110,6 +110,10 @@
     a later incarnation, or its entry has been missing for long. Known crashes stay in
     force while the store is unavailable, and are read from the log after all nodes
     have restarted. `PoisonStatus` tells how they affect a request.
+
+    Requests are identified by their keys, as `request_key` returns them. Items of jobs
+    and their scoring calls never crash engines by themselves and have none (`None`):
+    they are suspected of no crash, and never wait because of one.
     """
 
     def __init__(
@@ -129,19 +133,30 @@
         self._checks: dict[asyncio.Task, EngineRuns] = {}
         leases.on_record(self._apply)
 
-    def poison_status(self, key: str) -> PoisonStatus:
+    def poison_status(self, key: str | None) -> PoisonStatus:
         """
         Return the poison status of a request.
-
-        :param key: As `request_key` returns it.
         """
+        if key is None:
+            return PoisonStatus.CLEAN
         return self._crashes.poison_status(key, boot_time(), self._interruptions(key))
 
-    def held_engines(self, key: str) -> set[Incarnation]:
+    def held_engines(self, key: str | None) -> set[Incarnation]:
         """
         Return the engines that are reserved for the isolated starts of other requests.
         """
-        return self._isolation.held_engines(key)
+        return self._isolation.held_engines(key or "")
+
+    def choose_unsuspected(self, choose: Choose) -> EngineEntry | None:
+        """
+        Return an engine for a request without a key: preferably none that a suspect may
+        crash.
+
+        :param choose: Chooses an engine that is not among the given ones.
+        """
+        risky = self.held_engines(None) | self.engines_with_suspects(None)
+        engine = choose(risky) if risky else None
+        return engine if engine is not None else choose(())
 
     def choose_isolated(self, key: str, choose: Choose) -> EngineEntry | None:
         """
@@ -181,12 +196,14 @@
         """
         return self._crashes.isolated_start_at(key)
 
-    def may_start(self, engine: Incarnation, key: str) -> bool:
+    def may_start(self, engine: Incarnation, key: str | None) -> bool:
         """
         Return whether a request may be sent to an engine that was chosen for it.
 
         Other requests may have been sent there since, or its status may have changed.
         """
+        if key is None:
+            return True
         match self.poison_status(key):
             case PoisonStatus.QUARANTINED:
                 return False
@@ -227,7 +244,7 @@
         if not is_synced:
             _log.info("engine_ends_not_asked", known=len(self._crashes))
 
-    def engines_with_suspects(self, key: str) -> set[Incarnation]:
+    def engines_with_suspects(self, key: str | None) -> set[Incarnation]:
         """
         Return the engines at which this node runs suspects other than a request.
 
@@ -240,12 +257,16 @@
         }
 
     @contextmanager
-    def track_run(self, engine: Incarnation, key: str) -> Iterator[EngineRun]:
+    def track_run(self, engine: Incarnation, key: str | None) -> Iterator[EngineRun]:
         """
         Track a request while it is at an engine.
         """
         engine_runs = self._runs[engine]
         engine_runs.engine = engine
+        if key is None:
+            # Not among the runs of the engine, so it is no suspect of the crash.
+            yield EngineRun(self, engine_runs, Run("", boot_time()))
+            return
         run = Run(key, boot_time())
         timer = None
         poison_status = self.poison_status(key)
@@ -278,13 +299,6 @@
         if self._crashes.is_implicated(key):
             self._publish([RequestsCleared((key,))])
 
-    def end_suspicion(self, key: str) -> None:
-        """
-        End the suspicion of a request whose job has ended; a quarantine stays.
-        """
-        if self._crashes.is_suspected(key):
-            self._publish([RequestsCleared((key,), unproved_only=True)])
-
     def check_engine(self, engine: EngineEntry, engine_runs: EngineRuns) -> None:
         """
         Check whether an engine has crashed, once for all interrupted requests.
--- a/packages/saddledoord/src/saddledoord/serving/pass_through.py
+++ b/packages/saddledoord/src/saddledoord/serving/pass_through.py
@@ -198,7 +198,7 @@
         request: ForwardedRequest,
         deadline: float,
         on_outcome: Callable[[Outcome], None] = _ignore_outcome,
-        name: str = "",
+        name: str | None = "",
         may_begin: Callable[[], bool] = _always_true,
         first_start: FirstStart | None = None,
         workspace: str | None = None,
@@ -210,7 +210,7 @@
         :param on_outcome: Called with the outcome of each attempt that was sent and not
             cancelled.
         :param name: Name that the request keeps when it is sent again; empty without
-            one.
+            one; None if the request never crashes engines by itself.
         :param may_begin: Called before each attempt; none starts while it returns
             false.
         :param first_start: Records when the first engine started the request; None if
@@ -218,7 +218,7 @@
         :param workspace: Workspace whose regions apply; the engines get the one of the
             request.
         """
-        key = _request_key(request, name)
+        key = None if name is None else _request_key(request, name)
         service = route.service(random.random())
         attempts = EngineAttempts(route.max_attempts, route.kind is RouteKind.SAFE)
         current = RequestState(
@@ -241,7 +241,8 @@
                 workspace=workspace,
             )
             return refuse_without_region()
-        await self._crash_watch.refresh()
+        if key is not None:
+            await self._crash_watch.refresh()
         pending: set[asyncio.Task[Outcome]] = set()
         try:
             while current.remaining > _MIN_TIME_LEFT:
--- a/packages/saddledoord/src/saddledoord/serving/request_state.py
+++ b/packages/saddledoord/src/saddledoord/serving/request_state.py
@@ -60,7 +60,7 @@
 
     :param deadline: Monotonic, in seconds.
     :param on_outcome: Called with the outcome of each attempt.
-    :param key: Identifies the request across attempts and nodes.
+    :param key: See `EngineCrashWatch`.
     :param service: Name of the service that the route chose.
     :param attempts: The attempts so far.
     :param may_begin: Called before each attempt; none starts while it returns false.
@@ -74,7 +74,7 @@
     request: ForwardedRequest
     deadline: float
     on_outcome: Callable[[Outcome], None]
-    key: str
+    key: str | None
     service: str
     attempts: EngineAttempts
     may_begin: Callable[[], bool]
