Limit the size of each answer of a server where its bytes are received

A server that sends interim responses without end left most look-ups without an answer, since the HTTP client parses them all and passes nothing on; bodies took more memory than a VM has; empty lines of a stream stopped edges. A connection now fails beyond 64 KB of head or the size that its call allows; bodies have a limit each and together; what stands between two events of a stream, too. Our own deployment's client uses the same reads.

Red before: two tests of test_edge_bytes_without_end.py (interim responses), and in test_bytes_without_end.py a line without end in our own deployment.

Also: count a crash that proves a request even if another proved one was there.

--- a/packages/saddledoor/src/saddledoor/_engine_crash_fold.py
+++ b/packages/saddledoor/src/saddledoor/_engine_crash_fold.py
@@ -218,20 +218,24 @@
         prompt_proofs = is_prompt + sum(proof.is_prompt for proof in proofs)
         is_final = any(proof.is_final for proof in proofs) or (
             prompt_proofs >= _MAX_PROMPT_PROOFS
-            and self._count_crashes(key) >= _MAX_CRASHES_OF_REQUEST
+            and self._count_crashes(key, incarnation) >= _MAX_CRASHES_OF_REQUEST
         )
         proofs.append(_Proof(incarnation, crash.reported_at, is_prompt, is_final))
         self._proofs.move_to_end(key)
 
-    def _count_crashes(self, key: str) -> int:
+    def _count_crashes(self, key: str, newest: Incarnation) -> int:
         """
-        Return the number of crashes at which a request was in flight, and no other one
-        that is proved to crash engines.
+        Return the number of crashes that prove a request to crash engines, or at which
+        it was in flight and no other one that is proved to.
+
+        :param newest: Engine whose crash is its newest proof.
         """
         others = self._proofs.keys() - {key}
+        proved_by = {proof.engine for proof in self._proofs[key]} | {newest}
         return sum(
-            key in crash.requests and crash.requests.isdisjoint(others)
-            for crash in self._crashes.values()
+            key in crash.requests
+            and (engine in proved_by or crash.requests.isdisjoint(others))
+            for engine, crash in self._crashes.items()
         )
 
     def _clear(self, record: RequestsCleared) -> None:
--- a/packages/saddledoord/src/saddledoord/backends/client.py
+++ b/packages/saddledoord/src/saddledoord/backends/client.py
@@ -6,17 +6,20 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import secrets
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
 import aiohttp
+from aiohttp.http_exceptions import HttpProcessingError
 
 from saddledoor import NotRun, OutcomeUnknown, Part, ResultCode
 
+from .answer_bodies import AnswerBodies
+from .send_deadline import SendDeadlineConnector, send
 from .send_once import send_once
-from .sockets import create_resetting_socket
 
 
 __all__ = [
@@ -33,10 +36,18 @@
 NOT_STARTED_HEADER = "X-Not-Started"
 #: Longest line of an engine's event stream, in bytes.
 _MAX_EVENT_BYTES = 1_000_000
+#: Maximum size of the empty lines between two events, in bytes.
+_MAX_FILLER_BYTES = 1 << 14
+#: Time of the decision to send what may be sent at any time.
+_ANY_TIME = float("inf")
 #: Timeout of opening a connection, in seconds.
 _CONNECT_TIMEOUT = 1.0
 #: Largest response body of a service, in bytes.
 _MAX_RESPONSE_BYTES = 8_000_000
+#: Maximum size of a body with its framing, as a multiple of the body's.
+_MAX_FRAMED = 2
+#: Maximum size of a report or of the answer to an order, in bytes.
+_MAX_REPORT_BYTES = 1 << 20
 
 
 class CompletionBrokenError(Exception):
@@ -106,6 +117,7 @@
     ) -> None:
         self._session = session
         self._single_use = single_use
+        self._bodies = AnswerBodies()
 
     @classmethod
     def open(cls) -> BackendClient:
@@ -113,12 +125,8 @@
         Open the clients; requires a running event loop.
         """
         # An order that was given up must not arrive after one of the next lease holder.
-        pooled = aiohttp.TCPConnector(
-            limit=0, keepalive_timeout=15, socket_factory=create_resetting_socket
-        )
-        single = aiohttp.TCPConnector(
-            limit=0, force_close=True, socket_factory=create_resetting_socket
-        )
+        pooled = SendDeadlineConnector(limit=0, keepalive_timeout=15)
+        single = SendDeadlineConnector(limit=0, force_close=True)
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_TIMEOUT)
         return cls(
             aiohttp.ClientSession(connector=pooled, timeout=timeout),
@@ -152,7 +160,8 @@
         url = f"http://{address}/v1/load"
         send_id = secrets.token_hex(8)
         headers = {REQUEST_ID_HEADER: send_id}
-        async with self._session.get(url, headers=headers, timeout=limit) as response:
+        pending = self._session.get(url, headers=headers, timeout=limit)
+        async with send(pending, _ANY_TIME, max_body=_MAX_REPORT_BYTES) as response:
             response.raise_for_status()
             # A server that repeats no id may still answer with an earlier reading.
             if response.headers.get(REQUEST_ID_HEADER, send_id) != send_id:
@@ -179,7 +188,8 @@
         """
         limit = aiohttp.ClientTimeout(total=timeout)
         url = f"http://{address}/v1/orders"
-        async with self._single_use.post(url, json=order, timeout=limit) as response:
+        pending = self._single_use.post(url, json=order, timeout=limit)
+        async with send(pending, _ANY_TIME, max_body=_MAX_REPORT_BYTES) as response:
             await response.read()
             return response.status
 
@@ -198,17 +208,25 @@
             total=None, sock_connect=_CONNECT_TIMEOUT, sock_read=silence
         )
         try:
-            async with self._single_use.post(
+            pending = self._single_use.post(
                 url, json=body, headers=headers, timeout=limit
-            ) as response:
+            )
+            async with send(pending, _ANY_TIME) as response:
                 if response.status != 200:
                     reason = f"status {response.status}"
                     not_started = NOT_STARTED_HEADER in response.headers
                     raise CompletionBrokenError(reason, not not_started)
+                empty = 0
                 async for line in response.content:
                     data = line.strip().removeprefix(b"data:").strip()
                     if not data:
+                        empty += len(line)
+                        if empty > _MAX_FILLER_BYTES:
+                            raise CompletionBrokenError("no event", True)
+                        # The next lines may be there already.
+                        await asyncio.sleep(0)
                         continue
+                    empty = 0
                     if data == b"[DONE]":
                         break
                     yield _read_part(data, request_id)
@@ -216,8 +234,14 @@
                     raise CompletionBrokenError("no end marker", True)
         except aiohttp.ClientConnectorError as error:
             raise CompletionBrokenError(str(error), False) from None
-        except (TimeoutError, aiohttp.ClientError, ValueError) as error:
-            raise CompletionBrokenError(repr(error), True) from None
+        except (
+            TimeoutError,
+            aiohttp.ClientError,
+            HttpProcessingError,
+            ValueError,
+            RuntimeError,
+        ) as error:
+            raise CompletionBrokenError(repr(error)[:200], True) from None
 
     async def call(
         self,
@@ -238,15 +262,17 @@
         headers = {REQUEST_ID_HEADER: request_id, "Content-Type": content_type}
         limit = aiohttp.ClientTimeout(total=timeout, sock_connect=_CONNECT_TIMEOUT)
         try:
-            async with self._single_use.request(
+            pending = self._single_use.request(
                 method,
                 f"http://{address}{target}",
                 data=body,
                 headers=headers,
                 timeout=limit,
                 allow_redirects=False,
-            ) as response:
-                return await _read_response(response)
+            )
+            max_body = _MAX_FRAMED * _MAX_RESPONSE_BYTES
+            async with send(pending, _ANY_TIME, max_body=max_body) as response:
+                return await _read_response(response, self._bodies)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return NotRun(ResultCode.NO_BACKEND, f"not connected: {error}")
         except (TimeoutError, aiohttp.ClientError) as error:
@@ -254,17 +280,13 @@
 
 
 async def _read_response(
-    response: aiohttp.ClientResponse,
+    response: aiohttp.ClientResponse, bodies: AnswerBodies
 ) -> CallAnswer | NotRun | OutcomeUnknown:
     if response.status == 503 and NOT_STARTED_HEADER in response.headers:
         return NotRun(
             ResultCode.NO_BACKEND, "the service vouches that it did not start"
         )
-    body = await response.content.read(_MAX_RESPONSE_BYTES + 1)
-    while len(body) <= _MAX_RESPONSE_BYTES and not response.content.at_eof():
-        body += await response.content.read(_MAX_RESPONSE_BYTES + 1 - len(body))
-    if len(body) > _MAX_RESPONSE_BYTES:
-        return OutcomeUnknown(ResultCode.OUTCOME_UNKNOWN, "the answer is too large")
+    body = await bodies.read(response, _MAX_RESPONSE_BYTES)
     content_type = response.headers.get("Content-Type", "application/octet-stream")
     return CallAnswer(response.status, content_type, body)
 
--- a/packages/saddledoord/src/saddledoord/backends/send_deadline.py
+++ b/packages/saddledoord/src/saddledoord/backends/send_deadline.py
@@ -1,12 +1,17 @@
 # SPDX-License-Identifier: MIT
 
 """
-HTTP client classes that drop a request decided on too long ago.
+HTTP client classes that drop a request decided on too long ago, and a connection whose
+answer is too large.
 
 The process may be paused between the decision and the first byte, and the decision may
 no longer hold when it resumes. The client's connection timeout does not cover this: the
 connection may be ready before the event loop handles the timer. So the last check is
 made where the first byte is handed to the kernel.
+
+A server may send a head or a body without end. The parser accepts any number of interim
+responses (RFC 9110, section 15.2) and passes nothing on until the final one, so the
+size is checked where the bytes are received.
 """
 
 from __future__ import annotations
@@ -24,11 +29,22 @@
 from .sockets import create_resetting_socket
 
 
-__all__ = ["SendDeadlineConnector", "send"]
+__all__ = ["AnswerTooLargeError", "SendDeadlineConnector", "send"]
 
 #: Longest time from the decision to send a request until its first byte is written, in
 #: seconds; a connection may take 0.5 s of it.
 _MAX_SEND_DELAY = 0.8
+#: Maximum size of an answer's head, interim responses included, in bytes.
+_MAX_HEAD_BYTES = 65_536
+#: Maximum size of one read within a head and after it, in bytes; bounds how long the
+#: parser holds the event loop.
+_HEAD_READ, _BODY_READ = 8_192, 65_536
+
+
+class AnswerTooLargeError(OSError):
+    """
+    A server has sent more bytes than an answer may have.
+    """
 
 
 @dataclass
@@ -41,12 +57,14 @@
     :param on_written: Called when its first byte was written.
     :param is_started: Whether its first byte was written.
     :param is_dropped: Whether it was dropped before that.
+    :param sock: Socket that it is sent over; None before the first byte.
     """
 
     decided_at: float
     on_written: Callable[[], None]
     is_started: bool = False
     is_dropped: bool = False
+    sock: _SendDeadlineSocket | None = None
 
 
 _pending: ContextVar[_PendingRequest | None] = ContextVar("pending", default=None)
@@ -61,13 +79,17 @@
     request: AbstractAsyncContextManager[aiohttp.ClientResponse],
     decided_at: float,
     on_written: Callable[[], None] = _ignore,
+    max_body: float = float("inf"),
 ) -> AsyncIterator[aiohttp.ClientResponse]:
     """
     Send a request of a session that uses `SendDeadlineConnector`.
 
+    The connection fails if the answer is too large.
+
     :param decided_at: Time of the decision to send it, on the clock of `boot_time`, in
-        seconds. Applies to this request only.
+        seconds; infinite if it may be sent at any time. Applies to this request only.
     :param on_written: Called when its first byte was written.
+    :param max_body: Maximum size of the answer's body with its framing, in bytes.
     :raises aiohttp.ConnectionTimeoutError: Also if it was decided on too long ago;
         nothing was sent.
     """
@@ -84,6 +106,8 @@
             raise
         finally:
             _pending.reset(token)
+        if pending.sock is not None:
+            pending.sock.allow_body(max_body)
         yield response
 
 
@@ -100,11 +124,29 @@
 
 class _SendDeadlineSocket(socket.socket):
     """
-    Refuses the first byte of a request that was decided on too long ago.
+    Refuses the first byte of a request that was decided on too long ago, and an answer
+    that is too large.
 
-    asyncio closes a connection whose socket refuses a write.
+    asyncio closes a connection whose socket refuses a write or a read.
     """
 
+    _may_receive = float("inf")
+    _max_read = _BODY_READ
+
+    def allow_body(self, max_body: float) -> None:
+        """
+        Set the maximum size of what is received from now on, in bytes.
+        """
+        self._may_receive = max_body
+        self._max_read = _BODY_READ
+
+    def recv(self, size: int, *flags) -> bytes:
+        data = super().recv(min(size, self._max_read), *flags)
+        self._may_receive -= len(data)
+        if self._may_receive < 0:
+            raise AnswerTooLargeError("the answer is too large")
+        return data
+
     def send(self, *arguments) -> int:
         return self._start(super().send, *arguments)
 
@@ -113,7 +155,8 @@
 
     def _start(self, write: Callable[..., int], *arguments) -> int:
         pending = _pending.get()
-        if pending is None or pending.is_started:
+        # The client may send a request again over another connection.
+        if pending is None or pending.sock is self:
             return write(*arguments)
         # No function call may come between this check and the system call: a pause
         # there would not be noticed.
@@ -121,8 +164,12 @@
             pending.is_dropped = True
             raise TimeoutError("decided on too long ago")
         written = write(*arguments)
-        pending.is_started = True
-        pending.on_written()
+        pending.sock = self
+        self._may_receive = _MAX_HEAD_BYTES
+        self._max_read = _HEAD_READ
+        if not pending.is_started:
+            pending.is_started = True
+            pending.on_written()
         return written
 
 
--- a/tests/adapter/platform_bed.py
+++ b/tests/adapter/platform_bed.py
@@ -126,6 +126,7 @@
     store_port: int = field(default_factory=free_port)
     duties_port: int = field(default_factory=free_port)
     edges_store_port: int = 0
+    pour_ports: dict[str, int] = field(default_factory=dict)
     store_link: object = None
     engine_ports: dict[str, int] = field(default_factory=dict)
     front_ports: dict[str, int] = field(default_factory=dict)
@@ -221,6 +222,27 @@
         self._run(engine_id, "engine", *arguments)
         until(lambda: self._answers(port))
 
+    def start_pour(self, engine_id: str, service: str, model: str = "") -> None:
+        """
+        Start a server that sends bytes without end, and write its registry entry.
+        """
+        port = free_port()
+        self._run(engine_id, "pour", str(port))
+        until(lambda: self._answers(port))
+        self.pour_ports[engine_id] = port
+        self.put_entry(engine_id, service, port, model)
+
+    def fake_pour(self, engine_id: str, **changes: object) -> dict:
+        return self._fake(self.pour_ports[engine_id], changes)
+
+    def peak_memory(self, name: str) -> float:
+        """
+        Return the largest size of an edge's process so far, in MB.
+        """
+        status = Path(f"/proc/{self.processes[name].handle.pid}/status").read_text()
+        (size,) = re.findall(r"VmHWM:\s+(\d+) kB", status)
+        return int(size) / 1024
+
     def journal(self, engine_id: str) -> Path:
         """
         Return the file in which all incarnations of an engine record their actions.
--- a/tests/adapter/standin_engine.py
+++ b/tests/adapter/standin_engine.py
@@ -68,6 +68,7 @@
         connection is expected. Answers repeat the request's id, also refusals, reports
         and those to orders, and tell the number of their run.
     :ivar bare_refusals: Refusals carry no id all the same.
+    :ivar answer_size: Smallest size of a plain answer, in bytes.
     """
 
     cut_after: int = 0
@@ -82,6 +83,7 @@
     late_orders: int = 0
     late_copies: bool = False
     bare_refusals: bool = False
+    answer_size: int = 0
 
 
 @dataclass
@@ -177,6 +179,7 @@
         await asyncio.sleep(self.faults.delay)
         answered_id = "another" if self.faults.wrong_id else name
         body = f"answer to {answered_id}".encode()
+        body = body.ljust(self.faults.answer_size, b".")
         headers = {
             "Saddledoor-Attempt-Id": answered_id,
             "Saddledoor-Server-Seal": f"seal-{name}",
--- a/tests/adapter/standins.py
+++ b/tests/adapter/standins.py
@@ -1,7 +1,7 @@
 # SPDX-License-Identifier: MIT
 
 """
-Runs a stand-in for the platform: ``standins.py store|engine|duties PORT ...``.
+Runs a stand-in for the platform: ``standins.py store|engine|duties|pour PORT ...``.
 """
 
 from __future__ import annotations
@@ -10,6 +10,7 @@
 
 from aiohttp import web
 from standin_duties import duties_app
+from standin_pour import serve_pour
 
 from standin_engine import engine_app
 from standin_store import store_app
@@ -19,6 +20,9 @@
     """
     Serve on a loopback port until terminated.
     """
+    if kind == "pour":
+        serve_pour(int(port))
+        return
     address = f"127.0.0.1:{port}"
     apps = {
         "store": store_app,
--- a/tests/adapter/test_event_stream.py
+++ b/tests/adapter/test_event_stream.py
@@ -190,3 +190,37 @@
     with pytest.raises(GenerationFailedError) as failure:
         _generate(f"id: {number}\ndata: a\n\n".encode())
     assert failure.value.outcome == GenerationFailedError.BROKEN
+
+
+@pytest.mark.parametrize("filler", [b"\n", b"\r\n", b":\n", b": comment\r"])
+def test_comments_and_empty_lines_without_end_are_refused(filler):
+    """
+    An engine that sends them for ever stopped the edges that read its stream.
+    """
+    splitter = EventSplitter()
+    with pytest.raises(ValueError, match="no event"):
+        for _ in range(200):
+            list(splitter.feed(filler * 1000))
+
+
+def test_comments_between_events_may_go_on():
+    """
+    Guards against a limit that counts those of the whole stream.
+    """
+    splitter = EventSplitter()
+    comments = b": comment\n" * 2000 + b"\n" * 100
+    events = [
+        lines
+        for number in range(50)
+        for lines in splitter.feed(comments + b"data: %d\n\n" % number)
+    ]
+    assert events == [[f"data: {number}"] for number in range(50)]
+
+
+def test_an_event_of_the_largest_size_is_whole():
+    """
+    Guards against a limit below the size of a long text in one event.
+    """
+    data = b"x" * 2_000_000
+    (lines,) = EventSplitter().feed(b"data: " + data + b"\n\n")
+    assert len(lines[0]) == len(data) + 6
--- a/tests/guard_rows/guard.py
+++ b/tests/guard_rows/guard.py
@@ -62,7 +62,9 @@
     "USAGE",
     "STORE_WATCH",
     "SUPERVISION",
+    "OWN_WITHOUT_END",
     "WEIGHTS",
+    "WITHOUT_END",
     "WORKSPACES",
 ]
 
@@ -72,6 +74,8 @@
 #: Test files.
 JOBS = "tests/adapter/test_edge_jobs.py"
 ITEMS = "tests/adapter/test_edge_items.py"
+OWN_WITHOUT_END = "tests/test_bytes_without_end.py"
+WITHOUT_END = "tests/adapter/test_edge_bytes_without_end.py"
 WEIGHTS = "tests/adapter/test_edge_weights.py"
 REQUESTS = "tests/adapter/test_edge_requests.py"
 GARBLED_ANSWERS = "tests/adapter/test_garbled_answers.py"
--- a/tests/guard_rows/requests.py
+++ b/tests/guard_rows/requests.py
@@ -14,6 +14,7 @@
     ITEMS,
     LATE_ANSWERS,
     LIBRARY,
+    OWN_WITHOUT_END,
     PASS_THROUGH,
     POOL,
     PROCESS_PAUSES,
@@ -21,6 +22,7 @@
     RETRIES,
     SUPERVISION,
     WEIGHTS,
+    WITHOUT_END,
     Guard,
 )
 
@@ -324,4 +326,46 @@
         "ValueError)",
         (GARBLED_ANSWERS, "closes_its_connection"),
     ),
+    Guard(
+        "an answer's head is limited",
+        f"{DAEMON}/backends/send_deadline.py",
+        "        self._may_receive = _MAX_HEAD_BYTES\n",
+        "        self._may_receive = float('inf')\n",
+        (WITHOUT_END, "beside_servers"),
+    ),
+    Guard(
+        "a request that is sent again has a limit for its answer",
+        f"{DAEMON}/backends/send_deadline.py",
+        "if pending is None or pending.sock is self:",
+        "if pending is None or pending.sock is not None:",
+        (OWN_WITHOUT_END, "read_load-continue"),
+    ),
+    Guard(
+        "a body is limited",
+        f"{DAEMON}/backends/answer_bodies.py",
+        "if reading.is_dropped or len(reading.body) > max_bytes:",
+        "if False:",
+        (OWN_WITHOUT_END, "call-chunked or unknown_length"),
+    ),
+    Guard(
+        "all bodies together are limited",
+        f"{DAEMON}/backends/answer_bodies.py",
+        "        largest.is_dropped = True\n",
+        "        return\n",
+        (OWN_WITHOUT_END, "unknown_length"),
+    ),
+    Guard(
+        "a body that announces too much is not read",
+        f"{DAEMON}/backends/answer_bodies.py",
+        "if length is not None and length > max_bytes:",
+        "if False:",
+        (OWN_WITHOUT_END, "announces_too_much"),
+    ),
+    Guard(
+        "what stands between two events is limited",
+        "platform/event_stream.py",
+        "if self._filler > _MAX_FILLER_BYTES:",
+        "if False:",
+        (EVENT_STREAM, "without_end"),
+    ),
 )
