--- a/packages/saddledoor/src/saddledoor/_engine_directory.py
+++ b/packages/saddledoor/src/saddledoor/_engine_directory.py
@@ -18,6 +18,8 @@
 #: How long after the store's recovery a missing entry is still used, in seconds;
 #: engines write their entries again within about two seconds.
 _MISSING_ENTRY_GRACE = 2.5
+#: Maximum number of removed entries that are remembered.
+_MAX_REMOVED = 1024
 
 
 @dataclass(frozen=True)
@@ -35,6 +37,7 @@
     :param is_spot: Whether the platform may take the engine away at short notice.
     :param leaves_in: Time until the engine ends, in seconds, when it wrote the entry;
         none if it gave no time.
+    :param sequence: Number of entries that the incarnation has written.
     """
 
     engine_id: str
@@ -48,6 +51,7 @@
     cold_left: float = 0.0
     is_spot: bool = False
     leaves_in: float | None = None
+    sequence: int = 0
 
     @cached_property
     def incarnation(self) -> Incarnation:
@@ -57,6 +61,15 @@
         return Incarnation(self.engine_id, self.started_at)
 
 
+def _is_outdated(entry: EngineEntry, newest: EngineEntry) -> bool:
+    """
+    Return whether an entry was written before the newest known one of its engine.
+    """
+    if newest.incarnation != entry.incarnation:
+        return newest.incarnation.follows(entry.incarnation)
+    return entry.sequence < newest.sequence
+
+
 class EngineDirectory:
     """
     The entries as last read, and those that are missing after a store outage.
@@ -66,29 +79,31 @@
         self._entries: dict[str, EngineEntry] = {}
         self._missing: dict[str, tuple[EngineEntry, float]] = {}
         self._ids_with_ignored_entry: set[str] = set()
+        # Newest entries of engines whose entry was removed; the oldest are dropped.
+        self._removed: dict[str, EngineEntry] = {}
         self._store_recovered_at = float("-inf")
 
     def put(self, entry: EngineEntry) -> bool:
         """
         Store an entry that an engine wrote.
 
-        An entry of an earlier incarnation is ignored once: a write may take effect
-        seconds after the engine that sent it has crashed. A second one in a row is
-        stored, since only a running engine keeps writing; otherwise one entry with a
-        wrong, later start time would hide the engine for good.
+        A write may take effect seconds after it was sent: when the engine has crashed,
+        has written another entry, or has left. So an entry of an earlier incarnation or
+        with a lower sequence number is ignored once. A second one in a row is stored,
+        since only a running engine keeps writing; otherwise one entry with a wrong,
+        later start time or a higher number would hide the engine for good.
 
         :returns: Whether the entry was stored.
         """
         engine_id = entry.engine_id
-        current = self._entries.get(engine_id)
-        is_outdated = current is not None and current.incarnation.follows(
-            entry.incarnation
-        )
+        current = self._entries.get(engine_id) or self._removed.get(engine_id)
+        is_outdated = current is not None and _is_outdated(entry, current)
         if is_outdated and engine_id not in self._ids_with_ignored_entry:
             self._ids_with_ignored_entry.add(engine_id)
             return False
         self._ids_with_ignored_entry.discard(engine_id)
         self._entries[engine_id] = entry
+        self._removed.pop(engine_id, None)
         self._missing.pop(engine_id, None)
         return True
 
@@ -104,7 +119,12 @@
         """
         entry = self._entries.pop(engine_id, None)
         self._ids_with_ignored_entry.discard(engine_id)
-        if entry is None or entry.draining:
+        if entry is None:
+            return
+        self._removed[engine_id] = entry
+        if len(self._removed) > _MAX_REMOVED:
+            del self._removed[next(iter(self._removed))]
+        if entry.draining:
             return
         usable_until = self._store_recovered_at + _MISSING_ENTRY_GRACE
         if now < usable_until:
--- a/tests/guard_rows/engines.py
+++ b/tests/guard_rows/engines.py
@@ -142,22 +142,22 @@
     Guard(
         "own deployment: each call uses a new connection",
         _BACKENDS,
-        "            async with self._single_use.request(\n",
-        "            async with self._session.request(\n",
+        "            pending = self._single_use.request(\n",
+        "            pending = self._session.request(\n",
         (_BACKEND_ANSWERS, "call"),
     ),
     Guard(
         "own deployment: each completion uses a new connection",
         _BACKENDS,
-        "            async with self._single_use.post(\n                url, json=body",
-        "            async with self._session.post(\n                url, json=body",
+        "            pending = self._single_use.post(\n                url, json=body",
+        "            pending = self._session.post(\n                url, json=body",
         (_BACKEND_ANSWERS, "completion"),
     ),
     Guard(
         "own deployment: each order uses a new connection",
         _BACKENDS,
-        "        async with self._single_use.post(url, json=order",
-        "        async with self._session.post(url, json=order",
+        "        pending = self._single_use.post(url, json=order",
+        "        pending = self._session.post(url, json=order",
         (_BACKEND_ANSWERS, "order"),
     ),
     Guard(
@@ -188,4 +188,18 @@
         "        pass\n",
         (LOST_CONNECTIONS, "after_lost_connections"),
     ),
+    Guard(
+        "an entry that was written late changes nothing",
+        f"{LIBRARY}/_engine_directory.py",
+        "    return entry.sequence < newest.sequence\n",
+        "    return False\n",
+        (DECISIONS, "written_late"),
+    ),
+    Guard(
+        "an entry that was written late after its removal changes nothing",
+        f"{LIBRARY}/_engine_directory.py",
+        " or self._removed.get(engine_id)\n",
+        "\n",
+        (DECISIONS, "after_its_removal"),
+    ),
 )
