--- a/packages/saddledoor/src/saddledoor/__init__.py
+++ b/packages/saddledoor/src/saddledoor/__init__.py
@@ -83,6 +83,7 @@
     encode_job_record,
 )
 from ._jobs import (
+    FailureCounted,
     ItemCheckpoint,
     ItemFailed,
     ItemRejected,
@@ -250,6 +251,7 @@
     "IssuedKeys",
     "ItemFailed",
     "ItemRejected",
+    "FailureCounted",
     "ItemCheckpoint",
     "ItemResultRecorded",
     "ItemResult",
--- a/packages/saddledoor/src/saddledoor/_job_fold.py
+++ b/packages/saddledoor/src/saddledoor/_job_fold.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 
 from ._jobs import (
+    FailureCounted,
     ItemCheckpoint,
     ItemFailed,
     ItemRejected,
@@ -29,7 +30,8 @@
 
 __all__ = ["JobFold", "JobState", "CheckpointedText"]
 
-#: Maximum number of rejected items that are remembered; the oldest are dropped first.
+#: Maximum number of items that are remembered as rejected, and as failed; the oldest
+#: are dropped first.
 _MAX_REJECTED = 65_536
 
 
@@ -107,6 +109,18 @@
         return (item for name, item in items.items() if name not in self.listed)
 
 
+@dataclass
+class _Failures:
+    """
+    Failed attempts of an item or a scoring call.
+
+    :param since: Time of the first record, monotonic, in seconds.
+    """
+
+    since: float
+    ids: set[str] = field(default_factory=set)
+
+
 class JobFold:
     """
     All jobs, folded from the log's records.
@@ -118,6 +132,7 @@
         self._oldest_allowed: dict[str, int] = {}
         # By item key: time of the first record, monotonic, in seconds.
         self._rejected: dict[str, float] = {}
+        self._failed: dict[str, _Failures] = {}
 
     def get(self, job_id: str) -> JobState | None:
         """
@@ -145,6 +160,15 @@
         """
         return key in self._rejected
 
+    def failures(self, key: str) -> int:
+        """
+        Return the number of failed attempts of an item or a scoring call, in any job.
+
+        :param key: As `request_key` returns it.
+        """
+        failed = self._failed.get(key)
+        return len(failed.ids) if failed is not None else 0
+
     def apply(self, record: JobRecord, now: float = 0.0) -> str:
         """
         Fold one record.
@@ -161,6 +185,13 @@
             if len(self._rejected) > _MAX_REJECTED:
                 del self._rejected[next(iter(self._rejected))]
             return record.job_id
+        if isinstance(record, FailureCounted):
+            self._failed.setdefault(record.key, _Failures(now)).ids.add(
+                record.failure_id
+            )
+            if len(self._failed) > _MAX_REJECTED:
+                del self._failed[next(iter(self._failed))]
+            return record.job_id
         state = self._jobs.get(record.job_id)
         if state is not None:
             _apply_change(state, record)
@@ -175,12 +206,12 @@
 
     def forget(self, now: float, ended_retention: float, open_retention: float) -> None:
         """
-        Drop the jobs and the rejected items whose retention has expired.
+        Drop the jobs and the rejected and failed items whose retention has expired.
 
         :param now: Monotonic, in seconds.
         :param ended_retention: Maximum age of an ended job, in seconds.
-        :param open_retention: Maximum age of any other job, and of a rejected item, in
-            seconds.
+        :param open_retention: Maximum age of any other job, and of a rejected or failed
+            item, in seconds.
         """
         for job_id, state in list(self._jobs.items()):
             retention = ended_retention if state.ended else open_retention
@@ -190,6 +221,10 @@
             if now - since <= open_retention:
                 break
             del self._rejected[key]
+        for key, failed in list(self._failed.items()):
+            if now - failed.since <= open_retention:
+                break
+            del self._failed[key]
 
     def _open(self, job: JobOpened, now: float) -> None:
         if job.job_id in self._jobs:
--- a/packages/saddledoor/src/saddledoor/_job_records.py
+++ b/packages/saddledoor/src/saddledoor/_job_records.py
@@ -9,6 +9,7 @@
 import msgpack
 
 from ._jobs import (
+    FailureCounted,
     ItemCheckpoint,
     ItemFailed,
     ItemRejected,
@@ -62,6 +63,8 @@
             return msgpack.packb(["f", record.job_id, *fields])
         case ItemRejected():
             return msgpack.packb(["x", record.job_id, record.key])
+        case FailureCounted():
+            return msgpack.packb(["c", record.job_id, record.key, record.failure_id])
         case ItemCheckpoint():
             fields = [record.item_id, record.first, record.count, record.follows]
             provenance = [record.chain, list(record.versions)]
@@ -194,6 +197,12 @@
     return ItemRejected(_require_str(job_id), _require_str(key))
 
 
+def _decode_failure_counted(job_id, key, failure_id) -> FailureCounted:
+    return FailureCounted(
+        _require_str(job_id), _require_str(key), _require_str(failure_id)
+    )
+
+
 def _decode_checkpoint(
     job_id, item_id, first, count, follows, chain, versions, *location
 ) -> ItemCheckpoint:
@@ -218,6 +227,7 @@
     "r": _decode_result,
     "f": _decode_failed,
     "x": _decode_rejected,
+    "c": _decode_failure_counted,
     "k": _decode_checkpoint,
     "e": _decode_ended,
 }
--- a/packages/saddledoor/src/saddledoor/_jobs.py
+++ b/packages/saddledoor/src/saddledoor/_jobs.py
@@ -13,6 +13,7 @@
     "ItemFailed",
     "ItemCheckpoint",
     "ItemRejected",
+    "FailureCounted",
     "ItemResultRecorded",
     "ItemResult",
     "Job",
@@ -220,6 +221,23 @@
     key: str
 
 
+@dataclass(frozen=True)
+class FailureCounted:
+    """
+    Record of an answer that counts as a failed attempt of an item or of its scoring
+    call, also in later jobs with the same item.
+
+    A release without this record skips it, and counts the failures of each job alone.
+
+    :param key: The item or the scoring call by `request_key`.
+    :param failure_id: Unique id of the failure.
+    """
+
+    job_id: str
+    key: str
+    failure_id: str
+
+
 @dataclass(frozen=True)
 class ItemCheckpoint:
     """
@@ -258,6 +276,7 @@
     | ItemResultRecorded
     | ItemFailed
     | ItemRejected
+    | FailureCounted
     | ItemCheckpoint
     | JobEnded
 )
--- a/packages/saddledoord/src/saddledoord/jobs/runner.py
+++ b/packages/saddledoord/src/saddledoord/jobs/runner.py
@@ -15,6 +15,7 @@
 from saddledoor import (
     Denial,
     EngineEntry,
+    FailureCounted,
     GatewayConfig,
     GatewayRoute,
     Incarnation,
@@ -24,7 +25,9 @@
     ItemResultRecorded,
     JobItem,
     JobState,
+    ScoreCall,
     SendNeeds,
+    request_key,
 )
 from saddledoor.exceptions import UndecodableRecordError
 
@@ -258,6 +261,16 @@
             if self._is_expired(run, route):
                 self._give_up(run)
                 continue
+            if self._failures(run) >= route.max_attempts:
+                _log.info(
+                    "failed_item_given_up",
+                    job=job.job_id,
+                    item=run.item.item_id,
+                    content=run.key,
+                    failures=self._failures(run),
+                )
+                self._give_up(run)
+                continue
             if self._jobs.is_rejected(run.key):
                 _log.info(
                     "rejected_item_given_up",
@@ -402,24 +415,39 @@
 
     def _count_failure(self, run: ItemRun) -> None:
         job, item_id = run.state.job, run.item.item_id
-        self._writer.put(ItemFailed(job.job_id, item_id, _new_failure()))
-        run.failures += 1
+        failure_id = _new_failure()
+        self._writer.put(ItemFailed(job.job_id, item_id, failure_id))
+        self._writer.put(FailureCounted(job.job_id, run.key, failure_id))
+        run.failures = self._failures(run) + 1
         route = self._view.route(job.host, run.item.path.partition("?")[0])
         if route is not None and run.failures >= route.max_attempts:
             self._give_up(run)
 
+    def _failures(self, run: ItemRun) -> int:
+        """
+        Return the number of failed attempts of an item, in any job.
+        """
+        return max(run.failures, self._jobs.failures(run.key))
+
+    def _record_score_failure(self, run: ItemRun, key: str) -> None:
+        job_id, failure_id = run.state.job.job_id, _new_failure()
+        self._writer.put(ItemFailed(job_id, run.item.item_id, failure_id, scoring=True))
+        self._writer.put(FailureCounted(job_id, key, failure_id))
+
     async def _finish(self, run: ItemRun) -> None:
         job_id, item = run.state.job.job_id, run.item
         signature = ""
         if item.score is not None:
             run.times.enter(ItemPhase.SCORE, boot_time())
             try:
+                key = _score_key(item.score)
                 signature = await self._scorer.score(
                     item.score,
-                    run.state.score_failures(item.item_id),
-                    lambda: self._writer.put(
-                        ItemFailed(job_id, item.item_id, _new_failure(), scoring=True)
+                    max(
+                        run.state.score_failures(item.item_id),
+                        self._jobs.failures(key),
                     ),
+                    lambda: self._record_score_failure(run, key),
                     lambda: self._may_score(run),
                     run.state.job.workspace,
                 )
@@ -470,5 +498,9 @@
         self._writer.put(ItemResultRecorded(run.state.job.job_id, result))
 
 
+def _score_key(call: ScoreCall) -> str:
+    return request_key(call.host, "POST", call.path, call.body, call.request_id)
+
+
 def _new_failure() -> str:
     return secrets.token_hex(4)
--- a/packages/saddledoord/src/saddledoord/jobs/service.py
+++ b/packages/saddledoord/src/saddledoord/jobs/service.py
@@ -220,6 +220,12 @@
         """
         return self._fold.open_jobs()
 
+    def failures(self, key: str) -> int:
+        """
+        Return the number of failed attempts in any job; see `JobFold`.
+        """
+        return self._fold.failures(key)
+
     def is_rejected(self, key: str) -> bool:
         """
         Return whether an engine answered that an item can never be done; see `JobFold`.
--- a/tests/adapter/test_edge_items.py
+++ b/tests/adapter/test_edge_items.py
@@ -9,6 +9,8 @@
 import base64
 import time
 
+import pytest
+
 from platform_bed import until
 from platform_documents import ITEMS, make_config, make_job, texts, whole_texts
 
@@ -127,6 +129,42 @@
     assert platform_bed.finished("job-3", 1)[0]["state"] == "completed"
 
 
+@pytest.mark.parametrize("failures", [2, 3])
+def test_an_item_that_always_fails_gets_no_attempts_anew_in_a_later_job(
+    platform_bed, failures
+):
+    """
+    Answers of 500 were counted in each job alone, so that the item reached engines
+    again in each; its attempts are those of all jobs.
+    """
+    for engine in ("engine-0", "engine-1"):
+        platform_bed.fake_engine(engine, fail=500, accept_delay=0.2)
+    assert platform_bed.submit("job-1", make_job(1)).status == 202
+    until(lambda: len(platform_bed.runs()) == failures)
+    time.sleep(0.1)
+    platform_bed.ask("DELETE", "/v1/lots/job-1")
+    time.sleep(0.5)
+    for job in ("job-2", "job-3"):
+        assert platform_bed.submit(job, make_job(1)).status == 202
+        assert platform_bed.finished(job, 1)[0]["state"] == "dead"
+    assert len(platform_bed.runs()) == 3
+
+
+def test_a_scoring_call_that_always_fails_gets_no_attempts_anew_in_a_later_job(
+    platform_bed,
+):
+    """
+    It is a part of its item, which comes again under the same ids.
+    """
+    for name in ("desk-0", "desk-1"):
+        platform_bed.fake_engine(name, fail=500)
+    for job in ("job-1", "job-2"):
+        assert platform_bed.submit(job, make_job(1)).status == 202
+        assert platform_bed.finished(job, 1)[0]["state"] == "dead"
+    calls = [run for run in platform_bed.runs() if run["request_id"] == "score-0"]
+    assert len(calls) == 3
+
+
 def test_items_go_to_no_service_that_their_route_gives_nothing(platform_bed):
     """
     A service with weight 0 gets no item, even if it is listed first.
--- a/tests/guard_rows/crashes.py
+++ b/tests/guard_rows/crashes.py
@@ -105,8 +105,8 @@
     Guard(
         "a crash that another request explains ends no retries",
         _FOLD,
-        "key in crash.requests and crash.requests.isdisjoint(others)\n",
-        "key in crash.requests\n",
+        "            and (engine in proved_by or crash.requests.isdisjoint(others))\n",
+        "",
         (CRASH_FOLD, "count_from_the_third"),
     ),
     Guard(
--- a/tests/guard_rows/jobs.py
+++ b/tests/guard_rows/jobs.py
@@ -123,7 +123,7 @@
     Guard(
         "failed runs count before the log has them",
         f"{DAEMON}/jobs/runner.py",
-        "run.failures += 1",
+        "run.failures = self._failures(run) + 1",
         "run.failures = run.state.failures.get(item_id, 0)",
         (ITEMS, "always_fails"),
     ),
@@ -284,4 +284,18 @@
         "            if False:\n",
         (ITEMS, "not_sent_in_a_later_job"),
     ),
+    Guard(
+        "an item that always fails gets no attempts anew in a later job",
+        f"{DAEMON}/jobs/runner.py",
+        "        self._writer.put(FailureCounted(job.job_id, run.key, failure_id))\n",
+        "",
+        (ITEMS, "item_that_always_fails_gets_no"),
+    ),
+    Guard(
+        "a scoring call that always fails gets no attempts anew in a later job",
+        f"{DAEMON}/jobs/runner.py",
+        "        self._writer.put(FailureCounted(job_id, key, failure_id))\n",
+        "",
+        (ITEMS, "scoring_call_that_always_fails"),
+    ),
 )
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -14,6 +14,7 @@
 from builders import make_engine_entry, make_job, make_job_opened, make_route
 from saddledoor import (
     EngineDirectory,
+    FailureCounted,
     ItemCheckpoint,
     ItemFailed,
     ItemRejected,
@@ -113,6 +114,7 @@
         ),
         ItemFailed("j", "i", "f-1", True),
         ItemRejected("j", "0123abcd"),
+        FailureCounted("j", "0123abcd", "f-1"),
         ItemCheckpoint("j", "i", 3, 2, "c-1", "c-2", (1,), StoredText((8,), 20)),
         JobEnded("j"),
     ],
@@ -364,3 +366,75 @@
         fold.apply(ItemRejected("job-a", f"{number}"), 0.0)
     assert not fold.is_rejected("3")
     assert fold.is_rejected("4")
+
+
+def test_failures_count_in_all_jobs_once_each():
+    """
+    A record may be in the log twice, and is remembered as long as the log keeps it.
+    """
+    fold = JobFold()
+    for job, failure, now in (
+        ("job-a", "f-1", 0.0),
+        ("job-a", "f-1", 1.0),
+        ("job-b", "f-2", 200.0),
+    ):
+        fold.apply(FailureCounted(job, "key", failure), now)
+    assert (fold.failures("key"), fold.failures("another key")) == (2, 0)
+    fold.forget(300.1, 130.0, 300.0)
+    assert fold.failures("key") == 0
+
+
+def test_failed_items_are_bounded_in_count():
+    """
+    The oldest are forgotten first.
+    """
+    fold = JobFold()
+    for number in range(65_540):
+        fold.apply(FailureCounted("job-a", f"{number}", "f-1"), 0.0)
+    assert (fold.failures("3"), fold.failures("4")) == (0, 1)
+
+
+def test_an_entry_that_was_written_late_changes_nothing():
+    """
+    A heartbeat that the store carried out seconds late ended the draining of an engine,
+    which got new work until its next one.
+    """
+    directory = EngineDirectory()
+    directory.put(make_engine_entry("e-1", sequence=4))
+    directory.put(make_engine_entry("e-1", sequence=7, draining=True))
+    assert not directory.put(make_engine_entry("e-1", sequence=6))
+    assert directory.usable("desk", 10.0) == []
+
+
+def test_an_entry_with_a_wrong_number_does_not_hide_an_engine_for_good():
+    """
+    Only a running engine keeps writing, so the second entry in a row counts.
+    """
+    directory = EngineDirectory()
+    directory.put(make_engine_entry("e-1", sequence=10**9, draining=True))
+    assert not directory.put(make_engine_entry("e-1", sequence=8))
+    assert directory.put(make_engine_entry("e-1", sequence=9))
+    assert [e.engine_id for e in directory.usable("desk", 10.0)] == ["e-1"]
+
+
+def test_an_entry_that_was_written_late_after_its_removal_changes_nothing():
+    """
+    Engines that never state that they drain leave by the removal of their entry.
+    """
+    directory = EngineDirectory()
+    directory.put(make_engine_entry("e-1", sequence=7))
+    directory.remove("e-1", 10.0)
+    assert not directory.put(make_engine_entry("e-1", sequence=6))
+    assert directory.usable("desk", 10.0) == []
+    # A running engine writes its entry again after an absence of the store.
+    assert directory.put(make_engine_entry("e-1", sequence=8))
+    assert [e.engine_id for e in directory.usable("desk", 10.0)] == ["e-1"]
+
+
+def test_an_engine_that_started_again_counts_its_entries_anew():
+    """
+    Guards against a new process whose entries count as late.
+    """
+    directory = EngineDirectory()
+    directory.put(make_engine_entry("e-1", sequence=70, started_at=1000))
+    assert directory.put(make_engine_entry("e-1", sequence=1, started_at=2000))
--- a/tests/test_job_runner.py
+++ b/tests/test_job_runner.py
@@ -61,6 +61,7 @@
             caught_up=True,
             open_jobs=lambda: [state],
             is_rejected=lambda key: False,
+            failures=lambda key: 0,
         ),
         Mock(route=lambda host, path: make_route("/train/", max_item_age=None)),
         Mock(),
--- a/tests/test_residency_of_items.py
+++ b/tests/test_residency_of_items.py
@@ -10,10 +10,10 @@
 from __future__ import annotations
 
 import asyncio
-from unittest.mock import AsyncMock, Mock
+from unittest.mock import Mock
 
 from builders import make_engine_entry, make_job, make_job_state, make_route
-from saddledoor import Denial, GeneratedEvent, PoisonStatus, SendNeeds
+from saddledoor import Denial, GeneratedEvent, SendNeeds
 from saddledoord._clock import boot_time
 from saddledoord.jobs.item_run import ItemRun
 from saddledoord.jobs.log_freshness import LogFreshness, LogReadState
@@ -53,6 +53,7 @@
                 caught_up=True,
                 open_jobs=lambda: [state],
                 is_rejected=lambda key: False,
+                failures=lambda key: 0,
             ),
             self.view,
             Mock(),
@@ -64,11 +65,7 @@
                 reserve=lambda *_: reservation,
             ),
             Mock(),
-            Mock(
-                refresh=AsyncMock(),
-                poison_status=lambda key: PoisonStatus.CLEAN,
-                held_engines=lambda key: frozenset(),
-            ),
+            Mock(choose_unsuspected=lambda choose: choose(())),
             Mock(),
             Mock(read=self._load),
             Mock(),
--- a/tests/test_send_gate.py
+++ b/tests/test_send_gate.py
@@ -33,7 +33,6 @@
     Denial,
     EngineFacts,
     NotRun,
-    PoisonStatus,
     RouteKind,
     ScoreCall,
     SendNeeds,
@@ -342,16 +341,13 @@
         reserve=lambda *_: reservation,
         latest_start=lambda run: 0.0,
     )
-    crash_watch = Mock(
-        refresh=AsyncMock(),
-        poison_status=lambda _: PoisonStatus.CLEAN,
-        held_engines=lambda _: set(),
-    )
+    crash_watch = Mock(choose_unsuspected=lambda choose: choose(()))
     runner = JobRunner(
         Mock(
             caught_up=True,
             open_jobs=lambda: [state],
             is_rejected=lambda _: False,
+            failures=lambda key: 0,
         ),
         view,
         pool,
--- a/tests/test_unreadable_records.py
+++ b/tests/test_unreadable_records.py
@@ -19,6 +19,7 @@
 
 from builders import make_job, make_job_opened
 from saddledoor import (
+    FailureCounted,
     ItemCheckpoint,
     ItemFailed,
     ItemRejected,
@@ -54,6 +55,7 @@
     ItemResultRecorded("job-a", ItemResult("item-0", True, _STORED, (1, 2), "mark")),
     ItemFailed("job-a", "item-1", "f-1", True),
     ItemRejected("job-a", "0123abcd"),
+    FailureCounted("job-a", "0123abcd", "f-1"),
     ItemCheckpoint("job-a", "item-1", 1, 2, "", "c-1", (1,), _STORED),
     JobEnded("job-a"),
 )
