Soak with links to the engines and the store

SERIES=links: orders that arrive late, open connections to the store that turn silent, damaged marks and interim responses without end, beside planned stops and kills.

--- a/tests/adapter/links.py
+++ b/tests/adapter/links.py
@@ -16,7 +16,7 @@
 from platform_bed import free_port
 
 
-__all__ = ["Link", "garbler"]
+__all__ = ["Link", "garble_mark", "garbler"]
 
 #: Texts that replace a number in the damaged bytes.
 _NUMBERS = (b"-1", b"1e999", b"9" * 400, b"99999999999999999999", b"NaN", b"0x10")
@@ -56,12 +56,15 @@
 
     :ivar held: Set when bytes were held for the first time.
     :ivar damage: Function that damages the bytes of answers; None for no damage.
+    :ivar pour: Bytes that are sent in place of an answer until the caller closes; empty
+        for none.
     """
 
     def __init__(self, target_port: int, delay: float) -> None:
         self.port = free_port()
         self.held = threading.Event()
         self.damage: Callable[[bytes], bytes] | None = None
+        self.pour = b""
         self._target_port = target_port
         self._delay = delay
         self._marks: tuple[bytes, ...] = ()
@@ -149,6 +152,9 @@
                     connection.how == "one-way" and is_answer
                 ):
                     continue
+                while is_answer and self.pour:
+                    writer.write(self.pour)
+                    await writer.drain()
                 if is_answer and self.damage is not None:
                     data = self.damage(data)
                 elif self._marks and all(mark in data for mark in self._marks):
@@ -211,12 +217,21 @@
             return data
         changed = bytearray(data)
         # Most damage makes an answer unusable before its mark is read.
-        if draw.random() < _MARK_SHARE and (at := data.find(_MARK)) >= 0:
-            changed[at + len(_MARK)] |= 0x80
-            return bytes(changed)
+        if draw.random() < _MARK_SHARE and _MARK in data:
+            return garble_mark(data)
         for _ in range(draw.choice((1, 1, 1, 2, 4))):
             if changed:
                 draw.choice(ways)(changed, draw.randrange(len(changed)))
         return bytes(changed)
 
     return garble
+
+
+def garble_mark(data: bytes) -> bytes:
+    """
+    Damage only the engine's mark in an answer.
+    """
+    changed = bytearray(data)
+    if (at := data.find(_MARK)) >= 0:
+        changed[at + len(_MARK)] |= 0x80
+    return bytes(changed)
--- a/tests/guard_rows/guard.py
+++ b/tests/guard_rows/guard.py
@@ -31,6 +31,7 @@
     "LOG_HISTORY",
     "Guard",
     "GARBLED_ANSWERS",
+    "GARBLED_BYTES",
     "HTTP_SERVER",
     "ITEMS",
     "JOBS",
@@ -78,6 +79,7 @@
 WITHOUT_END = "tests/adapter/test_edge_bytes_without_end.py"
 WEIGHTS = "tests/adapter/test_edge_weights.py"
 REQUESTS = "tests/adapter/test_edge_requests.py"
+GARBLED_BYTES = "tests/adapter/test_edge_garbled_bytes.py"
 GARBLED_ANSWERS = "tests/adapter/test_garbled_answers.py"
 SUPERVISION = "tests/test_supervision.py"
 LATE_ANSWERS = "tests/adapter/test_late_answers.py"
--- a/tests/guard_rows/requests.py
+++ b/tests/guard_rows/requests.py
@@ -11,6 +11,7 @@
     ENGINE_RETRIES,
     EVENT_STREAM,
     GARBLED_ANSWERS,
+    GARBLED_BYTES,
     ITEMS,
     LATE_ANSWERS,
     LIBRARY,
@@ -324,7 +325,7 @@
         "platform/failures.py",
         "ValueError, RuntimeError)",
         "ValueError)",
-        (GARBLED_ANSWERS, "closes_its_connection"),
+        (GARBLED_BYTES, "no_bytes_end"),
     ),
     Guard(
         "an answer's head is limited",
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -26,7 +26,7 @@
 @click.command()
 @click.option("--seeds", default="1,2,3", help="Whole numbers with commas.")
 @click.option("--seconds", default="14", help="How long faults are injected.")
-@click.option("--series", default="all", help="Which faults: all, or stops.")
+@click.option("--series", default="all", help="Which faults: all, stops, or links.")
 @click.option("--logs", default="target/soak", help="Logs of seeds that fail.")
 def main(seeds: str, seconds: str, series: str, logs: str) -> None:
     """
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,6 +13,8 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from links import Link, garble_mark
+
 from platform_bed import PlatformBed, until
 from platform_documents import MODEL, make_config
 
@@ -63,6 +65,9 @@
     Kind.REFUSE: ({"fail": 503}, {"fail": 0}),
     Kind.SLOW: ({"delay": 3.0}, {"delay": 0.0}),
 }
+#: Faults of a link to an engine.
+_LINK_KINDS = (Kind.HOLD_ORDERS, Kind.GARBLE_MARK, Kind.POUR)
+_INTERIM_RESPONSES = b"HTTP/1.1 100 Continue\r\n\r\n" * 500
 #: More appends than can happen during a fault.
 _UNLIMITED = 100_000
 _STORE_SETTINGS = {
@@ -85,6 +90,7 @@
     """
     Injects the faults of each process from a separate thread.
 
+    :param links: Links to the engines, by name; empty for a run without links.
     :ivar counts: Faults that were injected, by kind.
     :ivar ends: Monotonic end time of each fault, and the fault.
     :ivar errors: Errors of the soak itself, which make its verdict invalid.
@@ -93,6 +99,7 @@
     bed: PlatformBed
     load: Load
     observations: Observations
+    links: dict[str, Link] = field(default_factory=dict)
     counts: Counter[str] = field(default_factory=Counter)
     ends: list[tuple[float, Fault]] = field(default_factory=list)
     errors: list[BaseException] = field(default_factory=list)
@@ -138,6 +145,10 @@
             self._pause_holder(fault)
         elif fault.kind is Kind.JOIN:
             self._join(fault)
+        elif fault.kind is Kind.LOSE_CONNECTIONS:
+            self.bed.store_link.disturb("silent")
+        elif fault.kind in _LINK_KINDS:
+            self._disturb_link(fault)
         elif fault.target in EDGES:
             with self.edge_locks[fault.target]:
                 self._inject_edge_fault(fault)
@@ -173,6 +184,18 @@
         else:
             self.bed.start_engine(name, "desk", port=port)
 
+    def _disturb_link(self, fault: Fault) -> None:
+        link = self.links[fault.target]
+        if fault.kind is Kind.HOLD_ORDERS:
+            link.hold(b'"opcode"')
+        elif fault.kind is Kind.GARBLE_MARK:
+            link.damage = garble_mark
+        else:
+            link.pour = _INTERIM_RESPONSES
+        time.sleep(fault.duration)
+        link.hold()
+        link.damage, link.pour = None, b""
+
     def _inject_edge_fault(self, fault: Fault) -> None:
         edge = fault.target
         if not self.bed.is_running(edge):
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -79,6 +79,14 @@
     LOSE_LATE = "lose_late"
     #: A VM is added, and killed at the end of the fault.
     JOIN = "join"
+    #: Orders to an engine arrive late, and not at all if their sender resets.
+    HOLD_ORDERS = "hold_orders"
+    #: The edges' open connections to the store turn silent.
+    LOSE_CONNECTIONS = "lose_connections"
+    #: The mark of each answer has a wrong bit.
+    GARBLE_MARK = "garble_mark"
+    #: Each answer is replaced by interim responses without end.
+    POUR = "pour"
     CONFIGURE = "configure"
     NAME_VERSION = "name_version"
 
@@ -111,6 +119,9 @@
 _STOPS_EDGE_KINDS = (*(Kind.THAW_STOP,) * 3, Kind.STOP_TWICE)
 _STOPS_DESK_KINDS = (Kind.WRONG_ID, Kind.UNSIGNED, Kind.REFUSE, Kind.SLOW)
 _STOPS_LONGEST = 0.5
+#: Kinds of faults in a run with links to the engines and the store.
+_LINKS_EDGE_KINDS = (*(Kind.STOP,) * 3, Kind.KILL)
+_LINKS_DESK_KINDS = (Kind.GARBLE_MARK, Kind.POUR)
 
 
 class Series(StrEnum):
@@ -120,6 +131,7 @@
 
     ALL = "all"
     STOPS = "stops"
+    LINKS = "links"
 
 
 class UnusableSoakError(ValueError):
@@ -191,6 +203,8 @@
         draw = random.Random(seed)
         if settings.series is Series.STOPS:
             return cls(seed, _draw_stops(draw, settings))
+        if settings.series is Series.LINKS:
+            return cls(seed, _draw_links(draw, settings))
         series = [
             *(_draw_series(draw, name, _EDGE_KINDS, 2.5, settings) for name in EDGES),
             *(_draw_series(draw, name, _POOL_KINDS, 2.0, settings) for name in POOL),
@@ -217,6 +231,23 @@
     return _sort_faults([*edges, *desks])
 
 
+def _draw_links(draw: random.Random, settings: SoakSettings) -> tuple[Fault, ...]:
+    kinds = {
+        **dict.fromkeys(EDGES, _LINKS_EDGE_KINDS),
+        **dict.fromkeys(POOL, (Kind.HOLD_ORDERS,)),
+        # One instance of the service is sound.
+        DESKS[0]: _LINKS_DESK_KINDS,
+        STORE: (Kind.LOSE_CONNECTIONS,),
+        OPERATOR: (Kind.NAME_VERSION,),
+    }
+    return _sort_faults(
+        [
+            _draw_series(draw, target, chosen, 1.5, settings)
+            for target, chosen in kinds.items()
+        ]
+    )
+
+
 def _sort_faults(series: list[list[Fault]]) -> tuple[Fault, ...]:
     faults = [fault for one in series for fault in one]
     return tuple(sorted(faults, key=lambda fault: fault.at))
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import random
 import time
@@ -14,18 +15,24 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from links import Link
+
 from platform_bed import PlatformBed
+from platform_documents import MODEL
 
 from .checks import Finding, judge
 from .faults import EVENT_INTERVAL, Injector, config_with_routes
 from .load import Load
 from .observed import TRAINERS, EngineLine, Observations, UsageReport
-from .plan import DESKS, EDGES, POOL, Fault, SoakPlan, SoakSettings
+from .plan import DESKS, EDGES, POOL, Fault, Series, SoakPlan, SoakSettings
 
 
 __all__ = ["SoakBrokenError", "Verdict", "run_seed"]
 
 _CALLERS, _TRAINERS = 4, 3
+#: Time for which a link holds an order, in seconds; TCP sends a lost packet again after
+#: some 0.2 s.
+_ORDER_DELAY = 0.25
 #: Time between two checks of the promises, in seconds.
 _CHECK_INTERVAL = 1.0
 #: Time limit for recovery after the last fault, in seconds, as in the platform's rules.
@@ -84,19 +91,25 @@
     folder.mkdir(parents=True)
     plan = SoakPlan.from_seed(seed, settings)
     observations = Observations()
-    with PlatformBed.open(
-        folder,
-        edges=len(EDGES),
-        engines=len(POOL),
-        duties=True,
-        config=config_with_routes(1),
-        keep_s=_LEASES_KEPT,
-    ) as bed:
+    has_links = settings.series is Series.LINKS
+    with contextlib.ExitStack() as stack:
+        bed = stack.enter_context(
+            PlatformBed.open(
+                folder,
+                edges=len(EDGES),
+                engines=len(POOL),
+                duties=True,
+                config=config_with_routes(1),
+                keep_s=_LEASES_KEPT,
+                store_link=Link.open if has_links else None,
+            )
+        )
+        links = _open_links(bed, stack) if has_links else {}
         bed.fake_store(keep_s=_LEASES_KEPT)
         for engine in POOL:
             bed.fake_engine(engine, pace=EVENT_INTERVAL)
         load = Load(bed, observations)
-        injector = Injector(bed, load, observations)
+        injector = Injector(bed, load, observations, links)
         journals = _JournalReader(bed, observations)
         callers = load.start(seed, _CALLERS, _TRAINERS)
         series = injector.start(plan)
@@ -147,6 +160,20 @@
     )
 
 
+def _open_links(bed: PlatformBed, stack: contextlib.ExitStack) -> dict[str, Link]:
+    """
+    Open a link to each engine, which tells its address from now on.
+    """
+    links = {}
+    for name in (*POOL, *DESKS):
+        link = stack.enter_context(Link.open(bed.engine_ports[name], _ORDER_DELAY))
+        links[name] = link
+        bed.fake_engine(name, address=f"127.0.0.1:{link.port}")
+        service, model = ("pool", MODEL) if name in POOL else ("desk", "")
+        bed.put_entry(name, service, link.port, model)
+    return links
+
+
 class _JournalReader:
     """
     Reads new lines of the engines' journals.
