--- a/tests/guard_rows/requests.py
+++ b/tests/guard_rows/requests.py
@@ -23,7 +23,6 @@
     RETRIES,
     SUPERVISION,
     WEIGHTS,
-    WITHOUT_END,
     Guard,
 )
 
@@ -332,7 +331,7 @@
         f"{DAEMON}/backends/send_deadline.py",
         "        self._may_receive = _MAX_HEAD_BYTES\n",
         "        self._may_receive = float('inf')\n",
-        (WITHOUT_END, "beside_servers"),
+        (OWN_WITHOUT_END, "call-continue"),
     ),
     Guard(
         "a request that is sent again has a limit for its answer",
