Test processes beside clients that do not behave

Real processes on loopback, one test at a time (marker crowd, the second run of make test).

The stand-in engine records the first 64 KiB of a body and takes bodies up to 64 MB; the store's largest record can be set.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,8 @@
 	@$(BIN)/python -m saddledoor_standins demo deployments/$(DEPLOYMENT).yaml
 
 test: $(VENV)/.made
-	@$(BIN)/python -m pytest -n $(WORKERS) $(PYTEST_ARGS)
+	@$(BIN)/python -m pytest -n $(WORKERS) -m "not crowd" $(PYTEST_ARGS)
+	@$(BIN)/python -m pytest -m crowd $(PYTEST_ARGS)
 
 prove: $(VENV)/.made
 	@$(BIN)/python tests/prove.py -n $(WORKERS)
--- a/tests/adapter/platform_bed.py
+++ b/tests/adapter/platform_bed.py
@@ -123,6 +123,7 @@
     bounds: str = ""
     zones: dict[str, str] = field(default_factory=dict)
     edge_zones: dict[str, str] = field(default_factory=dict)
+    settings_changes: dict[str, str] = field(default_factory=dict)
     store_port: int = field(default_factory=free_port)
     duties_port: int = field(default_factory=free_port)
     edges_store_port: int = 0
@@ -149,6 +150,7 @@
         bounds: str = "",
         zones: dict[str, str] | None = None,
         edge_zones: dict[str, str] | None = None,
+        settings_changes: dict[str, str] | None = None,
         store_link: Callable[[int], contextlib.AbstractContextManager] | None = None,
     ) -> Iterator:
         """
@@ -163,6 +165,7 @@
             all records unless it is told otherwise.
         :param zones: Region of each data centre; None for settings without regions.
         :param edge_zones: Data centre of each edge that is not in ``dc-a``.
+        :param settings_changes: Texts of the edges' settings and their replacements.
         :param store_link: Opens a link to the store, which the edges use.
         """
         bed = cls(
@@ -174,6 +177,7 @@
             bounds=bounds,
             zones=zones or {},
             edge_zones=edge_zones or {},
+            settings_changes=settings_changes or {},
         )
         stack = contextlib.ExitStack()
         try:
@@ -243,6 +247,17 @@
         (size,) = re.findall(r"VmHWM:\s+(\d+) kB", status)
         return int(size) / 1024
 
+    def open_sockets(self, name: str) -> int:
+        """
+        Return the number of sockets that an edge's process has open.
+        """
+        folder = Path(f"/proc/{self.processes[name].handle.pid}/fd")
+        links = []
+        for path in folder.iterdir():
+            with contextlib.suppress(FileNotFoundError):
+                links.append(os.readlink(path))
+        return sum(link.startswith("socket:") for link in links)
+
     def journal(self, engine_id: str) -> Path:
         """
         Return the file in which all incarnations of an engine record their actions.
@@ -324,6 +339,9 @@
         path = self.settings_path(name)
         ports = (front, ready, self.edges_store_port or self.store_port)
         text = SETTINGS.format(name, *ports, self.lease_ms, self.keep_s)
+        for before, after in self.settings_changes.items():
+            assert text.count(before) == 1
+            text = text.replace(before, after)
         text += self.bounds
         if self.duties:
             duties = DUTIES.format(self.duties_port)
--- a/tests/adapter/standin_engine.py
+++ b/tests/adapter/standin_engine.py
@@ -28,6 +28,8 @@
 _EVENTS = web.ResponseKey("events", bytes)
 #: Time that such a request runs before its engine crashes, in seconds.
 _CRASH_AFTER = 0.05
+#: Bytes of a request's body that are recorded.
+_KEPT_BODY = 65_536
 
 
 @dataclass
@@ -141,7 +143,7 @@
             name,
             request.method,
             request.path_qs,
-            body.decode("latin-1"),
+            body[:_KEPT_BODY].decode("latin-1"),
             resume_after,
             request.headers.get("Saddledoor-Tenant"),
             request.headers.get("Saddledoor-Key"),
@@ -157,6 +159,7 @@
             id=name,
             target=run.target,
             body=run.body,
+            size=len(body),
             tenant=run.tenant,
             key=run.key,
         )
@@ -399,7 +402,7 @@
         await engine.write_entry()
 
     app = web.Application(
-        client_max_size=8_000_000, middlewares=[engine.send_late_copies]
+        client_max_size=64_000_000, middlewares=[engine.send_late_copies]
     )
     if store:
         app.on_startup.append(started)
--- a/tests/adapter/standin_store.py
+++ b/tests/adapter/standin_store.py
@@ -62,6 +62,7 @@
     :ivar slow_entries: Duration of each read of the engines' entries, in seconds.
     :ivar keep_s: Time for which records of the topic ``control`` are kept, in seconds;
         0 for all of them.
+    :ivar record_bytes: Maximum size of a record, in bytes.
     :ivar reads: Number of records read, by topic.
     """
 
@@ -81,6 +82,7 @@
         self.busy_after = 0
         self.slow_entries = 0.0
         self.keep_s = 0.0
+        self.record_bytes = _RECORD_BYTES
         self.reads: Counter[str] = Counter()
 
     def topic(self, name: str) -> _Topic:
@@ -105,7 +107,7 @@
         name = request.query["topic"]
         expected = request.query.get("as_of")
         records = list(_split(await request.read()))
-        if any(len(record) > _RECORD_BYTES for record in records):
+        if any(len(record) > self.record_bytes for record in records):
             return web.json_response({}, status=413)
         if self.busy_after and name == "texts":
             self.busy_after -= 1
@@ -208,6 +210,7 @@
             "busy_after",
             "slow_entries",
             "keep_s",
+            "record_bytes",
         ):
             setattr(self, name, body.get(name, getattr(self, name)))
         for name, key, value in body.get("put", ()):
