Bound the memory that is held for callers

Cause: each body had a limit, all of them together had none, bodies were kept two to four times, and decoding a job takes many times its text.

Fix: a budget for the process, from the memory in the settings, that a request takes room of before its body is read; stalled clients lose theirs to the next one. Bodies are collected and written without a copy. The items of open jobs are limited, those of ended jobs dropped. It works because every copy that grows with a client's bytes is taken from the budget first.

--- a/packages/saddledoor-standins/src/saddledoor_standins/testbed.py
+++ b/packages/saddledoor-standins/src/saddledoor_standins/testbed.py
@@ -161,6 +161,7 @@
             weight_store=self.weights,
             **self.shape.timings,
         )
+        settings |= self.shape.settings
         settings["grpc_outside"] = self._peer_forwarder_address(vm)
         if self.shape.traced:
             settings["trace"] = self.trace_path(name)
--- a/packages/saddledoor-standins/src/saddledoor_standins/testbed_document.py
+++ b/packages/saddledoor-standins/src/saddledoor_standins/testbed_document.py
@@ -61,6 +61,7 @@
     :param services: Number of service instances by data centre.
     :param timings: Daemons' durations that differ from the defaults, in seconds.
     :param limits: Limits that differ from the defaults.
+    :param settings: Daemons' settings that differ from the defaults.
     :param token_s: Engines' time per token of one request, in seconds.
     :param slots: Slots of each engine.
     :param staleness_bound: The trainer's bound, in weight versions.
@@ -74,6 +75,7 @@
     services: Mapping[str, int] = field(default_factory=lambda: {"dc-a": 1, "dc-b": 1})
     timings: Mapping[str, float] = field(default_factory=dict)
     limits: Mapping[str, float] = field(default_factory=dict)
+    settings: Mapping[str, object] = field(default_factory=dict)
     token_s: float = 0.004
     slots: int = 8
     staleness_bound: int = 1
--- a/packages/saddledoor/src/saddledoor/__init__.py
+++ b/packages/saddledoor/src/saddledoor/__init__.py
@@ -106,6 +106,12 @@
     PoolSummary,
     SiteSummary,
 )
+from ._memory_budget import (
+    Holding,
+    MemoryBudget,
+    MemoryLimits,
+    decoded_json_size,
+)
 from ._page_size import PageSize
 from ._queueing import FairQueue, PushResult, WorkClass
 from ._records import (
@@ -272,7 +278,11 @@
     "LeaseRelease",
     "LeaseRenewal",
     "LeaseWatch",
+    "Holding",
     "Limits",
+    "MemoryBudget",
+    "MemoryLimits",
+    "decoded_json_size",
     "MemberEntry",
     "MemberTable",
     "Model",
--- a/packages/saddledoor/src/saddledoor/_job_fold.py
+++ b/packages/saddledoor/src/saddledoor/_job_fold.py
@@ -146,6 +146,13 @@
         """
         return [state for state in self._jobs.values() if state.is_open]
 
+    @property
+    def open_items_size(self) -> int:
+        """
+        Size of the items of all open jobs, in bytes.
+        """
+        return sum(state.job.items.size for state in self.open_jobs())
+
     def oldest_allowed(self, model: str) -> int:
         """
         Return the oldest weight version that the newest job of a model allows.
@@ -252,6 +259,8 @@
         case JobEnded():
             state.ended = True
             state.kept.clear()
+            # They are read again from the log if a caller asks for one.
+            state.items = None
 
 
 def _extend_checkpoint(state: JobState, record: ItemCheckpoint) -> None:
--- a/packages/saddledoord/src/saddledoord/_parts.py
+++ b/packages/saddledoord/src/saddledoord/_parts.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass
 from functools import partial
 
+from saddledoor import MemoryBudget, MemoryLimits
+
 from ._pipeline import Pipeline
 from ._settings import Settings
 from ._state import NodeState
@@ -41,6 +43,9 @@
 
 __all__ = ["Parts", "build_parts"]
 
+#: Memory that the process uses without any request, in bytes.
+_PROCESS_MEMORY = 88 << 20
+
 
 @dataclass(frozen=True)
 class Parts:
@@ -145,7 +150,16 @@
         collectors=collectors,
         control=WeightController(state, keeper, backends, log, metrics),
         in_flight=in_flight,
-        app=build_app(state, pipeline, collectors, metrics, burn, in_flight, status),
+        app=build_app(
+            state,
+            pipeline,
+            collectors,
+            metrics,
+            burn,
+            in_flight,
+            status,
+            _memory_budget(settings),
+        ),
         peer_service=PeerService(
             state,
             exchange,
@@ -162,6 +176,11 @@
     )
 
 
+def _memory_budget(settings: Settings) -> MemoryBudget:
+    memory = settings.memory_mb << 20
+    return MemoryBudget(MemoryLimits.from_machine(memory, _PROCESS_MEMORY))
+
+
 def _gauges(
     metrics: Metrics, state: NodeState, in_flight: InFlight, dispatcher: Dispatcher
 ) -> None:
--- a/packages/saddledoord/src/saddledoord/_settings.py
+++ b/packages/saddledoord/src/saddledoord/_settings.py
@@ -78,6 +78,7 @@
     :param grpc: Address for other daemons.
     :param grpc_outside: Address for daemons of other data centres; None if it is the
         same.
+    :param memory_mb: Memory of the process, in MB; bounds what is held for callers.
     :param trace: File to record a trace in, for debugging and tests.
     :param peer_secret: Shared secret by which daemons of a deployment authenticate each
         other.
@@ -93,6 +94,7 @@
     vm_list: Url
     weight_store: Url | None = None
     peer_secret: Annotated[str, Field(min_length=16, max_length=256)]
+    memory_mb: Annotated[int, Field(ge=100, le=1_000_000)] = 256
     trace: str | None = None
     log_format: Literal["json", "terminal"] = "json"
     timings: Timings = Timings()
--- a/packages/saddledoord/src/saddledoord/backends/client.py
+++ b/packages/saddledoord/src/saddledoord/backends/client.py
@@ -18,6 +18,7 @@
 from saddledoor import NotRun, OutcomeUnknown, Part, ResultCode
 
 from .answer_bodies import AnswerBodies
+from .payloads import PiecewisePayload
 from .send_deadline import SendDeadlineConnector, send
 from .send_once import send_once
 
@@ -265,7 +266,7 @@
             pending = self._single_use.request(
                 method,
                 f"http://{address}{target}",
-                data=body,
+                data=PiecewisePayload(body),
                 headers=headers,
                 timeout=limit,
                 allow_redirects=False,
--- a/packages/saddledoord/src/saddledoord/gateway.py
+++ b/packages/saddledoord/src/saddledoord/gateway.py
@@ -170,6 +170,7 @@
             self._is_store_silent,
             lambda: self._shares.any_held,
             view.residency.job_regions,
+            settings.largest_items,
         )
         self._writer = RecordWriter(log, texts)
         self._shares = WorkShares(
--- a/packages/saddledoord/src/saddledoord/gateway_settings.py
+++ b/packages/saddledoord/src/saddledoord/gateway_settings.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -41,6 +42,7 @@
     :param engine_drain_time: Time for which an engine that leaves serves on, in
         seconds; None if unknown.
     :param sends: Settings of the gate of all sends.
+    :param largest_items: Limit of the items of all open jobs together, in bytes.
     """
 
     vm: str
@@ -58,6 +60,7 @@
     holds_engines: bool = False
     engine_drain_time: float | None = None
     sends: SendSettings = field(default_factory=SendSettings)
+    largest_items: float = math.inf
 
     @property
     def needed_retention(self) -> dict[str, float]:
--- a/packages/saddledoord/src/saddledoord/http/app.py
+++ b/packages/saddledoord/src/saddledoord/http/app.py
@@ -10,7 +10,14 @@
 
 import falcon.asgi
 
-from saddledoor import Answer, NotRun, OutcomeUnknown, Part, ResultCode
+from saddledoor import (
+    Answer,
+    MemoryBudget,
+    NotRun,
+    OutcomeUnknown,
+    Part,
+    ResultCode,
+)
 
 from .._clock import boot_time
 from .._pipeline import Pipeline, ServiceRequest
@@ -25,12 +32,15 @@
     JSON,
     completion_media,
     encode_event,
+    encode_memory_refusal,
     encode_refusal,
     error_body,
     part_media,
     read_body,
+    read_json,
 )
 from .in_flight import InFlight
+from .memory import bound_memory
 from .operators import Operators
 
 
@@ -119,7 +129,7 @@
         caller = self._identify(req)
         if isinstance(caller, NotRun):
             return self._refuse(resp, "completion", caller)
-        raw = await read_body(req, self._state, self._max_body())
+        raw = await read_json(req, self._state, self._max_body())
         if isinstance(raw, NotRun):
             return self._refuse(resp, "completion", raw)
         body = self._pipeline.decode_completion(raw)
@@ -230,7 +240,7 @@
         if caller.trainer is None or caller.trainer.name != trainer:
             other = NotRun(ResultCode.FORBIDDEN, "the token is not this trainer's", 0.0)
             return self._refuse(resp, operation, other)
-        body = await read_body(req, self._state, max_bytes)
+        body = await read_json(req, self._state, max_bytes)
         if isinstance(body, NotRun):
             return self._refuse(resp, operation, body)
         result = await self._collectors.serve(caller.trainer, operation, step, body)
@@ -249,9 +259,12 @@
     burn: BurnFeed,
     in_flight: InFlight,
     status: Callable[[], dict],
+    memory: MemoryBudget,
 ) -> Callable:
     """
     Return the ASGI application.
+
+    :param memory: Memory held for callers.
     """
     app = falcon.asgi.App(middleware=[_RequestMiddleware(state)])
     shared = (state, pipeline, metrics, burn)
@@ -268,4 +281,5 @@
     app.add_route("/readyz", operators, suffix="ready")
     app.add_route("/metrics", operators, suffix="metrics")
     app.add_route("/v1/status", operators, suffix="status")
-    return _count_in_flight(app, in_flight)
+    counted = _count_in_flight(app, in_flight)
+    return bound_memory(counted, memory, encode_memory_refusal)
--- a/packages/saddledoord/src/saddledoord/http/bodies.py
+++ b/packages/saddledoord/src/saddledoord/http/bodies.py
@@ -7,21 +7,33 @@
 from __future__ import annotations
 
 import asyncio
+import io
 import json
 import time
 
-from saddledoor import Answer, NotRun, OutcomeUnknown, Part, ResultCode
+from saddledoor import (
+    Answer,
+    NotRun,
+    OutcomeUnknown,
+    Part,
+    ResultCode,
+    decoded_json_size,
+)
 
 from .._state import NodeState
+from ..request_memory import ClientLeftError, NoRoomError, take_room
+from .memory import EncodedRefusal, no_room
 
 
 __all__ = [
     "completion_media",
     "encode_event",
+    "encode_memory_refusal",
     "encode_refusal",
     "error_body",
     "part_media",
     "read_body",
+    "read_json",
 ]
 
 #: Timeout of reading a request body without a configuration, in seconds.
@@ -67,16 +79,46 @@
     if (req.content_length or 0) > max_bytes:
         detail = f"{req.content_length} bytes; at most {max_bytes}"
         return NotRun(ResultCode.TOO_LARGE, detail, 0.0)
+    # Returns its content without a copy.
+    body = io.BytesIO()
     try:
-        body = await asyncio.wait_for(req.stream.read(max_bytes + 1), timeout)
+        async with asyncio.timeout(timeout):
+            async for chunk in req.stream:
+                body.write(chunk)
+                if body.tell() > max_bytes:
+                    detail = f"at most {max_bytes} bytes"
+                    return NotRun(ResultCode.TOO_LARGE, detail, 0.0)
     except TimeoutError:
         detail = f"the body did not end within {timeout} s"
         return NotRun(ResultCode.BODY_TIMEOUT, detail, 0.0)
-    if len(body) > max_bytes:
-        return NotRun(ResultCode.TOO_LARGE, f"at most {max_bytes} bytes", 0.0)
+    except ClientLeftError:
+        return NotRun(ResultCode.BODY_TIMEOUT, "the client has left", 0.0)
+    except NoRoomError:
+        return no_room()
+    return body.getvalue()
+
+
+async def read_json(req, state: NodeState, max_bytes: int) -> bytes | NotRun:
+    """
+    Read a request body as `read_body`, with room to decode it.
+    """
+    body = await read_body(req, state, max_bytes)
+    if isinstance(body, bytes) and not take_room(decoded_json_size(body)):
+        return no_room()
     return body
 
 
+def encode_memory_refusal(outcome: NotRun) -> EncodedRefusal:
+    """
+    Return the headers and the body of a refusal that the server sends.
+    """
+    headers = [
+        (b"content-type", JSON.encode()),
+        (b"retry-after", f"{outcome.retry_after:.1f}".encode()),
+    ]
+    return headers, json.dumps({"error": error_body(outcome)}).encode()
+
+
 def completion_media(answer: Answer, model: str) -> dict[str, object]:
     """
     Return the response body of a completion.
--- a/packages/saddledoord/src/saddledoord/http/server.py
+++ b/packages/saddledoord/src/saddledoord/http/server.py
@@ -13,9 +13,9 @@
 
 import structlog
 import uvicorn
-from uvicorn.protocols.http.h11_impl import H11Protocol
 
 from .._clock import boot_time
+from .connection import Connection
 from .listener import Acceptor
 
 
@@ -25,9 +25,6 @@
 
 #: Largest header block of a request, in bytes.
 _MAX_HEADER_BYTES = 32_768
-#: Longest time from accepting a connection until its first request arrives for which a
-#: stopping server waits, in seconds.
-_FIRST_REQUEST_TIMEOUT = 1.0
 #: Longest time that a forced end takes to send responses, in seconds.
 _FORCED_END_TIMEOUT = 0.3
 #: Interval of the checks whether a stopping server may close its connections, in
@@ -35,33 +32,6 @@
 _POLL_INTERVAL = 0.02
 
 
-class _Connection(H11Protocol):
-    """
-    A connection that tells whether its client may be waiting for a response.
-    """
-
-    def __init__(self, *args, **kwargs) -> None:
-        super().__init__(*args, **kwargs)
-        self._accepted_at = boot_time()
-
-    @property
-    def is_awaited(self) -> bool:
-        """
-        Whether a request is in flight, has partly arrived, or may follow as the first.
-        """
-        if self.transport.is_closing():
-            return False
-        if self.cycle is None:
-            age = boot_time() - self._accepted_at
-            return age < _FIRST_REQUEST_TIMEOUT or self._has_partial_head
-        return not self.cycle.response_complete or self._has_partial_head
-
-    @property
-    def _has_partial_head(self) -> bool:
-        unprocessed, _ = self.conn.trailing_data
-        return bool(unprocessed)
-
-
 class HttpServer(uvicorn.Server):
     """
     A server that is stopped by `end`, not by a signal.
@@ -170,7 +140,7 @@
     """
     return uvicorn.Config(
         app,
-        http=_Connection,
+        http=Connection,
         ws="none",
         lifespan="off",
         log_config=None,
--- a/packages/saddledoord/src/saddledoord/jobs/service.py
+++ b/packages/saddledoord/src/saddledoord/jobs/service.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -145,6 +146,8 @@
     :param store_is_silent: Tells whether the store has not answered lately.
     :param runs_jobs: Tells whether this node holds any work share.
     :param regions_of: Returns the regions that may run a job; none if any may.
+    :param largest_items: Limit of the items of all open jobs together, in bytes. A
+        single job may exceed it.
     """
 
     def __init__(
@@ -158,7 +161,9 @@
         store_is_silent: Callable[[], bool],
         runs_jobs: Callable[[], bool],
         regions_of: Callable[[Job], frozenset[str] | None] = _any_region,
+        largest_items: float = math.inf,
     ) -> None:
+        self._largest_items = largest_items
         self._regions_of = regions_of
         self._log = log
         self._store_is_silent = store_is_silent
@@ -271,6 +276,10 @@
         if regions == frozenset():
             _log.info("no_region_allowed", job=job.job_id, workspace=job.workspace)
             return refuse_without_region()
+        if not self._has_room(job):
+            _log.info("no_room_for_job", job=job.job_id)
+            detail = "the open jobs take all the memory for jobs"
+            return NotRun(ResultCode.OVERLOADED, detail, _RETRY_AFTER)
         deadline = boot_time() + _APPEND_RETRY_LIMIT
         outcome = await self._append_opened(job, regions, deadline)
         code = ResultCode.DONE if isinstance(outcome, Accepted) else outcome.code
@@ -440,6 +449,16 @@
             return JobNotFound()
         return state
 
+    def _has_room(self, job: Job) -> bool:
+        """
+        Return whether a job's items fit beside those of the open jobs.
+
+        The node that runs the jobs keeps all of them in memory.
+        """
+        held = self._fold.open_items_size
+        size = sum(len(item.body) for item in job.items)
+        return not held or held + size <= self._largest_items
+
     async def _append_opened(
         self, job: Job, regions: frozenset[str] | None, deadline: float
     ) -> Accepted | NotRun | OutcomeUnknown:
--- a/tests/adapter/test_edge_crowds.py
+++ b/tests/adapter/test_edge_crowds.py
@@ -176,6 +176,22 @@
     _assert_serves(bed)
 
 
+@pytest.mark.parametrize("value", [b"{},", b"[],", b"1234567,", b'"ab",'])
+def test_a_job_of_many_small_values(bed, value):
+    """
+    Decoded, it took many times the size of its text.
+    """
+    body = b'{"requests": [' + value * ((LARGEST_BODY - 100) // len(value)) + b"0]}"
+
+    def payload(number: int) -> bytes:
+        return make_head("/train/x", f"values-{number}", len(body)) + body
+
+    with _crowd(bed, 2) as crowd:
+        crowd.send(payload)
+        _assert_serves(bed)
+    _assert_serves(bed)
+
+
 def _large_job(number: int, size: int) -> bytes:
     """
     Return a job that is a little smaller than a size, in bytes.
--- a/tests/test_daemon_crowds.py
+++ b/tests/test_daemon_crowds.py
@@ -31,7 +31,7 @@
 pytestmark = pytest.mark.crowd
 
 _VM = "dc-a-vm1"
-#: Memory that a VM may use, in MB; the target of the product.
+#: Memory of the daemon in its settings, in MB; the target of the product for control.
 _MEMORY = 128
 #: Time in which an ordinary request must be served, its retries included, in seconds.
 _SERVED_WITHIN = 12.0
@@ -50,6 +50,7 @@
         vms={"dc-a": 1},
         engines={"dc-a": 1},
         services={"dc-a": 1},
+        settings={"memory_mb": _MEMORY},
         limits={"body_timeout_s": 60.0, "max_body_bytes": LARGEST_BODY},
     )
     with Testbed.open(shape) as bed:
