--- a/packages/saddledoord/src/saddledoord/http/listener.py
+++ b/packages/saddledoord/src/saddledoord/http/listener.py
@@ -19,6 +19,9 @@
 
 #: Connections that may wait to be accepted.
 _BACKLOG = 2048
+#: Size of the kernel's buffers of a connection, in bytes; the kernel doubles it. They
+#: count as the machine's memory.
+_SOCKET_BUFFER = 32_768
 #: Pause after a failed accept, such as for lack of file descriptors, in seconds.
 _RETRY_PAUSE = 1.0
 
@@ -32,6 +35,9 @@
     host, _, port = address.rpartition(":")
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # Accepted connections inherit these.
+    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+        listener.setsockopt(socket.SOL_SOCKET, option, _SOCKET_BUFFER)
     try:
         listener.bind((host, int(port)))
     except OSError as error:
