Limit connections in number and in time

Cause: connections were accepted without a limit, and only an idle connection after a response had a timeout; the limits of the settings and of the configuration were not read.

Fix: a limit for each port from the descriptors and the memory, places for new connections by closing those without progress for longest, timeouts from the configuration. A refused body is discarded, not reset.

--- a/packages/saddledoor/src/saddledoor/_route_table.py
+++ b/packages/saddledoor/src/saddledoor/_route_table.py
@@ -27,6 +27,9 @@
     "unservable_pairs",
 ]
 
+#: Timeout of a request's head where no configuration sets one, in seconds.
+_HEAD_TIMEOUT = 10.0
+
 
 class RouteKind(Enum):
     """
@@ -130,11 +133,13 @@
     Limits on callers' requests and connections.
 
     :param idle_timeout: How long a connection may be idle, in seconds.
+    :param head_timeout: How long a request's head may take, in seconds.
     """
 
     max_header_bytes: int
     max_body_bytes: int
     idle_timeout: float
+    head_timeout: float = _HEAD_TIMEOUT
 
 
 @dataclass(frozen=True)
--- a/packages/saddledoord/src/saddledoord/_daemon.py
+++ b/packages/saddledoord/src/saddledoord/_daemon.py
@@ -16,9 +16,10 @@
 from saddledoor.tracing import NodeStarted, StageChanged
 
 from ._clock import boot_time
-from ._parts import Parts, build_parts
+from ._parts import Parts, build_parts, memory_limits
 from ._settings import Settings
 from ._state import NodeState
+from .http.limits import ConnectionLimits
 from .http.listener import listen
 from .http.server import HttpServer, server_config
 from .peers.server import start_peer_server
@@ -65,7 +66,11 @@
         peer_server = await start_peer_server(
             parts.peer_service, settings.grpc, settings.peer_secret
         )
-        http = HttpServer(server_config(parts.app, _KEEP_ALIVE))
+        spare_memory = memory_limits(settings).alone
+        http = HttpServer(
+            server_config(parts.app, _KEEP_ALIVE),
+            ConnectionLimits.from_machine(spare_memory=spare_memory),
+        )
         listener = listen(settings.http)
         serving = asyncio.create_task(http.serve(sockets=[listener]))
         _log.info("started", vm=settings.vm, http=settings.http, grpc=settings.grpc)
--- a/packages/saddledoord/src/saddledoord/_parts.py
+++ b/packages/saddledoord/src/saddledoord/_parts.py
@@ -41,7 +41,7 @@
 from .supervision import Loop
 
 
-__all__ = ["Parts", "build_parts"]
+__all__ = ["Parts", "build_parts", "memory_limits"]
 
 #: Memory that the process uses without any request, in bytes.
 _PROCESS_MEMORY = 88 << 20
@@ -158,7 +158,7 @@
             burn,
             in_flight,
             status,
-            _memory_budget(settings),
+            MemoryBudget(memory_limits(settings)),
         ),
         peer_service=PeerService(
             state,
@@ -176,9 +176,11 @@
     )
 
 
-def _memory_budget(settings: Settings) -> MemoryBudget:
-    memory = settings.memory_mb << 20
-    return MemoryBudget(MemoryLimits.from_machine(memory, _PROCESS_MEMORY))
+def memory_limits(settings: Settings) -> MemoryLimits:
+    """
+    Return the limits of the memory held for callers.
+    """
+    return MemoryLimits.from_machine(settings.memory_mb << 20, _PROCESS_MEMORY)
 
 
 def _gauges(
--- a/packages/saddledoord/src/saddledoord/http/connection.py
+++ b/packages/saddledoord/src/saddledoord/http/connection.py
@@ -8,12 +8,14 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any
 
 import h11
 from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
 from .._clock import boot_time
+from .limits import ConnectionTimeouts
 
 
 __all__ = ["Connection"]
@@ -26,6 +28,11 @@
 #: Bytes of further requests above which a connection is not read until its response is
 #: complete.
 _MAX_AHEAD = 4_096
+#: Bytes that count as progress of a body.
+_PROGRESS = 16_384
+#: Longest time for which a closed connection discards what its client still sends, and
+#: the longest pause in it, in seconds.
+_DISCARD_TIME, _DISCARD_PAUSE = 10.0, 1.0
 
 #: Receives the bytes of all connections, one read at a time.
 _buffer = memoryview(bytearray(_BODY_READ))
@@ -33,15 +40,33 @@
 
 class Connection(H11Protocol, asyncio.BufferedProtocol):
     """
-    A connection that tells whether its client may be waiting for a response.
+    A connection with limits of time and size.
 
     It reads little at a time, and keeps little of what is sent before a response.
+
+    :param timeouts: Returns the limits in force.
+    :param on_made: Called once it is open.
+    :param on_lost: Called once it is closed.
     """
 
-    def __init__(self, *args, **kwargs) -> None:
+    def __init__(
+        self,
+        *args,
+        timeouts: Callable[[], ConnectionTimeouts],
+        on_made: Callable[[Connection], None],
+        on_lost: Callable[[Connection], None],
+        **kwargs,
+    ) -> None:
         super().__init__(*args, **kwargs)
+        self._on_made = on_made
+        self._on_lost = on_lost
         self.app_state = {**self.app_state, "abort": self.abort}
+        self._timeouts = timeouts
         self._accepted_at = boot_time()
+        self._progressed_at = self._accepted_at
+        self._unmarked = 0
+        self._head_since: float | None = None
+        self._discard_since: float | None = None
 
     @property
     def is_awaited(self) -> bool:
@@ -55,19 +80,49 @@
             return age < _FIRST_REQUEST_TIMEOUT or self._has_partial_head
         return not self.cycle.response_complete or self._has_partial_head
 
+    @property
+    def is_discarding(self) -> bool:
+        """
+        Whether the connection is closed but for what its client still sends.
+        """
+        return self._discard_since is not None
+
+    @property
+    def waits_since(self) -> float | None:
+        """
+        When the client made its last progress; None while its request is served.
+        """
+        is_served = self.cycle is not None and not self.cycle.response_complete
+        waits = self._is_receiving or self.flow.write_paused
+        return None if is_served and not waits else self._progressed_at
+
     def connection_made(self, transport: asyncio.Transport) -> None:
-        super().connection_made(transport)
-        self.flow = _InputFlow(transport, self._may_read)
+        closing = _DiscardingTransport(transport, self._close)
+        super().connection_made(closing)
+        self.flow = _InputFlow(closing, self._may_read)
+        self._on_made(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._on_lost(self)
+        super().connection_lost(exc)
 
     def get_buffer(self, _: int) -> memoryview:
-        is_sized_body = (
-            self.conn.their_state is h11.SEND_BODY
-            and self._is_sized
-            and not self.conn.trailing_data[0]
-        )
-        return _buffer[: _BODY_READ if is_sized_body else _READ]
+        is_sized_body = self._is_receiving and self._is_sized
+        if is_sized_body or self.is_discarding:
+            return _buffer
+        return _buffer[:_READ]
 
     def buffer_updated(self, size: int) -> None:
+        if self.is_discarding:
+            self._progressed_at = boot_time()
+            return
+        if self._is_receiving:
+            self._unmarked += size
+            if self._unmarked >= _PROGRESS:
+                self._record_progress()
+        elif self._head_since is None and self.conn.their_state is h11.IDLE:
+            self._head_since = boot_time()
+            self._record_progress()
         self.data_received(bytes(_buffer[:size]))
 
     def handle_events(self) -> None:
@@ -75,6 +130,20 @@
         if self.conn.their_state is h11.IDLE:
             # Reading may have been paused while the request before was answered.
             self.flow.resume_reading()
+        elif self._head_since is not None:
+            self._head_since = None
+            self._record_progress()
+
+    def on_response_complete(self) -> None:
+        self._record_progress()
+        self.timeout_keep_alive = self._timeouts().idle
+        super().on_response_complete()
+        if self._has_partial_head and self.conn.their_state is h11.IDLE:
+            self._head_since = boot_time()
+
+    def resume_writing(self) -> None:
+        self._record_progress()
+        super().resume_writing()
 
     def abort(self) -> None:
         """
@@ -82,6 +151,42 @@
         """
         self.transport.abort()
 
+    def overdue_reason(self, now: float) -> str:
+        """
+        Return why the connection should be closed; empty if it should not.
+
+        :param now: On the clock of `boot_time`, in seconds.
+        """
+        timeouts = self._timeouts()
+        waits_since = self.waits_since
+        if self._discard_since is not None:
+            pause = now - self._progressed_at
+            is_over = now - self._discard_since > _DISCARD_TIME
+            return "discarded" if is_over or pause > _DISCARD_PAUSE else ""
+        if self._head_since is not None and now - self._head_since > timeouts.head:
+            return "head_timeout"
+        if waits_since is not None and now - waits_since > timeouts.idle:
+            return "idle_timeout"
+        return ""
+
+    def _close(self, transport: asyncio.Transport) -> None:
+        """
+        Close the connection, and discard what its client still sends.
+
+        A close with unread input resets the connection, and the client may lose the
+        response.
+        """
+        if self.is_discarding:
+            return
+        has_left = self.cycle is not None and self.cycle.disconnected
+        has_input = self._is_receiving or self.conn.trailing_data[0]
+        if transport.is_closing() or has_left or not has_input:
+            transport.close()
+            return
+        self._discard_since = self._progressed_at = boot_time()
+        transport.write_eof()
+        transport.resume_reading()
+
     def _may_read(self) -> bool:
         """
         Return whether more may be read: a client may send requests without end before
@@ -91,6 +196,17 @@
             return True
         return len(self.conn.trailing_data[0]) <= _MAX_AHEAD
 
+    def _record_progress(self) -> None:
+        self._unmarked = 0
+        self._progressed_at = boot_time()
+
+    @property
+    def _is_receiving(self) -> bool:
+        """
+        Whether a request's body has not arrived completely.
+        """
+        return self.conn.their_state is h11.SEND_BODY
+
     @property
     def _is_sized(self) -> bool:
         """
@@ -101,7 +217,32 @@
     @property
     def _has_partial_head(self) -> bool:
         unprocessed, _ = self.conn.trailing_data
-        return bool(unprocessed)
+        return bool(unprocessed) and self.conn.their_state is h11.IDLE
+
+
+class _DiscardingTransport:
+    """
+    A transport whose `close` is replaced.
+    """
+
+    def __init__(
+        self,
+        transport: asyncio.Transport,
+        close: Callable[[asyncio.Transport], None],
+    ) -> None:
+        self._transport = transport
+        self._close = close
+        self._is_closing = False
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._transport, name)
+
+    def is_closing(self) -> bool:
+        return self._is_closing or self._transport.is_closing()
+
+    def close(self) -> None:
+        self._is_closing = True
+        self._close(self._transport)
 
 
 class _InputFlow(FlowControl):
--- a/packages/saddledoord/src/saddledoord/http/listener.py
+++ b/packages/saddledoord/src/saddledoord/http/listener.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 from collections.abc import Callable
 
@@ -22,8 +23,10 @@
 #: Size of the kernel's buffers of a connection, in bytes; the kernel doubles it. They
 #: count as the machine's memory.
 _SOCKET_BUFFER = 32_768
-#: Pause after a failed accept, such as for lack of file descriptors, in seconds.
-_RETRY_PAUSE = 1.0
+#: Connections that are accepted before others are served.
+_ACCEPTED_AT_ONCE = 16
+#: Pause after a failed accept, and without room for a connection, in seconds.
+_RETRY_PAUSE, _ROOM_PAUSE = 1.0, 0.05
 
 
 def listen(address: str) -> socket.socket:
@@ -56,11 +59,20 @@
     those that it has accepted but not yet given a transport.
 
     :param create_protocol: Returns the protocol of a new connection.
+    :param make_room: Returns whether one more connection may be accepted.
+    :param on_exhausted: Called when the process has no more descriptors; returns
+        whether some will be free soon.
     """
 
     def __init__(
-        self, listener: socket.socket, create_protocol: Callable[[], asyncio.Protocol]
+        self,
+        listener: socket.socket,
+        create_protocol: Callable[[], asyncio.Protocol],
+        make_room: Callable[[], bool] = lambda: True,
+        on_exhausted: Callable[[], bool] = lambda: False,
     ) -> None:
+        self._make_room = make_room
+        self._on_exhausted = on_exhausted
         self._listener = listener
         self._create_protocol = create_protocol
         self._loop = asyncio.get_running_loop()
@@ -86,13 +98,16 @@
         Accept the connections in the backlog, and close the socket.
         """
         self._loop.remove_reader(self._listener)
-        self._accept_pending()
+        self._accept_pending(_BACKLOG)
         if self._retry is not None:
             self._retry.cancel()
         self._listener.close()
 
-    def _accept_pending(self) -> None:
-        for _ in range(_BACKLOG):
+    def _accept_pending(self, count: int = _ACCEPTED_AT_ONCE) -> None:
+        for _ in range(count):
+            if not self._make_room():
+                self._pause(_ROOM_PAUSE)
+                return
             try:
                 connection, _ = self._listener.accept()
             except BlockingIOError:
@@ -101,14 +116,18 @@
                 # The client has left; others may wait behind it.
                 continue
             except OSError as error:
-                self._pause(error)
+                is_short = error.errno in (errno.EMFILE, errno.ENFILE)
+                pause = _RETRY_PAUSE
+                if is_short and self._on_exhausted():
+                    pause = _ROOM_PAUSE
+                _log.error("accept_failed", reason=str(error), retry_after=pause)
+                self._pause(pause)
                 return
             self._connect(connection)
 
-    def _pause(self, error: OSError) -> None:
-        _log.error("accept_failed", reason=str(error), retry_after=_RETRY_PAUSE)
+    def _pause(self, pause: float) -> None:
         self._loop.remove_reader(self._listener)
-        self._retry = self._loop.call_later(_RETRY_PAUSE, self.start)
+        self._retry = self._loop.call_later(pause, self.start)
 
     def _connect(self, connection: socket.socket) -> None:
         connected = self._loop.connect_accepted_socket(
--- a/packages/saddledoord/src/saddledoord/http/server.py
+++ b/packages/saddledoord/src/saddledoord/http/server.py
@@ -10,13 +10,18 @@
 import contextlib
 import select
 import socket
+from collections import Counter
+from collections.abc import Callable
+from functools import partial
 
 import structlog
 import uvicorn
 
 from .._clock import boot_time
 from .connection import Connection
+from .limits import ConnectionLimits, ConnectionTimeouts
 from .listener import Acceptor
+from .pool import ConnectionPool
 
 
 __all__ = ["HttpServer", "server_config"]
@@ -25,6 +30,11 @@
 
 #: Largest header block of a request, in bytes.
 _MAX_HEADER_BYTES = 32_768
+#: Timeout of a request's head without a configuration, in seconds.
+_HEAD_TIMEOUT = 10.0
+#: Interval of the checks of connections, and the time after which one is late, in
+#: seconds.
+_CHECK_INTERVAL, _LATE_CHECK = 1.0, 1.5
 #: Longest time that a forced end takes to send responses, in seconds.
 _FORCED_END_TIMEOUT = 0.3
 #: Interval of the checks whether a stopping server may close its connections, in
@@ -35,6 +45,9 @@
 class HttpServer(uvicorn.Server):
     """
     A server that is stopped by `end`, not by a signal.
+
+    :param limits: Largest numbers of connections; the first socket is that of callers.
+    :param timeouts: Returns the timeouts of connections.
     """
 
     @property
@@ -45,8 +58,26 @@
         connecting = sum(acceptor.connecting for acceptor in self._acceptors)
         return connecting + len(self.server_state.connections)
 
-    def __init__(self, config: uvicorn.Config) -> None:
+    @property
+    def closed(self) -> dict[str, int]:
+        """
+        Number of connections that the server closed before their clients, by reason.
+        """
+        evicted = sum(pool.evicted for pool in self._pools)
+        return {**self._closed, "evicted": evicted}
+
+    def __init__(
+        self,
+        config: uvicorn.Config,
+        limits: ConnectionLimits | None = None,
+        timeouts: Callable[[], ConnectionTimeouts] | None = None,
+    ) -> None:
         super().__init__(config)
+        self._limits = limits or ConnectionLimits.from_machine()
+        idle = ConnectionTimeouts(_HEAD_TIMEOUT, config.timeout_keep_alive)
+        self._timeouts = timeouts or (lambda: idle)
+        self._pools: list[ConnectionPool] = []
+        self._closed: Counter[str] = Counter()
         self._acceptors: list[Acceptor] = []
         self._stop_requested = asyncio.Event()
         self._end_deadline = float("inf")
@@ -69,14 +100,15 @@
         yield
 
     async def startup(self, sockets: list[socket.socket] | None = None) -> None:
-        def create_protocol() -> asyncio.Protocol:
-            return self.config.http_protocol_class(
-                config=self.config,
-                server_state=self.server_state,
-                app_state=self.lifespan.state,
+        for sock in sockets or []:
+            is_first = not self._pools
+            limit = self._limits.callers if is_first else self._limits.probes
+            pool = ConnectionPool(limit)
+            self._pools.append(pool)
+            create = partial(self._create_connection, pool)
+            self._acceptors.append(
+                Acceptor(sock, create, pool.make_room, self._evict_connections)
             )
-
-        self._acceptors = [Acceptor(sock, create_protocol) for sock in sockets or []]
         for acceptor in self._acceptors:
             acceptor.start()
         self.started = True
@@ -84,7 +116,46 @@
     async def main_loop(self) -> None:
         # Uvicorn's own loop wakes up ten times a second, which wastes CPU on an idle
         # VM; nothing that it maintains is used here.
+        checks = asyncio.create_task(self._close_overdue())
         await self._stop_requested.wait()
+        checks.cancel()
+
+    async def _close_overdue(self) -> None:
+        """
+        Close the connections whose clients take too long.
+        """
+        checked_at = boot_time()
+        while True:
+            await asyncio.sleep(_CHECK_INTERVAL)
+            now, before, checked_at = boot_time(), checked_at, boot_time()
+            # After a pause of the process, what has arrived meanwhile is read first.
+            if now - before < _LATE_CHECK:
+                for connection in list(self.server_state.connections):
+                    reason = connection.overdue_reason(now)
+                    if reason:
+                        self._abort(connection, reason)
+
+    def _abort(self, connection: Connection, reason: str) -> None:
+        self._closed[reason] += 1
+        if reason != "discarded":
+            _log.info("connection_closed", client=connection.client, reason=reason)
+        connection.abort()
+
+    def _create_connection(self, pool: ConnectionPool) -> Connection:
+        return Connection(
+            config=self.config,
+            server_state=self.server_state,
+            app_state=self.lifespan.state,
+            timeouts=self._timeouts,
+            on_made=pool.add,
+            on_lost=pool.discard,
+        )
+
+    def _evict_connections(self) -> bool:
+        """
+        Close idle connections of all ports; return whether there were any.
+        """
+        return any([pool.evict() for pool in self._pools])
 
     async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
         for acceptor in self._acceptors:
@@ -96,8 +167,11 @@
             connection.shutdown()
         while not self._has_ended():
             await asyncio.sleep(_POLL_INTERVAL)
-        if self.open_connections:
-            _log.warning("connections_aborted", count=self.open_connections)
+        count = sum(
+            not connection.is_discarding for connection in self.server_state.connections
+        )
+        if count:
+            _log.warning("connections_aborted", count=count)
         for connection in list(self.server_state.connections):
             connection.transport.abort()
 
@@ -126,7 +200,9 @@
     def _has_ended(self) -> bool:
         if boot_time() > self._end_deadline:
             return True
-        return not self.server_state.connections and not self.server_state.tasks
+        connections = self.server_state.connections
+        has_open = any(not connection.is_discarding for connection in connections)
+        return not has_open and not self.server_state.tasks
 
 
 def server_config(
@@ -140,7 +216,7 @@
     """
     return uvicorn.Config(
         app,
-        http=Connection,
+        http="h11",
         ws="none",
         lifespan="off",
         log_config=None,
