--- a/packages/saddledoord/src/saddledoord/http/connection.py
+++ b/packages/saddledoord/src/saddledoord/http/connection.py
@@ -16,6 +16,7 @@
 
 from .._clock import boot_time
 from .limits import ConnectionTimeouts
+from .read_share import ReadShare
 
 
 __all__ = ["Connection"]
@@ -23,13 +24,19 @@
 #: Longest time from accepting a connection until its first request arrives for which a
 #: stopping server waits, in seconds.
 _FIRST_REQUEST_TIMEOUT = 1.0
-#: Largest read of a head or of chunks, and of a body of known length, in bytes.
-_READ, _BODY_READ = 16_384, 65_536
+#: Smallest and largest read of a head or of chunks, and largest one of a body of known
+#: length, in bytes.
+_MIN_READ, _MAX_READ, _BODY_READ = 2_048, 16_384, 65_536
+#: Time of parsing above which a read is expensive, in seconds.
+_EXPENSIVE = 0.001
 #: Bytes of further requests above which a connection is not read until its response is
 #: complete.
 _MAX_AHEAD = 4_096
 #: Bytes that count as progress of a body.
 _PROGRESS = 16_384
+#: Time without progress after which a stopping server does not wait for a client, in
+#: seconds.
+_STALL_TIME = 1.0
 #: Longest time for which a closed connection discards what its client still sends, and
 #: the longest pause in it, in seconds.
 _DISCARD_TIME, _DISCARD_PAUSE = 10.0, 1.0
@@ -45,6 +52,7 @@
     It reads little at a time, and keeps little of what is sent before a response.
 
     :param timeouts: Returns the limits in force.
+    :param reads: Order of the expensive reads of all connections.
     :param on_made: Called once it is open.
     :param on_lost: Called once it is closed.
     """
@@ -53,11 +61,15 @@
         self,
         *args,
         timeouts: Callable[[], ConnectionTimeouts],
+        reads: ReadShare,
         on_made: Callable[[Connection], None],
         on_lost: Callable[[Connection], None],
         **kwargs,
     ) -> None:
         super().__init__(*args, **kwargs)
+        self._reads = reads
+        self._read_size = _MIN_READ
+        self._is_deferred = False
         self._on_made = on_made
         self._on_lost = on_lost
         self.app_state = {**self.app_state, "abort": self.abort}
@@ -72,8 +84,10 @@
     def is_awaited(self) -> bool:
         """
         Whether a request is in flight, has partly arrived, or may follow as the first.
+
+        A request whose client makes no progress is not awaited.
         """
-        if self.transport.is_closing():
+        if self.transport.is_closing() or self.is_stalled:
             return False
         if self.cycle is None:
             age = boot_time() - self._accepted_at
@@ -87,6 +101,14 @@
         """
         return self._discard_since is not None
 
+    @property
+    def is_stalled(self) -> bool:
+        """
+        Whether a request or its answer waits for a client that makes no progress.
+        """
+        waits = self._has_partial_head or self._is_receiving or self.flow.write_paused
+        return waits and boot_time() - self._progressed_at >= _STALL_TIME
+
     @property
     def waits_since(self) -> float | None:
         """
@@ -110,7 +132,7 @@
         is_sized_body = self._is_receiving and self._is_sized
         if is_sized_body or self.is_discarding:
             return _buffer
-        return _buffer[:_READ]
+        return _buffer[: self._read_size]
 
     def buffer_updated(self, size: int) -> None:
         if self.is_discarding:
@@ -123,7 +145,9 @@
         elif self._head_since is None and self.conn.their_state is h11.IDLE:
             self._head_since = boot_time()
             self._record_progress()
+        started_at = boot_time()
         self.data_received(bytes(_buffer[:size]))
+        self._limit_reads(size, boot_time() - started_at)
 
     def handle_events(self) -> None:
         super().handle_events()
@@ -187,11 +211,32 @@
         transport.write_eof()
         transport.resume_reading()
 
+    def _limit_reads(self, size: int, seconds: float) -> None:
+        """
+        Adapt the size and the time of the next read to the duration of this one.
+        """
+        if seconds < _EXPENSIVE:
+            if size == self._read_size:
+                self._read_size = min(_MAX_READ, 2 * size)
+            return
+        self._read_size = _MIN_READ
+        if self._is_receiving and not self.transport.is_closing():
+            self._is_deferred = True
+            self.flow.pause_reading()
+            self._reads.defer(self._resume_reads, seconds)
+
+    def _resume_reads(self) -> None:
+        self._is_deferred = False
+        if not self.transport.is_closing():
+            self.flow.resume_reading()
+
     def _may_read(self) -> bool:
         """
         Return whether more may be read: a client may send requests without end before
         it has the response to the first one.
         """
+        if self._is_deferred:
+            return False
         if self.conn.their_state is not h11.DONE:
             return True
         return len(self.conn.trailing_data[0]) <= _MAX_AHEAD
--- a/packages/saddledoord/src/saddledoord/http/server.py
+++ b/packages/saddledoord/src/saddledoord/http/server.py
@@ -22,6 +22,7 @@
 from .limits import ConnectionLimits, ConnectionTimeouts
 from .listener import Acceptor
 from .pool import ConnectionPool
+from .read_share import ReadShare
 
 
 __all__ = ["HttpServer", "server_config"]
@@ -77,6 +78,7 @@
         idle = ConnectionTimeouts(_HEAD_TIMEOUT, config.timeout_keep_alive)
         self._timeouts = timeouts or (lambda: idle)
         self._pools: list[ConnectionPool] = []
+        self._reads = ReadShare()
         self._closed: Counter[str] = Counter()
         self._acceptors: list[Acceptor] = []
         self._stop_requested = asyncio.Event()
@@ -147,6 +149,7 @@
             server_state=self.server_state,
             app_state=self.lifespan.state,
             timeouts=self._timeouts,
+            reads=self._reads,
             on_made=pool.add,
             on_lost=pool.discard,
         )
@@ -166,6 +169,7 @@
         for connection in list(self.server_state.connections):
             connection.shutdown()
         while not self._has_ended():
+            self.abort_stalled()
             await asyncio.sleep(_POLL_INTERVAL)
         count = sum(
             not connection.is_discarding for connection in self.server_state.connections
@@ -175,6 +179,14 @@
         for connection in list(self.server_state.connections):
             connection.transport.abort()
 
+    def abort_stalled(self) -> None:
+        """
+        Close the connections whose clients neither send nor read.
+        """
+        for connection in list(self.server_state.connections):
+            if connection.is_stalled and not connection.is_discarding:
+                self._abort(connection, "stalled_at_stop")
+
     def _may_close_connections(self) -> bool:
         if boot_time() > self._end_deadline:
             return True
@@ -192,7 +204,7 @@
         """
         poll = select.poll()
         for connection in self.server_state.connections:
-            if not connection.transport.is_closing():
+            if not connection.transport.is_closing() and not connection.is_stalled:
                 sock = connection.transport.get_extra_info("socket")
                 poll.register(sock.fileno(), select.POLLIN)
         return any(event & select.POLLIN for _, event in poll.poll(0))
