Wait at a stop for clients that make progress only

Cause: a stop waits for every request that has partly arrived and for every answer that is not read.

Fix: a client without progress for a second is not awaited, and its connection is closed; nothing of an incomplete request has run.

--- a/packages/saddledoord/src/saddledoord/_daemon.py
+++ b/packages/saddledoord/src/saddledoord/_daemon.py
@@ -150,6 +150,7 @@
         except TimeoutError:
             _log.warning("samples_given_up")
         while not drain.may_hand_over(boot_time(), in_flight.count):
+            http.abort_stalled()
             await asyncio.sleep(_DRAIN_POLL_INTERVAL)
         handed_over = await collectors.hand_over(self._successor())
         for name in keeper.names():
@@ -159,6 +160,7 @@
         drain.handed_over = True
         http.end(force=False)
         while not drain.may_stop(boot_time(), in_flight.count + http.open_connections):
+            http.abort_stalled()
             await asyncio.sleep(_DRAIN_POLL_INTERVAL)
 
     def _successor(self) -> str | None:
