--- a/packages/saddledoord/src/saddledoord/_parts.py
+++ b/packages/saddledoord/src/saddledoord/_parts.py
@@ -133,7 +133,8 @@
         state, dispatcher, backends, peers, claims, ledger, budgets, metrics
     )
     status = status_reader(state, collectors, dispatcher)
-    _gauges(metrics, state, in_flight, dispatcher)
+    memory = MemoryBudget(memory_limits(settings))
+    _gauges(metrics, state, in_flight, dispatcher, memory)
     return Parts(
         backends=backends,
         peers=peers,
@@ -158,7 +159,7 @@
             burn,
             in_flight,
             status,
-            MemoryBudget(memory_limits(settings)),
+            memory,
         ),
         peer_service=PeerService(
             state,
@@ -184,7 +185,11 @@
 
 
 def _gauges(
-    metrics: Metrics, state: NodeState, in_flight: InFlight, dispatcher: Dispatcher
+    metrics: Metrics,
+    state: NodeState,
+    in_flight: InFlight,
+    dispatcher: Dispatcher,
+    memory: MemoryBudget,
 ) -> None:
     metrics.gauge(
         "saddledoor_config_offset",
@@ -192,4 +197,12 @@
         "Offset of the configuration in force",
     )
     metrics.gauge("saddledoor_in_flight", lambda: in_flight.count, "Requests in flight")
+    metrics.gauge(
+        "saddledoor_client_memory_bytes", lambda: memory.held, "Memory held for callers"
+    )
+    metrics.gauge(
+        "saddledoor_requests_without_memory",
+        lambda: memory.refused,
+        "Requests that got no memory",
+    )
     metrics.gauge("saddledoor_waiting", dispatcher.waiting, "Requests that wait")
--- a/packages/saddledoord/src/saddledoord/http/connection.py
+++ b/packages/saddledoord/src/saddledoord/http/connection.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 import h11
+import structlog
 from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
@@ -21,6 +22,8 @@
 
 __all__ = ["Connection"]
 
+_log = structlog.get_logger()
+
 #: Longest time from accepting a connection until its first request arrives for which a
 #: stopping server waits, in seconds.
 _FIRST_REQUEST_TIMEOUT = 1.0
@@ -72,7 +75,7 @@
         self._is_deferred = False
         self._on_made = on_made
         self._on_lost = on_lost
-        self.app_state = {**self.app_state, "abort": self.abort}
+        self.app_state = {**self.app_state, "abort": self._abort_evicted}
         self._timeouts = timeouts
         self._accepted_at = boot_time()
         self._progressed_at = self._accepted_at
@@ -175,6 +178,13 @@
         """
         self.transport.abort()
 
+    def _abort_evicted(self) -> None:
+        """
+        Close the connection, whose request has lost its memory.
+        """
+        _log.info("connection_closed", client=self.client, reason="memory")
+        self.abort()
+
     def overdue_reason(self, now: float) -> str:
         """
         Return why the connection should be closed; empty if it should not.
--- a/packages/saddledoord/src/saddledoord/http/pool.py
+++ b/packages/saddledoord/src/saddledoord/http/pool.py
@@ -8,11 +8,15 @@
 
 import heapq
 
+import structlog
+
 from .connection import Connection
 
 
 __all__ = ["ConnectionPool"]
 
+_log = structlog.get_logger()
+
 #: Divisor of the limit for the number of connections that are closed at once.
 _EVICTED_SHARE = 64
 
@@ -72,5 +76,6 @@
         for _, connection in heapq.nsmallest(count, waiting, key=lambda pair: pair[0]):
             self._connections.discard(connection)
             self._evicted += 1
+            _log.info("connection_closed", client=connection.client, reason="evicted")
             connection.abort()
         return bool(waiting)
--- a/packages/saddledoord/src/saddledoord/observability/gateway_metrics.py
+++ b/packages/saddledoord/src/saddledoord/observability/gateway_metrics.py
@@ -13,7 +13,7 @@
 from opentelemetry.sdk.metrics import MeterProvider
 from prometheus_client import REGISTRY, generate_latest
 
-from saddledoor import Denial, ResultCode
+from saddledoor import Denial, MemoryBudget, MemoryLimits, ResultCode
 from saddledoor.scaling import EngineGroup
 
 from ..scaling.duty import ScalingDuty
@@ -31,6 +31,9 @@
     :param pause_count: Returns the number of process pauses.
     :param denials: Returns the number of sends that were denied, by reason.
     :param scaling: Returns the ordering of engines; None if none are ordered.
+    :param closed: Returns the numbers of connections that the server closed before
+        their clients, by reason.
+    :param memory: The memory held for callers.
     """
 
     def __init__(
@@ -40,6 +43,8 @@
         pause_count: Callable[[], int],
         denials: Callable[[], Mapping[Denial, int]],
         scaling: Callable[[], ScalingDuty | None] = lambda: None,
+        closed: Callable[[], Mapping[str, int]] = dict,
+        memory: MemoryBudget | None = None,
     ) -> None:
         meter = MeterProvider(metric_readers=[PrometheusMetricReader()]).get_meter(
             "saddledoord"
@@ -84,6 +89,32 @@
             unit="s",
             description="Time for which engines were seen by this VM",
         )
+        budget = memory or MemoryBudget(MemoryLimits())
+        meter.create_observable_counter(
+            "saddledoor_clients_closed",
+            [
+                lambda _: [
+                    Observation(n, {"reason": reason}) for reason, n in closed().items()
+                ]
+            ],
+            description="Connections closed by the server, by reason",
+        )
+        meter.create_observable_gauge(
+            "saddledoor_client_memory",
+            [lambda _: [Observation(budget.held)]],
+            unit="By",
+            description="Memory held for callers' requests and their answers",
+        )
+        meter.create_observable_counter(
+            "saddledoor_requests_without_memory",
+            [
+                lambda _: [
+                    Observation(budget.refused, {"outcome": "refused"}),
+                    Observation(budget.evicted, {"outcome": "evicted"}),
+                ]
+            ],
+            description="Requests that got no memory, or lost it while stalled",
+        )
         self._connections = meter.create_counter(
             "saddledoor_engine_connections",
             description="New connections to engines, by service and cause",
--- a/tests/guard_rows/__init__.py
+++ b/tests/guard_rows/__init__.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from . import (
+    clients,
     crashes,
     engines,
     history,
@@ -36,4 +37,5 @@
     *scaling.GUARDS,
     *sends.GUARDS,
     *residency.GUARDS,
+    *clients.GUARDS,
 )
--- a/tests/guard_rows/guard.py
+++ b/tests/guard_rows/guard.py
@@ -22,7 +22,9 @@
     "CRASH_FOLD",
     "CRASH_WATCH",
     "EDGE_READERS",
+    "EDGE_CROWDS",
     "EVENT_STREAM",
+    "MEMORY_BUDGET",
     "EDGE_RESIDENCY",
     "EVACUATIONS",
     "FOLLOW",
@@ -78,6 +80,8 @@
 OWN_WITHOUT_END = "tests/test_bytes_without_end.py"
 WITHOUT_END = "tests/adapter/test_edge_bytes_without_end.py"
 WEIGHTS = "tests/adapter/test_edge_weights.py"
+EDGE_CROWDS = "tests/adapter/test_edge_crowds.py"
+MEMORY_BUDGET = "tests/test_memory_budget.py"
 REQUESTS = "tests/adapter/test_edge_requests.py"
 GARBLED_BYTES = "tests/adapter/test_edge_garbled_bytes.py"
 GARBLED_ANSWERS = "tests/adapter/test_garbled_answers.py"
--- a/tests/guard_rows/keys.py
+++ b/tests/guard_rows/keys.py
@@ -132,7 +132,7 @@
     Guard(
         "a closed listener leaves no connection in its backlog",
         f"{DAEMON}/http/listener.py",
-        "        self._accept_pending()\n        if self._retry",
+        "        self._accept_pending(_BACKLOG)\n        if self._retry",
         "        if self._retry",
         (HTTP_SERVER, "over_a_new_connection"),
     ),
