Wait at a stop for no connection whose input is discarded

Cause: a connection that was closed within a body counted as open until its client left, so a stop of our own daemon could wait for it; and a body with both framings was read as one of known length.

Change: such connections are not counted; a body with Transfer-Encoding is never of known length.

--- a/packages/saddledoord/src/saddledoord/http/connection.py
+++ b/packages/saddledoord/src/saddledoord/http/connection.py
@@ -267,7 +267,8 @@
         """
         Whether the length of the request's body is known.
         """
-        return any(name == b"content-length" for name, _ in self.headers)
+        names = {name for name, _ in self.headers}
+        return b"content-length" in names and b"transfer-encoding" not in names
 
     @property
     def _has_partial_head(self) -> bool:
--- a/packages/saddledoord/src/saddledoord/http/server.py
+++ b/packages/saddledoord/src/saddledoord/http/server.py
@@ -54,10 +54,12 @@
     @property
     def open_connections(self) -> int:
         """
-        Number of connections that are accepted and not yet closed.
+        Number of connections that are accepted and not yet closed, other than those
+        whose remaining input is discarded.
         """
         connecting = sum(acceptor.connecting for acceptor in self._acceptors)
-        return connecting + len(self.server_state.connections)
+        connections = self.server_state.connections
+        return connecting + sum(not c.is_discarding for c in connections)
 
     @property
     def closed(self) -> dict[str, int]:
