Give a connection's output room for two segments

Cause: a buffer for sending of 64 KB holds fewer than two segments of the loopback, so each write waits for a delayed acknowledgement.

--- a/packages/saddledoord/src/saddledoord/http/listener.py
+++ b/packages/saddledoord/src/saddledoord/http/listener.py
@@ -20,9 +20,10 @@
 
 #: Connections that may wait to be accepted.
 _BACKLOG = 2048
-#: Size of the kernel's buffers of a connection, in bytes; the kernel doubles it. They
-#: count as the machine's memory.
-_SOCKET_BUFFER = 32_768
+#: Sizes of the kernel's buffers of a connection, in bytes; the kernel doubles them.
+#: Unread bytes count as the machine's memory. A buffer for sending that holds fewer
+#: than two segments waits for the client's delayed acknowledgements.
+_RECEIVE_BUFFER, _SEND_BUFFER = 65_536, 131_072
 #: Connections that are accepted before others are served.
 _ACCEPTED_AT_ONCE = 16
 #: Pause after a failed accept, and without room for a connection, in seconds.
@@ -39,8 +40,8 @@
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     # Accepted connections inherit these.
-    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
-        listener.setsockopt(socket.SOL_SOCKET, option, _SOCKET_BUFFER)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER)
     try:
         listener.bind((host, int(port)))
     except OSError as error:
--- a/tests/soak/observed.py
+++ b/tests/soak/observed.py
@@ -140,6 +140,7 @@
     fence: int = 0
     tenant: str | None = None
     key: str | None = None
+    size: int = 0
 
 
 @dataclass(frozen=True)
