--- a/packages/saddledoord/src/saddledoord/http/limits.py
+++ b/packages/saddledoord/src/saddledoord/http/limits.py
@@ -12,8 +12,7 @@
 
 __all__ = ["ConnectionLimits", "ConnectionTimeouts"]
 
-#: Descriptors that the process needs for files, and that others need of a limit of the
-#: process itself.
+#: Descriptors of the process that sockets do not get.
 _FILES = 200
 #: Share of the sockets that callers may take; the rest is for engines, the store,
 #: duties and the other ports.
