Test that a process without descriptors closes idle connections

Cause: the guard of it was not noticed by the test of the crowd, whose connections the ports' limits and the timeout of heads close as well.

Change: a test of the listener alone, which is red without the guard (run).

--- a/tests/guard_rows/clients.py
+++ b/tests/guard_rows/clients.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from .guard import DAEMON, EDGE_CROWDS, LIBRARY, MEMORY_BUDGET, Guard
+from .guard import DAEMON, EDGE_CROWDS, HTTP_SERVER, LIBRARY, MEMORY_BUDGET, Guard
 
 
 __all__ = ["GUARDS"]
@@ -76,7 +76,7 @@
         f"{DAEMON}/http/listener.py",
         "if is_short and self._on_exhausted():",
         "if False:",
-        (EDGE_CROWDS, "take_all_descriptors and callers"),
+        (HTTP_SERVER, "without_descriptors"),
     ),
     Guard(
         "a stop does not wait for a stalled client",
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -251,3 +251,30 @@
 
     asyncio.run(run())
     assert sock.has_failed
+
+
+def test_a_process_without_descriptors_closes_idle_connections():
+    """
+    The client is accepted soon after, not after the pause of a failed accept.
+    """
+    sock = _OutOfDescriptors()
+    sock.bind(("127.0.0.1", 0))
+    sock.listen()
+    sock.setblocking(False)
+    calls = []
+
+    async def run() -> None:
+        def close_idle() -> bool:
+            calls.append("closed")
+            return True
+
+        acceptor = Acceptor(sock, asyncio.Protocol, on_exhausted=close_idle)
+        acceptor.start()
+        client = _Client(sock.getsockname())
+        while not sock.has_failed:
+            await asyncio.sleep(0.01)
+        acceptor.close()
+        client.close()
+
+    asyncio.run(run())
+    assert calls == ["closed"]
